--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,24 @@
+# Every library the project uses, in one place. All come from Debian packages (scripts/install-dependencies.sh).
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
+find_package(Protobuf REQUIRED)
+find_package(absl REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(fmt REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(TOMLPLUSPLUS REQUIRED IMPORTED_TARGET tomlplusplus)
+find_library(RAPIDCHECK_LIBRARY rapidcheck)
+
+# Header-only Boost parts, compiled once in src/posthatch/asio/boost_instances.cc.
+add_library(posthatch_boost INTERFACE)
+target_link_libraries(posthatch_boost INTERFACE Boost::boost Boost::json Threads::Threads)
+target_compile_definitions(posthatch_boost INTERFACE
+  BOOST_ASIO_SEPARATE_COMPILATION
+  BOOST_ASIO_NO_DEPRECATED
+  BOOST_BEAST_SEPARATE_COMPILATION)
--- /dev/null
+++ b/cmake/PosthatchComponent.cmake
@@ -0,0 +1,96 @@
+# posthatch_component(NAME
+#   [SOURCES a.cc ...]   the component's classes; one static library posthatch_<NAME>
+#   [PROTOS a.proto ...] its messages, compiled into posthatch_<NAME>_proto without our warnings
+#   [DEPS x ...]         other components (posthatch_<x>) or imported targets (with ::)
+#   [TESTS a-test.cc ...]        one GoogleTest binary <NAME>-test, registered with ctest
+#   [BENCHMARKS a-bench.cc ...]  one Google Benchmark binary <NAME>-bench
+#   [FUZZERS a-fuzz.cc ...]      one libFuzzer binary each, only with POSTHATCH_FUZZERS)
+function(posthatch_component NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;PROTOS;DEPS;TESTS;TEST_DEPS;BENCHMARKS;FUZZERS" ${ARGN})
+  set(library posthatch_${NAME})
+  set(resolved)
+  foreach(dependency ${ARG_DEPS})
+    if(dependency MATCHES "::" OR TARGET ${dependency})
+      list(APPEND resolved ${dependency})
+    else()
+      list(APPEND resolved posthatch_${dependency})
+    endif()
+  endforeach()
+
+  if(ARG_PROTOS)
+    set(generated)
+    file(RELATIVE_PATH proto_folder ${PROJECT_SOURCE_DIR}/src ${CMAKE_CURRENT_SOURCE_DIR})
+    foreach(proto ${ARG_PROTOS})
+      get_filename_component(proto_name ${proto} NAME_WE)
+      set(output ${PROJECT_BINARY_DIR}/src/${proto_folder}/${proto_name}.pb)
+      add_custom_command(
+        OUTPUT ${output}.cc ${output}.h
+        COMMAND protobuf::protoc --cpp_out=${PROJECT_BINARY_DIR}/src -I ${PROJECT_SOURCE_DIR}/src
+                ${proto_folder}/${proto}
+        DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${proto}
+        WORKING_DIRECTORY ${PROJECT_SOURCE_DIR}/src)
+      list(APPEND generated ${output}.cc ${output}.h)
+    endforeach()
+    file(MAKE_DIRECTORY ${PROJECT_BINARY_DIR}/src/${proto_folder})
+    add_library(${library}_proto STATIC ${generated})
+    target_link_libraries(${library}_proto PUBLIC protobuf::libprotobuf)
+    target_include_directories(${library}_proto SYSTEM PUBLIC ${PROJECT_BINARY_DIR}/src)
+    foreach(dependency ${resolved})
+      if(TARGET ${dependency}_proto)
+        target_link_libraries(${library}_proto PUBLIC ${dependency}_proto)
+        add_dependencies(${library}_proto ${dependency}_proto)
+      endif()
+    endforeach()
+    list(APPEND resolved ${library}_proto)
+  endif()
+
+  if(ARG_SOURCES)
+    add_library(${library} STATIC ${ARG_SOURCES})
+    set(visibility PUBLIC)
+    posthatch_warnings(${library})
+  else()
+    add_library(${library} INTERFACE)
+    set(visibility INTERFACE)
+  endif()
+  target_include_directories(${library} ${visibility} ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(${library} ${visibility} ${resolved}
+    absl::status absl::statusor absl::strings absl::flat_hash_map absl::flat_hash_set
+    absl::btree absl::inlined_vector absl::time fmt::fmt spdlog::spdlog protobuf::libprotobuf)
+
+  if(ARG_TESTS)
+    add_executable(${NAME}-test ${ARG_TESTS})
+    posthatch_warnings(${NAME}-test)
+    set(test_resolved)
+    foreach(dependency ${ARG_TEST_DEPS})
+      if(dependency MATCHES "::" OR TARGET ${dependency})
+        list(APPEND test_resolved ${dependency})
+      else()
+        list(APPEND test_resolved posthatch_${dependency})
+      endif()
+    endforeach()
+    target_link_libraries(${NAME}-test PRIVATE ${library} ${test_resolved} GTest::gtest GTest::gmock GTest::gtest_main)
+    add_test(NAME ${NAME} COMMAND ${NAME}-test)
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+  endif()
+
+  if(ARG_BENCHMARKS)
+    add_executable(${NAME}-bench ${ARG_BENCHMARKS})
+    posthatch_warnings(${NAME}-bench)
+    target_link_libraries(${NAME}-bench PRIVATE ${library} benchmark::benchmark benchmark::benchmark_main)
+  endif()
+
+  if(POSTHATCH_FUZZERS)
+    foreach(fuzzer ${ARG_FUZZERS})
+      get_filename_component(fuzzer_name ${fuzzer} NAME_WE)
+      add_executable(${fuzzer_name} ${fuzzer})
+      posthatch_warnings(${fuzzer_name})
+      target_compile_options(${fuzzer_name} PRIVATE -fsanitize=fuzzer)
+      target_link_options(${fuzzer_name} PRIVATE -fsanitize=fuzzer)
+      target_link_libraries(${fuzzer_name} PRIVATE ${library})
+    endforeach()
+  endif()
+endfunction()
+
+function(posthatch_warnings target)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Werror)
+endfunction()
--- /dev/null
+++ b/src/posthatch/consensus/replicated_log.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace posthatch::consensus {
+
+// What a replicated log drives. Deterministic: equal entries give equal states on every replica.
+class StateMachine {
+ public:
+  virtual ~StateMachine() = default;
+  // Applies the committed command at `index` (rising, each once per life of the object) and
+  // returns the answer for the proposer.
+  virtual std::string Apply(uint64_t index, uint64_t term, const std::string& command) = 0;
+  virtual std::string TakeSnapshot() const = 0;
+  // Replaces the whole state. An error stops the process: it must not go on with half a state.
+  virtual absl::Status RestoreSnapshot(const std::string& snapshot) = 0;
+};
+
+enum class ReplicaRole { kUnbootstrapped, kLearner, kFollower, kCandidate, kLeader };
+
+// The replicated log of the controllers as its users see it (implementation: RaftReplica).
+// Event loop thread only.
+class ReplicatedLog {
+ public:
+  // Answer of the state machine, or: FailedPrecondition ("not leader": not taken, ask
+  // leader_endpoint()), Unavailable or Aborted (lost leadership: it may still commit),
+  // ResourceExhausted (too much in flight: not taken).
+  using ProposeDone = std::function<void(absl::StatusOr<std::string>)>;
+  using ReadDone = std::function<void(absl::Status)>;
+  // Called when this replica becomes leader of `term` and has applied all entries of earlier
+  // terms, and with is_leader false as soon as it is leader no more.
+  using LeadershipListener = std::function<void(bool is_leader, uint64_t term)>;
+
+  virtual ~ReplicatedLog() = default;
+  virtual void Propose(std::string command, ProposeDone done) = 0;
+  // Calls `done` with OK once the state machine reflects every command acknowledged before the
+  // call (read index with a quorum check), or with an error as for Propose.
+  virtual void ReadBarrier(ReadDone done) = 0;
+  virtual bool IsLeader() const = 0;
+  virtual uint64_t term() const = 0;
+  virtual uint64_t applied_index() const = 0;
+  virtual ReplicaRole role() const = 0;
+  // Internal endpoint of the leader as far as known, else empty.
+  virtual std::string leader_endpoint() const = 0;
+  virtual void SetLeadershipListener(LeadershipListener listener) = 0;
+};
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/daemon/node_settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "posthatch/http/http.h"
+#include "posthatch/membership/membership.h"
+#include "posthatch/runtime/clock.h"
+
+// Settings of one process, already checked (see settings_loader.h). Each field is documented here
+// and appears under the same name in the TOML file; docs/operations/settings.md is made from it.
+namespace posthatch::daemon {
+
+struct NodeSettings {
+  std::string node_id;             // unique in the fleet
+  std::string zone;                // failure domain, for example "eu-1a"
+  std::string region;              // group of zones close to each other
+  std::string internal_endpoint;   // "ip:port", TCP and UDP, between posthatch processes
+  std::string http_endpoint;       // "ip:port", callers and operators
+  std::vector<std::string> seeds;  // internal endpoints of up to three other processes
+  std::string inventory_endpoint;  // "ip:port" of the platform's inventory
+  runtime::Duration drain_deadline = std::chrono::seconds(20);  // SIGTERM to exit at the latest
+  std::string admin_token_sha256;  // operators' bearer token, hashed; empty: none is asked
+};
+
+struct GatewaySettings {
+  NodeSettings node;
+  http::ServerLimits limits;
+  runtime::Duration session_renew_interval = std::chrono::seconds(1);
+  // Index entries in memory, in bytes.
+  uint64_t index_budget_bytes = 64ull * 1024 * 1024;
+};
+
+struct ControllerSettings {
+  NodeSettings node;
+  http::ServerLimits limits;
+  // How many fresh controllers must see each other before they form the first cluster.
+  uint32_t bootstrap_expect = 3;
+  // Voters that automatic repair keeps up.
+  uint32_t target_voters = 3;
+  runtime::Duration session_lease = std::chrono::seconds(4);
+  runtime::Duration inventory_poll_interval = std::chrono::milliseconds(500);
+};
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/http/http.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "posthatch/runtime/clock.h"
+
+// HTTP as the rest of posthatch sees it: interfaces without a library behind them, so that
+// gateways and stand-ins run alike over Beast and in the simulator. Field names are compared
+// without regard to case (RFC 9110, 5.1). All calls and callbacks are on the event loop thread.
+namespace posthatch::http {
+
+class Headers {
+ public:
+  // First value of `name`, or an empty view.
+  std::string_view Get(std::string_view name) const;
+  bool Has(std::string_view name) const;
+  // Adds a field; an existing one of the same name stays.
+  void Add(std::string_view name, std::string_view value);
+  const std::vector<std::pair<std::string, std::string>>& fields() const { return fields_; }
+
+ private:
+  std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+struct Request {
+  std::string method;  // upper case
+  std::string target;  // path and query, as sent
+  Headers headers;
+  std::string body;
+  // Tells apart the caller's connection: equal for requests on one kept connection.
+  uint64_t connection_id = 0;
+};
+
+struct Response {
+  int status = 200;
+  Headers headers;
+  std::string body;
+};
+
+// Answers one request: either SendWhole once, or StartStream, any number of WritePiece, and then
+// FinishStream or Abort. Dropped unanswered, it aborts. Never throws; calls after the caller has
+// gone are ignored.
+class ResponseWriter {
+ public:
+  virtual ~ResponseWriter() = default;
+  virtual void SendWhole(Response response) = 0;
+  // Sends status and fields now; the body follows in chunks (RFC 9112, 7.1).
+  virtual void StartStream(Response head) = 0;
+  virtual void WritePiece(std::string piece) = 0;
+  // Ends the body properly: the caller may take the answer as complete.
+  virtual void FinishStream() = 0;
+  // Breaks the connection without the closing chunk, after what was written has gone out: the
+  // caller can see that the answer is cut.
+  virtual void Abort() = 0;
+  // Bytes accepted by WritePiece and not yet handed to the network.
+  virtual size_t buffered_bytes() const = 0;
+  // Runs `callback` once, when the buffered bytes have fallen below half of the limit.
+  virtual void OnWritable(std::function<void()> callback) = 0;
+  // Runs `callback` if the caller goes away before the answer has ended. A copy of the writer held
+  // in the callback is released when the answer ends.
+  virtual void OnCallerGone(std::function<void()> callback) = 0;
+};
+
+using Handler = std::function<void(Request, std::shared_ptr<ResponseWriter>)>;
+
+struct ServerLimits {
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 8 * 1024 * 1024;
+  size_t max_connections = 10000;
+  size_t max_buffered_bytes = 1024 * 1024;  // per response
+  runtime::Duration header_timeout = std::chrono::seconds(10);
+  runtime::Duration body_timeout = std::chrono::seconds(30);
+  runtime::Duration idle_timeout = std::chrono::seconds(120);
+};
+
+class HttpServer {
+ public:
+  virtual ~HttpServer() = default;
+  // The bound address "ip:port" (with the port chosen if 0 was asked).
+  virtual const std::string& endpoint() const = 0;
+  // Accepts no new connections, lets running answers end, and closes idle connections.
+  virtual void Drain() = 0;
+  virtual size_t open_connections() const = 0;
+};
+
+class HttpServerFactory {
+ public:
+  virtual ~HttpServerFactory() = default;
+  // Listens on `endpoint`. Destroying the server closes everything at once.
+  virtual absl::StatusOr<std::unique_ptr<HttpServer>> Listen(const std::string& endpoint,
+                                                             ServerLimits limits,
+                                                             Handler handler) = 0;
+};
+
+// How far a call got: what may be concluded about whether the back end saw it.
+enum class CallProgress {
+  kNotSent,   // no byte of the request went out: it can't have been executed
+  kSent,      // some byte went out: the back end may have executed it
+  kAnswered,  // the status line came back
+};
+
+struct CallError {
+  absl::Status status;  // Unavailable, DeadlineExceeded, DataLoss (cut or malformed), Cancelled
+  CallProgress progress = CallProgress::kNotSent;
+};
+
+// Callbacks of one call, in order: at most one on_head, any number of on_piece, then exactly one of
+// on_end or on_error; none after Cancel.
+struct CallObserver {
+  std::function<void(const Response& head)> on_head;  // head.body is empty
+  std::function<void(std::string piece)> on_piece;
+  std::function<void()> on_end;
+  std::function<void(CallError)> on_error;
+};
+
+struct CallOptions {
+  runtime::Duration connect_timeout = std::chrono::milliseconds(500);
+  // Until the status line; zero for none.
+  runtime::Duration head_timeout = std::chrono::seconds(30);
+  // Longest silence between pieces of the body; zero for none.
+  runtime::Duration piece_timeout = std::chrono::seconds(30);
+  size_t max_body_bytes = 64 * 1024 * 1024;
+  // Use a new connection even if a kept one is idle: a kept one may be half dead, and a request
+  // that may not be repeated must not be sent on it.
+  bool fresh_connection = false;
+};
+
+// A running call. Destroying the handle cancels: the connection is closed, which tells the back end
+// that nobody waits any more. PauseReading stops reading from the back end until ResumeReading.
+class Call {
+ public:
+  virtual ~Call() = default;
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
+};
+
+class HttpClient {
+ public:
+  virtual ~HttpClient() = default;
+  // Sends `request` to "ip:port". No callback runs before Start returns.
+  virtual std::unique_ptr<Call> Start(const std::string& endpoint, Request request,
+                                      CallOptions options, CallObserver observer) = 0;
+};
+
+}  // namespace posthatch::http
--- /dev/null
+++ b/src/posthatch/index/block_hash.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace posthatch::index {
+
+// What a block's identity depends on besides its content. Two blocks with different seeds can't
+// have the same hash (short of a collision of XXH3-128), so a block made under other weights or for
+// an isolated tenant can't be named.
+struct BlockSeed {
+  std::string model;
+  uint64_t model_revision = 0;
+  std::string isolation_tenant;  // empty for the domain that tenants share
+  uint64_t isolation_generation = 0;
+};
+
+// Chained: a block's hash covers all blocks before it (XXH3-128 over parent hash and content).
+using BlockHash = uint64_t;  // low half of the 128 bits; what the index keeps
+
+// The cache salt sent to workers: hexadecimal XXH3-128 of the seed.
+std::string CacheSalt(const BlockSeed& seed);
+
+// Hashes of all full blocks of `prompt`, in order. A block is `block_bytes` bytes of the canonical
+// prompt text; a rest shorter than a block has no hash. `cache_salt` as made by CacheSalt.
+std::vector<BlockHash> HashBlocks(std::string_view cache_salt, std::string_view prompt,
+                                  size_t block_bytes);
+
+// Bytes of canonical prompt text that count as one token.
+inline constexpr size_t kBytesPerToken = 4;
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/membership/membership.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace posthatch::membership {
+
+enum class MemberRole { kGateway, kController };
+enum class MemberState { kAlive, kSuspect, kDead, kLeft };
+
+struct Member {
+  std::string node_id;
+  MemberRole role = MemberRole::kGateway;
+  std::string zone;
+  std::string region;
+  std::string internal_endpoint;  // "ip:port" for Transport
+  std::string http_endpoint;      // "ip:port" for callers and operators
+  uint64_t incarnation = 0;
+  MemberState state = MemberState::kAlive;
+};
+
+// The processes that this one believes to exist. A hint for finding peers and spreading load, never
+// ground for a decision about leases or quorums. Event loop thread only.
+class Membership {
+ public:
+  using Listener = std::function<void(const Member&)>;
+
+  virtual ~Membership() = default;
+  // Alive and suspect members without this process itself, sorted by node id.
+  virtual std::vector<Member> LiveMembers() const = 0;
+  virtual const Member& self() const = 0;
+  // Called for each member that is new or whose state, endpoint or incarnation changed.
+  virtual void AddListener(Listener listener) = 0;
+  // Tells the others that this process leaves (at drain).
+  virtual void Leave() = 0;
+};
+
+}  // namespace posthatch::membership
