Give each runtime a metrics registry

Cause: counters are documented where they are defined, so each component registers its own families. Measured: builds clean.

--- a/src/posthatch/runtime/runtime.h
+++ b/src/posthatch/runtime/runtime.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <prometheus/registry.h>
+
 #include "posthatch/http/http.h"
 #include "posthatch/runtime/clock.h"
 #include "posthatch/runtime/file_system.h"
@@ -21,6 +23,8 @@
   http::HttpClient* http_client = nullptr;
   http::HttpServerFactory* http_servers = nullptr;
   TraceSink* trace = nullptr;
+  // Every component registers its own metric families here, with a help text that documents them.
+  prometheus::Registry* metrics = nullptr;
 };
 
 }  // namespace posthatch::runtime
