--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds, and runs a whole fleet on this machine with traffic and a summary.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-dependencies.sh
+cmake --preset release >/dev/null
+cmake --build --preset release -j "$(nproc)" --target posthatchd posthatchctl posthatch-standin posthatch-rehearse
+exec build/release/src/posthatch/rehearse/posthatch-rehearse run scenarios/quickstart.toml --report quickstart-report.json "$@"
