--- /dev/null
+++ b/src/posthatch/simulation/host_executor.cc
@@ -0,0 +1,62 @@
+#include "posthatch/simulation/host_executor.h"
+
+#include <utility>
+
+namespace posthatch::simulation {
+
+void HostExecutor::Execute(Callback* callback) {
+  ++executing_;
+  (*callback)();
+  --executing_;
+}
+
+void HostExecutor::Run(uint64_t life, Work work, Callback callback) {
+  if (life != life_ || life == 0) return;
+  const bool waking = !deferred_timers_.empty() || !deferred_network_.empty();
+  if (!frozen_ && !(waking && work != Work::kTimer)) {
+    Execute(&callback);
+    return;
+  }
+  if (work == Work::kTimer) {
+    deferred_timers_.push_back(Deferred{life, std::move(callback)});
+    return;
+  }
+  if (work == Work::kDatagram && ++waiting_datagrams_ > kMaxWaitingDatagrams) return;
+  deferred_network_.push_back(Deferred{life, std::move(callback)});
+}
+
+void HostExecutor::BeginLife(uint64_t life) {
+  life_ = life;
+  powered_ = true;
+  frozen_ = false;
+}
+
+void HostExecutor::EndLife(bool power_lost) {
+  life_ = 0;
+  powered_ = !power_lost;
+  frozen_ = false;
+  waiting_datagrams_ = 0;
+  deferred_timers_.clear();
+  deferred_network_.clear();
+}
+
+void HostExecutor::Thaw(bool timers_first) {
+  if (!frozen_) return;
+  frozen_ = false;
+  queue_->ScheduleAfter(runtime::Duration(0), [this, timers_first] { RunDeferred(timers_first); });
+}
+
+void HostExecutor::RunDeferred(bool timers_first) {
+  auto& first = timers_first ? deferred_timers_ : deferred_network_;
+  auto& second = timers_first ? deferred_network_ : deferred_timers_;
+  for (auto* deferred : {&first, &second}) {
+    while (!frozen_ && !deferred->empty()) {
+      Deferred next = std::move(deferred->front());
+      deferred->pop_front();
+      if (next.life == life_) Execute(&next.callback);
+    }
+  }
+  if (!frozen_) waiting_datagrams_ = 0;
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/host_executor.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+#include "posthatch/simulation/event_queue.h"
+
+namespace posthatch::simulation {
+
+// Runs what happens to one simulated process, unless it is gone or frozen. Each start of the
+// process is a "life"; work scheduled for an earlier life is dropped. Owned by the host, and lives
+// as long as the world.
+class HostExecutor {
+ public:
+  enum class Work {
+    kTimer,     // runs late after a freeze
+    kNetwork,   // waits in the kernel's buffers
+    kDatagram,  // as kNetwork, but lost beyond kMaxWaitingDatagrams
+  };
+
+  HostExecutor(EventQueue* queue, uint32_t number, std::string name)
+      : queue_(queue), number_(number), name_(std::move(name)) {}
+
+  uint32_t number() const { return number_; }
+  const std::string& name() const { return name_; }
+  // The running life, or 0 when the process is not running.
+  uint64_t life() const { return life_; }
+  bool running() const { return life_ != 0; }
+  bool frozen() const { return frozen_; }
+  // False after a power loss until the next start: nothing answers, not even the kernel.
+  bool powered() const { return powered_; }
+  // Whether a callback of this process is running just now.
+  bool executing() const { return executing_ > 0; }
+
+  // Runs `callback` if `life` is the running one: at once, or after Thaw when frozen.
+  void Run(uint64_t life, Work work, Callback callback);
+
+  void BeginLife(uint64_t life);
+  void EndLife(bool power_lost);
+  void Freeze() { frozen_ = running(); }
+  // Whether timers or the network come first on waking is the caller's choice.
+  void Thaw(bool timers_first);
+
+ private:
+  static constexpr size_t kMaxWaitingDatagrams = 64;
+  struct Deferred {
+    uint64_t life;
+    Callback callback;
+  };
+  void RunDeferred(bool timers_first);
+  void Execute(Callback* callback);
+
+  EventQueue* const queue_;
+  const uint32_t number_;
+  const std::string name_;
+  uint64_t life_ = 0;
+  bool frozen_ = false;
+  bool powered_ = true;
+  int executing_ = 0;
+  size_t waiting_datagrams_ = 0;
+  std::deque<Deferred> deferred_timers_;
+  std::deque<Deferred> deferred_network_;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/http_connection.cc
@@ -0,0 +1,172 @@
+#include "posthatch/simulation/http_connection.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+#include "posthatch/simulation/sim_http_server.h"
+
+namespace posthatch::simulation {
+namespace {
+
+uint64_t Digest(const std::string& text, uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(WorldCore* core, HostExecutor* client, std::string endpoint)
+    : core_(core),
+      id_(core->NextId()),
+      client_(client),
+      client_life_(client->life()),
+      endpoint_(std::move(endpoint)) {}
+
+void HttpConnection::Connect(std::shared_ptr<ClientEnd> end) {
+  client_end_ = std::move(end);
+  HostExecutor* target = core_->network.FindTarget(endpoint_);
+  request_pipe_ = std::make_shared<Pipe>(core_, TraceKind::kHttp, client_, target, 0);
+  request_pipe_->set_accept([weak = weak_from_this()]() -> uint64_t {
+    const auto self = weak.lock();
+    return self == nullptr || self->client_closed_ ? 0 : self->AcceptAtServer();
+  });
+  request_pipe_->set_on_error([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->ClientSeesClose();
+  });
+  // The first, empty message stands for the handshake; the server's kernel answers it.
+  request_pipe_->Push(0, id_, [] {});
+}
+
+uint64_t HttpConnection::AcceptAtServer() {
+  SimHttpServer* server = core_->network.FindServer(endpoint_);
+  return server == nullptr ? 0 : server->Accept(shared_from_this());
+}
+
+void HttpConnection::Accepted(HostExecutor* server, std::shared_ptr<ServerEnd> end) {
+  server_ = server;
+  server_life_ = server->life();
+  server_end_ = std::move(end);
+  response_pipe_ = std::make_shared<Pipe>(core_, TraceKind::kHttp, server_, client_, client_life_);
+  response_pipe_->set_on_error([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->ServerSeesClose();
+  });
+  PushToClient(0, id_, {}, [](ClientEnd* end, http::Response*) { end->OnConnected(); });
+}
+
+void HttpConnection::SendRequest(http::Request request) {
+  const size_t bytes = request.target.size() + request.body.size();
+  const uint64_t digest = Digest(request.body, Digest(request.target, id_));
+  request.connection_id = id_;
+  request_pipe_->Push(bytes, digest,
+                      [weak = weak_from_this(), request = std::move(request)]() mutable {
+                        const auto self = weak.lock();
+                        if (self == nullptr) return;
+                        if (self->server_closed_) {
+                          self->request_pipe_->Reset();
+                        } else if (const auto end = self->server_end_) {
+                          end->OnRequest(std::move(request));
+                        }
+                      });
+}
+
+void HttpConnection::PushToClient(size_t bytes, uint64_t digest, http::Response content,
+                                  ClientAction action) {
+  response_pipe_->Push(bytes, digest,
+                       [weak = weak_from_this(), content = std::move(content), action]() mutable {
+                         const auto self = weak.lock();
+                         if (self == nullptr) return;
+                         if (self->client_closed_) {
+                           self->response_pipe_->Reset();
+                         } else if (const auto end = self->client_end_) {
+                           action(end.get(), &content);
+                         }
+                       });
+}
+
+void HttpConnection::SendHead(http::Response head) {
+  head.body.clear();
+  PushToClient(1, Digest(head.body, head.status), std::move(head),
+               [](ClientEnd* end, http::Response* content) { end->OnHead(*content); });
+}
+
+void HttpConnection::SendPiece(std::string piece) {
+  const uint64_t digest = Digest(piece, id_);
+  const size_t bytes = piece.size();
+  http::Response content;
+  content.body = std::move(piece);
+  PushToClient(bytes, digest, std::move(content), [](ClientEnd* end, http::Response* content) {
+    end->OnPiece(std::move(content->body));
+  });
+}
+
+void HttpConnection::SendEnd() {
+  PushToClient(1, id_, {}, [](ClientEnd* end, http::Response*) { end->OnEnd(); });
+}
+
+void HttpConnection::SendWhole(http::Response response) {
+  std::string body = std::move(response.body);
+  SendHead(std::move(response));
+  if (!body.empty()) SendPiece(std::move(body));
+  SendEnd();
+}
+
+void HttpConnection::CloseClient() {
+  if (client_closed_) return;
+  client_closed_ = true;
+  const std::shared_ptr<ClientEnd> end = std::move(client_end_);
+  client_end_ = nullptr;
+  Callback deliver = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->ServerSeesClose();
+  };
+  if (client_life_ == client_->life()) {
+    request_pipe_->Push(0, id_, std::move(deliver));
+  } else {
+    request_pipe_->SenderGone(client_->powered() ? std::move(deliver) : nullptr);
+  }
+  if (response_pipe_ != nullptr) response_pipe_->ResumeReading();
+}
+
+void HttpConnection::CloseServer() {
+  if (server_closed_) return;
+  server_closed_ = true;
+  const std::shared_ptr<ServerEnd> end = std::move(server_end_);
+  server_end_ = nullptr;
+  Callback deliver = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->ClientSeesClose();
+  };
+  if (server_life_ == server_->life()) {
+    response_pipe_->Push(0, id_, std::move(deliver));
+  } else {
+    response_pipe_->SenderGone(server_->powered() ? std::move(deliver) : nullptr);
+  }
+}
+
+void HttpConnection::ClientSeesClose() {
+  if (client_closed_) return;
+  const std::shared_ptr<ClientEnd> end = client_end_;
+  CloseClient();
+  if (end != nullptr) end->OnClosed();
+}
+
+void HttpConnection::ServerSeesClose() {
+  if (server_closed_) return;
+  const std::shared_ptr<ServerEnd> end = server_end_;
+  CloseServer();
+  if (end != nullptr) end->OnClosed();
+}
+
+void HttpConnection::PauseReading() {
+  if (response_pipe_ != nullptr) response_pipe_->PauseReading();
+}
+
+void HttpConnection::ResumeReading() {
+  if (response_pipe_ != nullptr) response_pipe_->ResumeReading();
+}
+
+size_t HttpConnection::response_buffered_bytes() const { return response_pipe_->buffered_bytes(); }
+
+void HttpConnection::NotifyWritable(size_t threshold, Callback callback) {
+  response_pipe_->NotifyWritable(threshold, std::move(callback));
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/http_connection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "posthatch/http/http.h"
+#include "posthatch/simulation/pipe.h"
+
+namespace posthatch::simulation {
+
+// A simulated HTTP/1.1 connection: a pipe each way and the two ends. Owned by its ends (the
+// client's pool or call, and the server); what is on the way refers to it weakly.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  // What the client's side of a connection is told, in the client's context.
+  class ClientEnd {
+   public:
+    virtual ~ClientEnd() = default;
+    virtual void OnConnected() = 0;
+    virtual void OnHead(const http::Response& head) = 0;
+    virtual void OnPiece(std::string piece) = 0;
+    virtual void OnEnd() = 0;
+    virtual void OnClosed() = 0;
+  };
+  // What the server's side is told, in the server's context.
+  class ServerEnd {
+   public:
+    virtual ~ServerEnd() = default;
+    virtual void OnRequest(http::Request request) = 0;
+    virtual void OnClosed() = 0;
+  };
+
+  HttpConnection(WorldCore* core, HostExecutor* client, std::string endpoint);
+
+  uint64_t id() const { return id_; }
+
+  // Client's side. Connect reports by OnConnected or OnClosed.
+  void Connect(std::shared_ptr<ClientEnd> end);
+  void set_client_end(std::shared_ptr<ClientEnd> end) { client_end_ = std::move(end); }
+  void SendRequest(http::Request request);
+  void CloseClient();
+  // Whether another request may be sent, as far as the client knows.
+  bool client_open() const { return !client_closed_; }
+  void PauseReading();
+  void ResumeReading();
+
+  // Server's side.
+  void Accepted(HostExecutor* server, std::shared_ptr<ServerEnd> end);
+  void SendHead(http::Response head);
+  void SendPiece(std::string piece);
+  void SendEnd();
+  void SendWhole(http::Response response);
+  void CloseServer();
+  size_t response_buffered_bytes() const;
+  void NotifyWritable(size_t threshold, Callback callback);
+
+ private:
+  using ClientAction = void (*)(ClientEnd*, http::Response*);
+
+  uint64_t AcceptAtServer();
+  void PushToClient(size_t bytes, uint64_t digest, http::Response content, ClientAction action);
+  void ClientSeesClose();
+  void ServerSeesClose();
+
+  WorldCore* const core_;
+  const uint64_t id_;
+  HostExecutor* const client_;
+  const uint64_t client_life_;
+  const std::string endpoint_;
+  HostExecutor* server_ = nullptr;
+  uint64_t server_life_ = 0;
+  std::shared_ptr<Pipe> request_pipe_;
+  std::shared_ptr<Pipe> response_pipe_;  // null until accepted
+  std::shared_ptr<ClientEnd> client_end_;
+  std::shared_ptr<ServerEnd> server_end_;
+  bool client_closed_ = false;
+  bool server_closed_ = false;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/network.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "posthatch/runtime/random.h"
+#include "posthatch/simulation/host_executor.h"
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::simulation {
+
+class SimHttpServer;
+class SimTransport;
+
+// Links between hosts and who listens where. Hosts are named by their numbers. The hash maps are
+// only looked up, never iterated, so their order can't reach a run. Owned by WorldCore.
+class Network {
+ public:
+  explicit Network(runtime::Random* random) : random_(random) {}
+
+  void set_behaviour(const NetworkBehaviour& behaviour) { behaviour_ = behaviour; }
+  const NetworkBehaviour& behaviour() const { return behaviour_; }
+
+  void Cut(uint32_t from, uint32_t to) { cuts_.insert(Key(from, to)); }
+  void Heal(uint32_t from, uint32_t to) { cuts_.erase(Key(from, to)); }
+  void HealAll() { cuts_.clear(); }
+  void SlowLink(uint32_t from, uint32_t to, runtime::Duration extra_delay);
+
+  // Whether nothing gets through from one host to another just now.
+  bool IsCut(uint32_t from, uint32_t to) const {
+    return !cuts_.empty() && cuts_.contains(Key(from, to));
+  }
+  // A delay for one message, drawn by seed.
+  runtime::Duration DrawDelay(uint32_t from, uint32_t to);
+
+  // The first host added with an ip is the machine that answers for unused ports of it.
+  void AddAddress(const std::string& ip, HostExecutor* host);
+  // The host that answers at "ip:port": the one listening there, else the owner of the ip, else
+  // null (nobody has the address).
+  HostExecutor* FindTarget(const std::string& endpoint) const;
+
+  bool AddTransport(const std::string& endpoint, HostExecutor* host, SimTransport* transport);
+  void RemoveTransport(const std::string& endpoint, SimTransport* transport);
+  SimTransport* FindTransport(const std::string& endpoint) const;
+  // False if the endpoint is in use.
+  bool AddServer(const std::string& endpoint, HostExecutor* host, SimHttpServer* server);
+  void RemoveServer(const std::string& endpoint, SimHttpServer* server);
+  SimHttpServer* FindServer(const std::string& endpoint) const;
+
+ private:
+  static uint64_t Key(uint32_t from, uint32_t to) {
+    return (static_cast<uint64_t>(from) << 32) | to;
+  }
+
+  runtime::Random* const random_;
+  NetworkBehaviour behaviour_;
+  absl::flat_hash_set<uint64_t> cuts_;
+  absl::flat_hash_map<uint64_t, runtime::Duration> slow_links_;
+  absl::flat_hash_map<std::string, HostExecutor*> addresses_;
+  absl::flat_hash_map<std::string, std::pair<HostExecutor*, SimTransport*>> transports_;
+  absl::flat_hash_map<std::string, std::pair<HostExecutor*, SimHttpServer*>> servers_;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/pipe.cc
@@ -0,0 +1,216 @@
+#include "posthatch/simulation/pipe.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace posthatch::simulation {
+namespace {
+
+// Of the stream messages hit by loss, the share whose connection breaks instead of waiting for a
+// retransmission.
+constexpr double kBreakPerLoss = 0.1;
+// Chance that a reset is noticed late, and how late at most.
+constexpr double kLateReset = 0.2;
+constexpr runtime::Duration kMaxResetLateness = std::chrono::seconds(3);
+
+}  // namespace
+
+Pipe::Pipe(WorldCore* core, TraceKind kind, HostExecutor* from, HostExecutor* to, uint64_t to_life)
+    : core_(core),
+      kind_(kind),
+      from_(from),
+      from_life_(from->life()),
+      to_(to),
+      to_life_(to_life),
+      last_arrival_(core->queue.now()),
+      stall_limit_(core->random.Between(kMinStall, kMaxStall)) {}
+
+void Pipe::AddSetupDelay() {
+  if (to_ == nullptr) return;
+  last_arrival_ += core_->network.DrawDelay(from_->number(), to_->number()) +
+                   core_->network.DrawDelay(to_->number(), from_->number());
+}
+
+void Pipe::Push(size_t bytes, uint64_t digest, Callback deliver) {
+  if (broken_ || sender_gone_) return;
+  Message message{{}, bytes, digest, std::move(deliver)};
+  if (buffered_.empty() && window_bytes_ < kWindowBytes) {
+    Transmit(std::move(message));
+    return;
+  }
+  buffered_bytes_ += bytes;
+  buffered_.push_back(std::move(message));
+}
+
+void Pipe::Transmit(Message message) {
+  runtime::MonotonicTime earliest = core_->queue.now();
+  const NetworkBehaviour& behaviour = core_->network.behaviour();
+  if (behaviour.loss > 0 && core_->random.Chance(behaviour.loss)) {
+    if (core_->random.Chance(kBreakPerLoss)) {
+      Fail(runtime::Duration(0));
+      return;
+    }
+    earliest += kRetransmission;
+  }
+  if (to_ != nullptr) earliest += core_->network.DrawDelay(from_->number(), to_->number());
+  last_arrival_ = std::max(last_arrival_, earliest);
+  message.arrival = last_arrival_;
+  window_bytes_ += message.bytes;
+  network_.push_back(std::move(message));
+  ScheduleArrival(last_arrival_);
+}
+
+void Pipe::ScheduleArrival(runtime::MonotonicTime time) {
+  if (arrival_scheduled_) return;
+  arrival_scheduled_ = true;
+  core_->queue.ScheduleAt(time, [self = shared_from_this()] {
+    self->arrival_scheduled_ = false;
+    self->Arrive();
+  });
+}
+
+void Pipe::Arrive() {
+  if (broken_ || network_.empty() || Stalled() || !BindReceiver()) return;
+  while (!network_.empty() && network_.front().arrival <= core_->queue.now()) {
+    unread_.push_back(std::move(network_.front()));
+    network_.pop_front();
+  }
+  if (!network_.empty()) ScheduleArrival(network_.front().arrival);
+  RequestDrain();
+}
+
+bool Pipe::Stalled() {
+  const bool blocked =
+      to_ == nullptr || !to_->powered() || core_->network.IsCut(from_->number(), to_->number());
+  if (!blocked) {
+    stalled_ = false;
+    return false;
+  }
+  const runtime::MonotonicTime now = core_->queue.now();
+  if (!stalled_) stalled_since_ = now;
+  stalled_ = true;
+  if (now - stalled_since_ >= stall_limit_) {
+    Fail(runtime::Duration(0));
+  } else {
+    ScheduleArrival(now + kRetransmission);
+  }
+  return true;
+}
+
+bool Pipe::BindReceiver() {
+  if (to_life_ == 0 && accept_) {
+    Accept accept = std::move(accept_);
+    accept_ = nullptr;
+    to_life_ = accept();
+  }
+  if (to_life_ != 0 && to_life_ == to_->life()) return !broken_;
+  // Nobody listens, or the process that did is gone: its kernel answers with a reset.
+  Reset();
+  return false;
+}
+
+void Pipe::Reset() {
+  if (broken_) return;
+  runtime::Duration delay = core_->network.DrawDelay(to_->number(), from_->number());
+  if (core_->random.Chance(kLateReset)) {
+    delay += core_->random.Between(runtime::Duration(0), kMaxResetLateness);
+  }
+  Fail(delay);
+}
+
+void Pipe::Fail(runtime::Duration delay) {
+  Callback on_error = std::move(on_error_);
+  Break();
+  if (!on_error) return;
+  core_->queue.ScheduleAfter(
+      delay, [from = from_, life = from_life_, on_error = std::move(on_error)]() mutable {
+        from->Run(life, HostExecutor::Work::kNetwork, std::move(on_error));
+      });
+}
+
+void Pipe::RequestDrain() {
+  if (drain_requested_ || paused_ || unread_.empty()) return;
+  drain_requested_ = true;
+  to_->Run(to_life_, HostExecutor::Work::kNetwork, [self = shared_from_this()] { self->Drain(); });
+}
+
+void Pipe::Drain() {
+  drain_requested_ = false;
+  while (!broken_ && !paused_ && !unread_.empty() && to_->life() == to_life_) {
+    Message message = std::move(unread_.front());
+    unread_.pop_front();
+    window_bytes_ -= message.bytes;
+    core_->Mix(kind_, to_->number(), from_->number(),
+               {reinterpret_cast<const char*>(&message.digest), sizeof(message.digest)});
+    message.deliver();
+  }
+  if (!broken_ && !buffered_.empty() && window_bytes_ < kWindowBytes) {
+    from_->Run(from_life_, HostExecutor::Work::kNetwork,
+               [self = shared_from_this()] { self->Refill(); });
+  }
+}
+
+void Pipe::Refill() {
+  while (!broken_ && !buffered_.empty() && window_bytes_ < kWindowBytes) {
+    Message message = std::move(buffered_.front());
+    buffered_.pop_front();
+    buffered_bytes_ -= message.bytes;
+    Transmit(std::move(message));
+  }
+  CheckWritable();
+}
+
+void Pipe::NotifyWritable(size_t threshold, Callback callback) {
+  writable_threshold_ = threshold;
+  on_writable_ = std::move(callback);
+  CheckWritable();
+}
+
+void Pipe::CheckWritable() {
+  if (broken_ || !on_writable_ || buffered_bytes_ >= writable_threshold_) return;
+  Callback callback = std::move(on_writable_);
+  on_writable_ = nullptr;
+  core_->queue.ScheduleAfter(runtime::Duration(0), [from = from_, life = from_life_,
+                                                    callback = std::move(callback)]() mutable {
+    from->Run(life, HostExecutor::Work::kNetwork, std::move(callback));
+  });
+}
+
+void Pipe::ResumeReading() {
+  paused_ = false;
+  core_->queue.ScheduleAfter(runtime::Duration(0),
+                             [self = shared_from_this()] { self->RequestDrain(); });
+}
+
+void Pipe::SenderGone(Callback deliver) {
+  if (broken_ || sender_gone_) return;
+  sender_gone_ = true;
+  buffered_.clear();
+  buffered_bytes_ = 0;
+  on_error_ = nullptr;
+  on_writable_ = nullptr;
+  // The kernel of a killed process may still send what it holds, or reset at once.
+  if (core_->random.Chance(0.5)) {
+    for (const Message& message : network_) window_bytes_ -= message.bytes;
+    network_.clear();
+  }
+  if (!deliver) return;
+  if (core_->random.Chance(kLateReset)) {
+    last_arrival_ = std::max(last_arrival_, core_->queue.now()) +
+                    core_->random.Between(runtime::Duration(0), kMaxResetLateness);
+  }
+  Transmit(Message{{}, 0, 0, std::move(deliver)});
+}
+
+void Pipe::Break() {
+  broken_ = true;
+  accept_ = nullptr;
+  on_error_ = nullptr;
+  on_writable_ = nullptr;
+  buffered_.clear();
+  network_.clear();
+  unread_.clear();
+  buffered_bytes_ = 0;
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/pipe.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string_view>
+
+#include "posthatch/simulation/world_core.h"
+
+namespace posthatch::simulation {
+
+// One direction of a simulated TCP connection: messages arrive in order, whole, once, until the
+// pipe breaks. Models the sender's buffer, what is on the way (bounded by a window), the receiver's
+// unread data, retransmission over cut links and the give-up after kMinStall to kMaxStall. Shared
+// by its ends and its pending event.
+class Pipe : public std::enable_shared_from_this<Pipe> {
+ public:
+  // Binds the receiving process when the first message arrives: its life, or 0 if it refuses.
+  using Accept = absl::AnyInvocable<uint64_t()>;
+
+  // `to` may be null: nobody has the address. `to_life` is 0 until `accept` binds it.
+  Pipe(WorldCore* core, TraceKind kind, HostExecutor* from, HostExecutor* to, uint64_t to_life);
+
+  // Holds the first message back for the time that setting up a connection takes.
+  void AddSetupDelay();
+  void set_accept(Accept accept) { accept_ = std::move(accept); }
+  // Runs at the sender when the pipe has broken by refusal, reset or time-out; not after Break.
+  void set_on_error(Callback on_error) { on_error_ = std::move(on_error); }
+
+  // Runs `deliver` at the receiver once the message of `bytes` bytes has arrived. `digest` is mixed
+  // into the trace hash then.
+  void Push(size_t bytes, uint64_t digest, Callback deliver);
+  // Ends the pipe from the sender's side although messages may be on the way: what is still in the
+  // sender's buffer is lost. `deliver`, if given, follows at the receiver (the reset), some time
+  // late by seed.
+  void SenderGone(Callback deliver);
+  // Breaks as if the receiver had answered with a reset.
+  void Reset();
+  // Drops everything; nothing runs any more at either end.
+  void Break();
+
+  bool broken() const { return broken_; }
+  bool established() const { return to_life_ != 0; }
+  // Bytes not yet handed to the network.
+  size_t buffered_bytes() const { return buffered_bytes_; }
+  // Runs `callback` once at the sender when fewer than `threshold` bytes are buffered.
+  void NotifyWritable(size_t threshold, Callback callback);
+
+  void PauseReading() { paused_ = true; }
+  void ResumeReading();
+
+ private:
+  struct Message {
+    runtime::MonotonicTime arrival;
+    size_t bytes;
+    uint64_t digest;
+    Callback deliver;
+  };
+  static constexpr size_t kWindowBytes = 256 * 1024;
+  static constexpr runtime::Duration kRetransmission = std::chrono::milliseconds(200);
+  static constexpr runtime::Duration kMinStall = std::chrono::seconds(8);
+  static constexpr runtime::Duration kMaxStall = std::chrono::seconds(16);
+
+  void Transmit(Message message);
+  void ScheduleArrival(runtime::MonotonicTime time);
+  void Arrive();
+  // Whether the way to the receiver is blocked; arranges a later try or gives up.
+  bool Stalled();
+  bool BindReceiver();
+  void RequestDrain();
+  void Drain();
+  void Refill();
+  void CheckWritable();
+  void Fail(runtime::Duration delay);
+
+  WorldCore* const core_;
+  const TraceKind kind_;
+  HostExecutor* const from_;
+  const uint64_t from_life_;
+  HostExecutor* const to_;
+  uint64_t to_life_;
+  Accept accept_;
+  Callback on_error_;
+
+  std::deque<Message> buffered_;
+  std::deque<Message> network_;
+  std::deque<Message> unread_;
+  size_t buffered_bytes_ = 0;
+  size_t window_bytes_ = 0;  // in network_ and unread_
+  size_t writable_threshold_ = 0;
+  Callback on_writable_;
+  runtime::MonotonicTime last_arrival_;
+  runtime::MonotonicTime stalled_since_{};
+  runtime::Duration stall_limit_;
+  bool stalled_ = false;
+  bool arrival_scheduled_ = false;
+  bool drain_requested_ = false;
+  bool paused_ = false;
+  bool broken_ = false;
+  bool sender_gone_ = false;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_call.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "posthatch/http/http.h"
+#include "posthatch/runtime/timer_service.h"
+#include "posthatch/simulation/http_connection.h"
+
+namespace posthatch::simulation {
+
+class SimHttpClient;
+
+// One running call: connection, time-outs, and the order of the observer's callbacks. Shared by the
+// caller's handle and the connection.
+class SimCall : public HttpConnection::ClientEnd, public std::enable_shared_from_this<SimCall> {
+ public:
+  SimCall(SimHttpClient* client, std::string endpoint, http::Request request,
+          http::CallOptions options, http::CallObserver observer);
+
+  void Begin();
+  void Cancel();
+  void PauseReading();
+  void ResumeReading();
+
+  void OnConnected() override;
+  void OnHead(const http::Response& head) override;
+  void OnPiece(std::string piece) override;
+  void OnEnd() override;
+  void OnClosed() override;
+
+ private:
+  void SendRequest();
+  void StartPieceTimer(runtime::Duration delay);
+  void CheckPieceSilence();
+  void Fail(absl::Status status);
+  // Called after each callback: frees an observer that ended the call from within.
+  void ReleaseObserver();
+  // Ends the call's use of the connection; `keep` gives it back to the pool.
+  void Finish(bool keep);
+
+  SimHttpClient* const client_;
+  const std::string endpoint_;
+  http::Request request_;
+  const http::CallOptions options_;
+  http::CallObserver observer_;
+  std::shared_ptr<HttpConnection> connection_;
+  // Connecting, then waiting for the status line, then for pieces.
+  runtime::Timer timer_;
+  runtime::MonotonicTime last_piece_{};
+  http::CallProgress progress_ = http::CallProgress::kNotSent;
+  size_t body_bytes_ = 0;
+  int running_callbacks_ = 0;
+  bool paused_ = false;
+  bool done_ = false;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_disk.cc
@@ -0,0 +1,209 @@
+#include "posthatch/simulation/sim_disk.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+namespace posthatch::simulation {
+namespace {
+
+absl::Status MissingError(const std::string& path) {
+  return absl::NotFoundError(absl::StrCat("no such file or folder: ", path));
+}
+
+absl::Status FullError() { return absl::ResourceExhaustedError("disk full"); }
+
+}  // namespace
+
+SimDisk::SimDisk(runtime::Random* random) : random_(random) {}
+
+std::string SimDisk::Normalize(const std::string& path) {
+  std::vector<std::string> parts;
+  for (absl::string_view part : absl::StrSplit(path, '/', absl::SkipEmpty())) {
+    if (part != ".") parts.emplace_back(part);
+  }
+  return absl::StrJoin(parts, "/");
+}
+
+std::string SimDisk::ParentOf(const std::string& path) {
+  const size_t slash = path.rfind('/');
+  return slash == std::string::npos ? std::string() : path.substr(0, slash);
+}
+
+bool SimDisk::IsDirectory(const std::string& path) const {
+  if (path.empty()) return true;
+  const auto found = entries_.find(path);
+  return found != entries_.end() && found->second == nullptr;
+}
+
+absl::StatusOr<std::shared_ptr<SimDisk::File>> SimDisk::FindFile(const std::string& path) const {
+  const auto found = entries_.find(path);
+  if (found == entries_.end()) return MissingError(path);
+  if (found->second == nullptr) {
+    return absl::FailedPreconditionError(absl::StrCat("is a folder: ", path));
+  }
+  return found->second;
+}
+
+absl::StatusOr<std::shared_ptr<SimDisk::File>> SimDisk::FindOrCreateFile(const std::string& path) {
+  if (!IsDirectory(ParentOf(path))) return MissingError(ParentOf(path));
+  if (entries_.contains(path)) return FindFile(path);
+  if (full_) return FullError();
+  return entries_[path] = std::make_shared<File>();
+}
+
+absl::Status SimDisk::Append(const std::string& path, const std::string& data) {
+  absl::StatusOr<std::shared_ptr<File>> file = FindOrCreateFile(path);
+  if (!file.ok()) return file.status();
+  if (full_ && !data.empty()) {
+    // A real write may come to a part of the data before the disk is full.
+    (*file)->content.append(data, 0, random_->Uniform(data.size()));
+    return FullError();
+  }
+  (*file)->content.append(data);
+  return absl::OkStatus();
+}
+
+absl::Status SimDisk::WriteWhole(const std::string& path, const std::string& data) {
+  absl::StatusOr<std::shared_ptr<File>> file = FindOrCreateFile(path);
+  if (!file.ok()) return file.status();
+  (*file)->content = full_ ? std::string() : data;
+  return full_ && !data.empty() ? FullError() : absl::OkStatus();
+}
+
+absl::Status SimDisk::Rename(const std::string& path, const std::string& target) {
+  if (!IsDirectory(ParentOf(target))) return MissingError(ParentOf(target));
+  absl::StatusOr<std::shared_ptr<File>> file = FindFile(path);
+  if (!file.ok()) return file.status();
+  if (IsDirectory(target)) {
+    return absl::FailedPreconditionError(absl::StrCat("is a folder: ", target));
+  }
+  entries_.erase(path);
+  entries_[target] = *file;
+  return absl::OkStatus();
+}
+
+absl::Status SimDisk::Remove(const std::string& path) {
+  if (!entries_.contains(path)) return absl::OkStatus();
+  absl::StatusOr<std::shared_ptr<File>> file = FindFile(path);
+  if (!file.ok()) return file.status();
+  entries_.erase(path);
+  return absl::OkStatus();
+}
+
+absl::Status SimDisk::Truncate(const std::string& path, uint64_t size) {
+  absl::StatusOr<std::shared_ptr<File>> file = FindFile(path);
+  if (!file.ok()) return file.status();
+  (*file)->content.resize(size);
+  return absl::OkStatus();
+}
+
+absl::Status SimDisk::CreateDirectory(const std::string& path) {
+  if (IsDirectory(path)) return absl::OkStatus();
+  if (entries_.contains(path)) {
+    return absl::FailedPreconditionError(absl::StrCat("is a file: ", path));
+  }
+  if (full_) return FullError();
+  absl::Status parent = CreateDirectory(ParentOf(path));
+  if (!parent.ok()) return parent;
+  entries_[path] = nullptr;
+  return absl::OkStatus();
+}
+
+absl::Status SimDisk::SyncDirectory(const std::string& path) {
+  if (!IsDirectory(path)) return MissingError(path);
+  std::erase_if(durable_entries_, [&](const auto& entry) {
+    return ParentOf(entry.first) == path && !entries_.contains(entry.first);
+  });
+  for (const auto& [name, file] : entries_) {
+    if (ParentOf(name) == path) durable_entries_[name] = file;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status SimDisk::Apply(const runtime::FileOperation& operation) {
+  using Kind = runtime::FileOperation::Kind;
+  const std::string path = Normalize(operation.path);
+  switch (operation.kind) {
+    case Kind::kAppend:
+      return Append(path, operation.data);
+    case Kind::kWriteWhole:
+      return WriteWhole(path, operation.data);
+    case Kind::kSync: {
+      absl::StatusOr<std::shared_ptr<File>> file = FindFile(path);
+      if (file.ok()) (*file)->durable_content = (*file)->content;
+      return file.status();
+    }
+    case Kind::kSyncDirectory:
+      return SyncDirectory(path);
+    case Kind::kRename:
+      return Rename(path, Normalize(operation.target));
+    case Kind::kRemove:
+      return Remove(path);
+    case Kind::kTruncate:
+      return Truncate(path, operation.size);
+    case Kind::kCreateDirectory:
+      return CreateDirectory(path);
+  }
+  return absl::InternalError("unknown file operation");
+}
+
+absl::StatusOr<std::string> SimDisk::ReadFile(const std::string& path) const {
+  absl::StatusOr<std::shared_ptr<File>> file = FindFile(Normalize(path));
+  if (!file.ok()) return file.status();
+  return (*file)->content;
+}
+
+absl::StatusOr<std::vector<std::string>> SimDisk::ListDirectory(const std::string& path) const {
+  const std::string folder = Normalize(path);
+  if (!IsDirectory(folder)) return MissingError(folder);
+  std::vector<std::string> names;
+  for (const auto& [name, file] : entries_) {
+    if (ParentOf(name) == folder) names.push_back(name.substr(name.rfind('/') + 1));
+  }
+  return names;
+}
+
+void SimDisk::RevertFile(File* file) {
+  const std::string& durable = file->durable_content;
+  const bool appended = file->content.compare(0, durable.size(), durable) == 0;
+  if (appended) {
+    const size_t tail = file->content.size() - durable.size();
+    file->content.resize(durable.size() + random_->Uniform(tail + 1));
+  } else if (file->content.size() < durable.size() && durable.starts_with(file->content)) {
+    // Truncated and not synced: the cut may have reached the disk or not.
+    if (random_->Chance(0.5)) file->content = durable;
+  } else {
+    // Rewritten in place and not synced: the old content, or the new one torn anywhere.
+    if (random_->Chance(0.5)) {
+      file->content = durable;
+    } else {
+      file->content.resize(random_->Uniform(file->content.size() + 1));
+    }
+  }
+  file->durable_content = file->content;
+}
+
+void SimDisk::PowerLoss() {
+  // An entry whose folder's own entry was never synced is lost with the folder.
+  Entries kept;
+  for (const auto& [name, file] : durable_entries_) {
+    const std::string parent = ParentOf(name);
+    if (parent.empty() || kept.contains(parent)) kept[name] = file;
+  }
+  durable_entries_ = kept;
+  entries_ = std::move(kept);
+  // A file under two names is reverted once: the second time nothing is unsynced.
+  for (const auto& [name, file] : entries_) {
+    if (file != nullptr) RevertFile(file.get());
+  }
+}
+
+void SimDisk::Lose() {
+  entries_.clear();
+  durable_entries_.clear();
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_host_impl.cc
@@ -0,0 +1,72 @@
+#include "posthatch/simulation/sim_host_impl.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace posthatch::simulation {
+
+SimHostImpl::SimHostImpl(WorldCore* core, uint32_t number, const std::string& name,
+                         std::string zone, std::string ip, uint16_t internal_port,
+                         uint16_t http_port)
+    : core_(core),
+      zone_(std::move(zone)),
+      ip_(std::move(ip)),
+      internal_endpoint_(absl::StrCat(ip_, ":", internal_port)),
+      http_endpoint_(absl::StrCat(ip_, ":", http_port)),
+      executor_(&core->queue, number, name),
+      clock_(&core->queue),
+      disk_(&core->random) {
+  core_->network.AddAddress(ip_, &executor_);
+}
+
+runtime::Runtime* SimHostImpl::runtime() {
+  return runtime_ == nullptr ? nullptr : runtime_->runtime();
+}
+
+void SimHostImpl::MixLife(const char* what) {
+  core_->Mix(TraceKind::kLife, executor_.number(), 0, what);
+}
+
+void SimHostImpl::Start() {
+  if (running() || !boot_) return;
+  MixLife("start");
+  executor_.BeginLife(core_->NextId());
+  runtime_ = std::make_unique<HostRuntime>(core_, &executor_, &clock_, &disk_, &disk_speed_,
+                                           internal_endpoint_);
+  executor_.Run(executor_.life(), HostExecutor::Work::kNetwork,
+                [this] { process_ = boot_(runtime_->runtime()); });
+}
+
+void SimHostImpl::End(bool power_lost) {
+  if (!running()) return;
+  if (executor_.executing()) {
+    core_->queue.ScheduleAfter(runtime::Duration(0), [this, life = executor_.life(), power_lost] {
+      if (executor_.life() != life) return;
+      if (power_lost) {
+        PowerLoss();
+      } else {
+        Crash();
+      }
+    });
+    return;
+  }
+  MixLife(power_lost ? "power loss" : "crash");
+  executor_.EndLife(power_lost);
+  std::shared_ptr<void> process = std::move(process_);
+  process_ = nullptr;
+  process.reset();
+  runtime_->Shutdown();
+  ended_runtimes_.push_back(std::move(runtime_));
+}
+
+void SimHostImpl::PowerLoss() {
+  End(true);
+  if (!running()) disk_.PowerLoss();
+}
+
+void SimHostImpl::LoseDisk() {
+  if (!running()) disk_.Lose();
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_http-test.cc
@@ -0,0 +1,284 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::simulation {
+namespace {
+
+using http::CallProgress;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// What one call saw, in order: "head 200", pieces, "end" or "error".
+struct Observed {
+  std::string events;
+  std::optional<http::CallError> error;
+  bool ended = false;
+
+  http::CallObserver Observer() {
+    return {[this](const http::Response& head) { events += "h" + std::to_string(head.status); },
+            [this](const std::string& piece) { events += " " + piece; },
+            [this] {
+              events += " end";
+              ended = true;
+            },
+            [this](http::CallError call_error) {
+              events += " error";
+              error = std::move(call_error);
+            }};
+  }
+};
+
+class SimHttpTest : public testing::TestWithParam<uint64_t> {
+ protected:
+  SimHttpTest() : world_(GetParam()) {
+    client_ = world_.AddHost("client", "z", "10.0.0.1");
+    server_ = world_.AddHost("server", "z", "10.0.0.2");
+    client_->SetBoot([](runtime::Runtime*) { return std::make_shared<int>(0); });
+    server_->SetBoot([this](runtime::Runtime* runtime) {
+      auto listening = runtime->http_servers->Listen(
+          server_->http_endpoint(), limits_,
+          [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+            connections_.push_back(request.connection_id);
+            requests_.push_back(std::move(request));
+            if (requests_.back().target == "/echo") {
+              writer->SendWhole({200, {}, requests_.back().body});
+            } else {
+              writer_ = std::move(writer);
+            }
+          });
+      EXPECT_TRUE(listening.ok());
+      return std::shared_ptr<http::HttpServer>(std::move(*listening));
+    });
+    client_->Start();
+    server_->Start();
+  }
+  ~SimHttpTest() override { writer_ = nullptr; }
+
+  std::unique_ptr<http::Call> Call(Observed* observed, const std::string& target,
+                                   http::CallOptions options = {}) {
+    http::Request request;
+    request.method = "POST";
+    request.target = target;
+    request.body = "body";
+    return client_->runtime()->http_client->Start(server_->http_endpoint(), request, options,
+                                                  observed->Observer());
+  }
+
+  SimWorld world_;
+  SimHost* client_;
+  SimHost* server_;
+  http::ServerLimits limits_;
+  std::vector<http::Request> requests_;
+  std::vector<uint64_t> connections_;
+  std::shared_ptr<http::ResponseWriter> writer_;
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SimHttpTest, testing::Range<uint64_t>(1, 21));
+
+TEST_P(SimHttpTest, KeptConnectionsAreReusedUnlessAFreshOneIsAsked) {
+  for (int i = 0; i < 3; ++i) {
+    Observed observed;
+    http::CallOptions options;
+    options.fresh_connection = i == 2;
+    const auto call = Call(&observed, "/echo", options);
+    EXPECT_EQ(observed.events, "") << "a callback ran before Start returned";
+    world_.RunFor(seconds(1));
+    EXPECT_EQ(observed.events, "h200 body end");
+  }
+  EXPECT_EQ(connections_[0], connections_[1]);
+  EXPECT_NE(connections_[1], connections_[2]);
+}
+
+TEST_P(SimHttpTest, StreamedAnswerEndsProperlyOrIsSeenCut) {
+  for (const bool abort : {false, true}) {
+    Observed observed;
+    const auto call = Call(&observed, "/stream");
+    world_.RunFor(milliseconds(100));
+    writer_->StartStream({});
+    writer_->WritePiece("1");
+    writer_->WritePiece("2");
+    if (abort) {
+      writer_ = nullptr;  // dropped unanswered
+    } else {
+      writer_->FinishStream();
+    }
+    world_.RunFor(seconds(1));
+    if (abort) {
+      EXPECT_EQ(observed.events, "h200 1 2 error");
+      EXPECT_TRUE(absl::IsDataLoss(observed.error->status));
+      EXPECT_EQ(observed.error->progress, CallProgress::kAnswered);
+    } else {
+      EXPECT_EQ(observed.events, "h200 1 2 end");
+    }
+  }
+}
+
+TEST_P(SimHttpTest, RefusedWhenNothingListensAndTimedOutWhenDeadOrCut) {
+  server_->Crash();
+  Observed refused;
+  const auto first = Call(&refused, "/echo");
+  world_.RunFor(seconds(5));
+  ASSERT_TRUE(refused.error.has_value());
+  EXPECT_EQ(refused.error->progress, CallProgress::kNotSent);
+
+  server_->Start();
+  server_->PowerLoss();
+  Observed dead;
+  const auto second = Call(&dead, "/echo");
+  world_.RunFor(seconds(1));
+  ASSERT_TRUE(dead.error.has_value());
+  EXPECT_TRUE(absl::IsDeadlineExceeded(dead.error->status));
+  EXPECT_EQ(dead.error->progress, CallProgress::kNotSent);
+
+  server_->Start();
+  world_.Cut("server", "client");
+  Observed cut;
+  const auto third = Call(&cut, "/echo");
+  world_.RunFor(seconds(1));
+  ASSERT_TRUE(cut.error.has_value());
+  EXPECT_TRUE(absl::IsDeadlineExceeded(cut.error->status));
+  EXPECT_EQ(cut.error->progress, CallProgress::kNotSent);
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_P(SimHttpTest, CrashOfTheServerIsSeenByTheCaller) {
+  Observed before_head;
+  Observed in_stream;
+  const auto first = Call(&before_head, "/wait");
+  world_.RunFor(milliseconds(100));
+  const std::shared_ptr<http::ResponseWriter> unanswered = writer_;
+  const auto second = Call(&in_stream, "/stream");
+  world_.RunFor(milliseconds(100));
+  writer_->StartStream({});
+  writer_->WritePiece("1");
+  world_.RunFor(milliseconds(100));
+  server_->Crash();
+  writer_->FinishStream();
+  world_.RunFor(seconds(5));
+  ASSERT_TRUE(before_head.error.has_value());
+  EXPECT_EQ(before_head.error->progress, CallProgress::kSent);
+  EXPECT_EQ(in_stream.events, "h200 1 error");
+  EXPECT_TRUE(absl::IsDataLoss(in_stream.error->status));
+}
+
+TEST_P(SimHttpTest, SilenceRunsIntoHeadAndPieceTimeouts) {
+  http::CallOptions options;
+  options.head_timeout = seconds(2);
+  options.piece_timeout = seconds(1);
+  Observed no_head;
+  const auto first = Call(&no_head, "/wait", options);
+  world_.RunFor(seconds(3));
+  EXPECT_TRUE(absl::IsDeadlineExceeded(no_head.error->status));
+  EXPECT_EQ(no_head.error->progress, CallProgress::kSent);
+
+  Observed cut_in_stream;
+  const auto second = Call(&cut_in_stream, "/stream", options);
+  world_.RunFor(milliseconds(100));
+  bool gone = false;
+  writer_->OnCallerGone([&gone] { gone = true; });
+  writer_->StartStream({});
+  writer_->WritePiece("1");
+  world_.RunFor(milliseconds(500));
+  world_.Cut("server", "client");
+  writer_->WritePiece("2");
+  world_.RunFor(seconds(2));
+  EXPECT_EQ(cut_in_stream.events, "h200 1 error");
+  EXPECT_TRUE(absl::IsDeadlineExceeded(cut_in_stream.error->status));
+  EXPECT_TRUE(gone) << "the close travels the other way";
+}
+
+TEST_P(SimHttpTest, CancelTellsTheServerAndSilencesTheCall) {
+  Observed observed;
+  auto call = Call(&observed, "/wait");
+  world_.RunFor(milliseconds(100));
+  int gone = 0;
+  writer_->OnCallerGone([&gone] { ++gone; });
+  call = nullptr;
+  world_.RunFor(seconds(1));
+  EXPECT_EQ(gone, 1);
+  writer_->SendWhole({});
+  world_.RunFor(seconds(1));
+  EXPECT_EQ(observed.events, "");
+}
+
+TEST_P(SimHttpTest, FrozenServerAcceptsAndAnswersAfterWaking) {
+  server_->Freeze();
+  Observed observed;
+  const auto call = Call(&observed, "/echo");
+  world_.RunFor(seconds(10));
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_EQ(observed.events, "");
+  server_->Thaw();
+  world_.RunFor(seconds(1));
+  EXPECT_EQ(observed.events, "h200 body end");
+}
+
+TEST_P(SimHttpTest, FrozenClientFindsItsTimeoutOrItsAnswerOnWaking) {
+  Observed observed;
+  const auto call = Call(&observed, "/wait");
+  world_.RunFor(milliseconds(100));
+  client_->Freeze();
+  writer_->SendWhole({200, {}, "late"});
+  world_.RunFor(seconds(40));
+  EXPECT_EQ(observed.events, "");
+  client_->Thaw();
+  world_.RunFor(seconds(1));
+  EXPECT_TRUE(observed.ended || absl::IsDeadlineExceeded(observed.error->status));
+}
+
+TEST_P(SimHttpTest, PausedReaderPushesBack) {
+  Observed observed;
+  const auto call = Call(&observed, "/stream");
+  world_.RunFor(milliseconds(100));
+  call->PauseReading();
+  writer_->StartStream({});
+  const std::string piece(64 * 1024, 'x');
+  for (int i = 0; i < 32; ++i) writer_->WritePiece(piece);
+  world_.RunFor(seconds(1));
+  const size_t buffered = writer_->buffered_bytes();
+  EXPECT_GT(buffered, 1024u * 1024u);
+  bool writable = false;
+  writer_->OnWritable([&writable] { writable = true; });
+  world_.RunFor(seconds(1));
+  EXPECT_FALSE(writable);
+  EXPECT_EQ(writer_->buffered_bytes(), buffered);
+  call->ResumeReading();
+  world_.RunFor(seconds(1));
+  EXPECT_TRUE(writable);
+  EXPECT_EQ(writer_->buffered_bytes(), 0u);
+  writer_->FinishStream();
+  world_.RunFor(seconds(1));
+  EXPECT_TRUE(observed.ended);
+  EXPECT_EQ(observed.events.size(), std::string("h200 end").size() + 32 * (piece.size() + 1));
+}
+
+TEST_P(SimHttpTest, DrainingServerEndsRunningAnswersAndRefusesNewConnections) {
+  Observed running;
+  const auto first = Call(&running, "/wait");
+  world_.RunFor(milliseconds(100));
+  server_->runtime()->timers->Schedule({}, [this] { writer_->SendWhole({}); });
+  const auto second_server = server_->runtime()->http_servers->Listen(
+      "10.0.0.2:0", {}, [](http::Request, std::shared_ptr<http::ResponseWriter>) {});
+  ASSERT_TRUE(second_server.ok());
+  EXPECT_NE((*second_server)->endpoint(), "10.0.0.2:0");
+  EXPECT_FALSE(server_->runtime()
+                   ->http_servers
+                   ->Listen((*second_server)->endpoint(), {},
+                            [](http::Request, std::shared_ptr<http::ResponseWriter>) {})
+                   .ok());
+  world_.RunFor(seconds(1));
+  EXPECT_TRUE(running.ended);
+  (*second_server)->Drain();
+  Observed refused;
+  const auto call = client_->runtime()->http_client->Start((*second_server)->endpoint(), {}, {},
+                                                           refused.Observer());
+  world_.RunFor(seconds(5));
+  ASSERT_TRUE(refused.error.has_value());
+  EXPECT_EQ(refused.error->progress, CallProgress::kNotSent);
+}
+
+}  // namespace
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_http_client.cc
@@ -0,0 +1,81 @@
+#include "posthatch/simulation/sim_http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/simulation/sim_call.h"
+
+namespace posthatch::simulation {
+namespace {
+
+class CallHandle : public http::Call {
+ public:
+  explicit CallHandle(std::shared_ptr<SimCall> call) : call_(std::move(call)) {}
+  ~CallHandle() override {
+    if (call_ != nullptr) call_->Cancel();
+  }
+  void PauseReading() override {
+    if (call_ != nullptr) call_->PauseReading();
+  }
+  void ResumeReading() override {
+    if (call_ != nullptr) call_->ResumeReading();
+  }
+
+ private:
+  const std::shared_ptr<SimCall> call_;  // null if the client's life had ended
+};
+
+}  // namespace
+
+std::unique_ptr<http::Call> SimHttpClient::Start(const std::string& endpoint, http::Request request,
+                                                 http::CallOptions options,
+                                                 http::CallObserver observer) {
+  if (life_ != host_->life()) return std::make_unique<CallHandle>(nullptr);
+  auto call =
+      std::make_shared<SimCall>(this, endpoint, std::move(request), options, std::move(observer));
+  call->Begin();
+  return std::make_unique<CallHandle>(std::move(call));
+}
+
+std::shared_ptr<HttpConnection> SimHttpClient::TakeIdle(const std::string& endpoint) {
+  std::vector<std::shared_ptr<HttpConnection>>& kept = idle_[endpoint];
+  while (!kept.empty()) {
+    std::shared_ptr<HttpConnection> connection = std::move(kept.back());
+    kept.pop_back();
+    if (connection->client_open()) return connection;
+    connections_.erase(connection->id());
+  }
+  return nullptr;
+}
+
+std::shared_ptr<HttpConnection> SimHttpClient::NewConnection(const std::string& endpoint) {
+  auto connection = std::make_shared<HttpConnection>(core_, host_, endpoint);
+  if (connections_.size() >= sweep_at_) {
+    std::erase_if(connections_, [](const auto& entry) { return entry.second.expired(); });
+    sweep_at_ = std::max(kMinSweep, connections_.size() * 2);
+  }
+  connections_[connection->id()] = connection;
+  return connection;
+}
+
+void SimHttpClient::Keep(const std::string& endpoint, std::shared_ptr<HttpConnection> connection) {
+  if (life_ != host_->life()) return;
+  std::vector<std::shared_ptr<HttpConnection>>& kept = idle_[endpoint];
+  if (kept.size() >= kMaxIdlePerEndpoint) {
+    connection->CloseClient();
+    return;
+  }
+  kept.push_back(std::move(connection));
+}
+
+void SimHttpClient::Shutdown() {
+  std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle;
+  idle.swap(idle_);
+  std::map<uint64_t, std::weak_ptr<HttpConnection>> connections;
+  connections.swap(connections_);
+  for (const auto& [id, weak] : connections) {
+    if (const auto connection = weak.lock()) connection->CloseClient();
+  }
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_http_client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/http/http.h"
+#include "posthatch/runtime/timer_service.h"
+#include "posthatch/simulation/http_connection.h"
+
+namespace posthatch::simulation {
+
+// Calls of one life of a host, with a pool of kept connections per endpoint. Owned by the host's
+// runtime; stays after the end of its life and then ignores calls.
+class SimHttpClient : public http::HttpClient {
+ public:
+  SimHttpClient(WorldCore* core, HostExecutor* host, const runtime::Clock* clock,
+                runtime::TimerService* timers)
+      : core_(core), host_(host), life_(host->life()), clock_(clock), timers_(timers) {}
+
+  std::unique_ptr<http::Call> Start(const std::string& endpoint, http::Request request,
+                                    http::CallOptions options,
+                                    http::CallObserver observer) override;
+  void Shutdown();
+
+  // For SimCall.
+  // A kept connection that is idle, or null.
+  std::shared_ptr<HttpConnection> TakeIdle(const std::string& endpoint);
+  std::shared_ptr<HttpConnection> NewConnection(const std::string& endpoint);
+  void Keep(const std::string& endpoint, std::shared_ptr<HttpConnection> connection);
+  const runtime::Clock* clock() const { return clock_; }
+  runtime::TimerService* timers() const { return timers_; }
+
+ private:
+  static constexpr size_t kMaxIdlePerEndpoint = 32;
+  static constexpr size_t kMinSweep = 64;
+
+  WorldCore* const core_;
+  HostExecutor* const host_;
+  const uint64_t life_;
+  const runtime::Clock* const clock_;
+  runtime::TimerService* const timers_;
+  std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
+  std::map<uint64_t, std::weak_ptr<HttpConnection>> connections_;
+  size_t sweep_at_ = kMinSweep;  // size of connections_ at which dead ones are dropped
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_http_server.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "posthatch/http/http.h"
+#include "posthatch/simulation/http_connection.h"
+#include "posthatch/simulation/sim_server_connection.h"
+
+namespace posthatch::simulation {
+
+// One listening endpoint of one life of a host. Owned by its factory and by the handle that Listen
+// returned; either closes it.
+class SimHttpServer : public std::enable_shared_from_this<SimHttpServer> {
+ public:
+  SimHttpServer(WorldCore* core, HostExecutor* host, runtime::TimerService* timers,
+                std::string endpoint, http::ServerLimits limits, http::Handler handler);
+
+  // The kernel's part of accepting: returns the life that took the connection.
+  uint64_t Accept(std::shared_ptr<HttpConnection> connection);
+  void Drain();
+  // Closes all connections and stops listening; idempotent.
+  void Shutdown();
+  const std::string& endpoint() const { return endpoint_; }
+  size_t open_connections() const { return connections_.size(); }
+
+  // For SimServerConnection.
+  void Handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  void Remove(uint64_t connection_id) { connections_.erase(connection_id); }
+  const http::ServerLimits& limits() const { return limits_; }
+  bool draining() const { return draining_; }
+  runtime::TimerService* timers() const { return timers_; }
+  WorldCore* core() const { return core_; }
+
+ private:
+  WorldCore* const core_;
+  HostExecutor* const host_;
+  const uint64_t life_;
+  runtime::TimerService* const timers_;
+  const std::string endpoint_;
+  const http::ServerLimits limits_;
+  http::Handler handler_;
+  bool draining_ = false;
+  std::map<uint64_t, std::shared_ptr<SimServerConnection>> connections_;
+};
+
+// Owned by the host's runtime; stays after the end of its life and then refuses.
+class SimHttpServerFactory : public http::HttpServerFactory {
+ public:
+  SimHttpServerFactory(WorldCore* core, HostExecutor* host, runtime::TimerService* timers)
+      : core_(core), host_(host), life_(host->life()), timers_(timers) {}
+
+  // Errors: AlreadyExists if the endpoint is in use, InvalidArgument without a port. Port 0 picks a
+  // free one.
+  absl::StatusOr<std::unique_ptr<http::HttpServer>> Listen(const std::string& endpoint,
+                                                           http::ServerLimits limits,
+                                                           http::Handler handler) override;
+  void Shutdown();
+
+ private:
+  std::string PickPort(const std::string& endpoint) const;
+
+  WorldCore* const core_;
+  HostExecutor* const host_;
+  const uint64_t life_;
+  runtime::TimerService* const timers_;
+  std::map<std::string, std::weak_ptr<SimHttpServer>> servers_;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_server_connection.cc
@@ -0,0 +1,180 @@
+#include "posthatch/simulation/sim_server_connection.h"
+
+#include <utility>
+
+#include "posthatch/simulation/sim_http_server.h"
+
+namespace posthatch::simulation {
+namespace {
+
+constexpr int kContentTooLarge = 413;
+constexpr int kHeaderFieldsTooLarge = 431;
+
+class SimResponseWriter : public http::ResponseWriter {
+ public:
+  SimResponseWriter(std::weak_ptr<SimServerConnection> connection, uint64_t exchange)
+      : connection_(std::move(connection)), exchange_(exchange) {}
+  ~SimResponseWriter() override {
+    if (const auto connection = connection_.lock()) connection->Abort(exchange_);
+  }
+
+  void SendWhole(http::Response response) override {
+    if (const auto connection = connection_.lock()) {
+      connection->SendWhole(exchange_, std::move(response));
+    }
+  }
+  void StartStream(http::Response head) override {
+    if (const auto connection = connection_.lock()) {
+      connection->StartStream(exchange_, std::move(head));
+    }
+  }
+  void WritePiece(std::string piece) override {
+    if (const auto connection = connection_.lock()) {
+      connection->WritePiece(exchange_, std::move(piece));
+    }
+  }
+  void FinishStream() override {
+    if (const auto connection = connection_.lock()) connection->FinishStream(exchange_);
+  }
+  void Abort() override {
+    if (const auto connection = connection_.lock()) connection->Abort(exchange_);
+  }
+  size_t buffered_bytes() const override {
+    const auto connection = connection_.lock();
+    return connection == nullptr ? 0 : connection->buffered_bytes(exchange_);
+  }
+  void OnWritable(std::function<void()> callback) override {
+    if (const auto connection = connection_.lock()) {
+      connection->OnWritable(exchange_, std::move(callback));
+    }
+  }
+  void OnCallerGone(std::function<void()> callback) override {
+    if (const auto connection = connection_.lock()) {
+      connection->OnCallerGone(exchange_, std::move(callback));
+    }
+  }
+
+ private:
+  const std::weak_ptr<SimServerConnection> connection_;
+  const uint64_t exchange_;
+};
+
+size_t HeaderBytes(const http::Request& request) {
+  size_t bytes = request.method.size() + request.target.size();
+  for (const auto& [name, value] : request.headers.fields()) bytes += name.size() + value.size();
+  return bytes;
+}
+
+}  // namespace
+
+SimServerConnection::SimServerConnection(SimHttpServer* server,
+                                         std::shared_ptr<HttpConnection> connection)
+    : server_(server), connection_(std::move(connection)), idle_timer_(server->timers()) {}
+
+void SimServerConnection::OnRequest(http::Request request) {
+  if (closed_ || running_exchange_ != 0) return;
+  idle_timer_.Cancel();
+  running_exchange_ = ++last_exchange_;
+  stream_started_ = false;
+  if (HeaderBytes(request) > server_->limits().max_header_bytes) {
+    Refuse(kHeaderFieldsTooLarge);
+  } else if (request.body.size() > server_->limits().max_body_bytes) {
+    Refuse(kContentTooLarge);
+  } else {
+    server_->Handle(std::move(request),
+                    std::make_shared<SimResponseWriter>(weak_from_this(), running_exchange_));
+  }
+}
+
+void SimServerConnection::Refuse(int status) {
+  close_requested_ = true;
+  http::Response response;
+  response.status = status;
+  SendWhole(running_exchange_, std::move(response));
+}
+
+void SimServerConnection::OnClosed() {
+  // The callback may drop the last other reference to this connection.
+  const auto self = shared_from_this();
+  const std::function<void()> on_caller_gone = std::move(on_caller_gone_);
+  const bool running = running_exchange_ != 0;
+  Close();
+  if (running && on_caller_gone) on_caller_gone();
+}
+
+void SimServerConnection::SendWhole(uint64_t exchange, http::Response response) {
+  if (!Running(exchange) || stream_started_) return;
+  connection_->SendWhole(std::move(response));
+  EndExchange();
+}
+
+void SimServerConnection::StartStream(uint64_t exchange, http::Response head) {
+  if (!Running(exchange) || stream_started_) return;
+  stream_started_ = true;
+  connection_->SendHead(std::move(head));
+}
+
+void SimServerConnection::WritePiece(uint64_t exchange, std::string piece) {
+  if (!Running(exchange) || !stream_started_ || piece.empty()) return;
+  connection_->SendPiece(std::move(piece));
+}
+
+void SimServerConnection::FinishStream(uint64_t exchange) {
+  if (!Running(exchange) || !stream_started_) return;
+  connection_->SendEnd();
+  EndExchange();
+}
+
+void SimServerConnection::Abort(uint64_t exchange) {
+  if (!Running(exchange)) return;
+  const auto self = shared_from_this();
+  Close();
+}
+
+size_t SimServerConnection::buffered_bytes(uint64_t exchange) const {
+  return Running(exchange) ? connection_->response_buffered_bytes() : 0;
+}
+
+void SimServerConnection::OnWritable(uint64_t exchange, std::function<void()> callback) {
+  if (!Running(exchange)) return;
+  connection_->NotifyWritable(server_->limits().max_buffered_bytes / 2,
+                              [weak = weak_from_this(), exchange, callback = std::move(callback)] {
+                                const auto self = weak.lock();
+                                if (self != nullptr && self->Running(exchange)) callback();
+                              });
+}
+
+void SimServerConnection::OnCallerGone(uint64_t exchange, std::function<void()> callback) {
+  if (Running(exchange)) on_caller_gone_ = std::move(callback);
+}
+
+void SimServerConnection::EndExchange() {
+  const auto self = shared_from_this();
+  running_exchange_ = 0;
+  const std::function<void()> released = std::move(on_caller_gone_);
+  on_caller_gone_ = nullptr;
+  if (close_requested_ || server_->draining()) {
+    Close();
+    return;
+  }
+  idle_timer_.Start(server_->limits().idle_timeout, [this] { Close(); });
+}
+
+void SimServerConnection::CloseWhenIdle() {
+  close_requested_ = true;
+  if (running_exchange_ == 0) Close();
+}
+
+void SimServerConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  const auto self = shared_from_this();
+  idle_timer_.Cancel();
+  running_exchange_ = 0;
+  const std::function<void()> released = std::move(on_caller_gone_);
+  on_caller_gone_ = nullptr;
+  connection_->CloseServer();
+  server_->Remove(connection_->id());
+}
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_server_connection.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "posthatch/http/http.h"
+#include "posthatch/runtime/timer_service.h"
+#include "posthatch/simulation/http_connection.h"
+
+namespace posthatch::simulation {
+
+class SimHttpServer;
+
+// The server's side of one connection: one request at a time, each answered through a writer.
+// Owned by the server; writers refer to it weakly.
+class SimServerConnection : public HttpConnection::ServerEnd,
+                            public std::enable_shared_from_this<SimServerConnection> {
+ public:
+  SimServerConnection(SimHttpServer* server, std::shared_ptr<HttpConnection> connection);
+
+  void OnRequest(http::Request request) override;
+  void OnClosed() override;
+
+  // Calls of the writer with number `exchange`; those of an earlier or ended one are ignored.
+  void SendWhole(uint64_t exchange, http::Response response);
+  void StartStream(uint64_t exchange, http::Response head);
+  void WritePiece(uint64_t exchange, std::string piece);
+  void FinishStream(uint64_t exchange);
+  void Abort(uint64_t exchange);
+  size_t buffered_bytes(uint64_t exchange) const;
+  void OnWritable(uint64_t exchange, std::function<void()> callback);
+  void OnCallerGone(uint64_t exchange, std::function<void()> callback);
+
+  // Closes unless an answer is running; then it closes after the answer.
+  void CloseWhenIdle();
+  void Close();
+
+ private:
+  bool Running(uint64_t exchange) const { return exchange == running_exchange_ && !closed_; }
+  void EndExchange();
+  void Refuse(int status);
+
+  SimHttpServer* const server_;  // outlives this object's use: Shutdown closes all connections
+  const std::shared_ptr<HttpConnection> connection_;
+  runtime::Timer idle_timer_;
+  uint64_t last_exchange_ = 0;
+  uint64_t running_exchange_ = 0;  // 0: none
+  bool stream_started_ = false;
+  bool closed_ = false;
+  bool close_requested_ = false;
+  std::function<void()> on_caller_gone_;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/sim_transport.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "posthatch/runtime/transport.h"
+#include "posthatch/simulation/pipe.h"
+#include "posthatch/simulation/world_core.h"
+
+namespace posthatch::simulation {
+
+// Internal messages of one life of a host. Streams: one connection per target endpoint, made at the
+// first message, remade at the next message after it broke; what was on a broken connection is
+// lost. Owned by the host's runtime.
+class SimTransport : public runtime::Transport {
+ public:
+  SimTransport(WorldCore* core, HostExecutor* host, std::string endpoint, uint64_t incarnation);
+  // Called at the end of the life; the object stays and ignores calls.
+  void Shutdown();
+
+  const std::string& endpoint() const override { return endpoint_; }
+  const std::string& node_id() const override { return host_->name(); }
+  uint64_t incarnation() const override { return incarnation_; }
+  void SetReceiver(runtime::Service service, Receiver receiver) override;
+  void Send(const std::string& to_endpoint, runtime::Service service, std::string payload,
+            runtime::Delivery delivery) override;
+
+  // Hands an arrived message to its receiver; called in this host's context.
+  void Deliver(const runtime::Envelope& envelope);
+  uint64_t life() const { return life_; }
+  // Messages dropped because a stream's queue was full or a datagram was too large.
+  uint64_t dropped() const { return dropped_; }
+
+ private:
+  static constexpr size_t kMaxQueuedBytes = 16 * 1024 * 1024;
+
+  runtime::Envelope MakeEnvelope(runtime::Service service, std::string payload) const;
+  void SendStream(const std::string& to_endpoint, runtime::Service service, std::string payload);
+  void SendDatagram(const std::string& to_endpoint, runtime::Service service, std::string payload);
+  void ScheduleDatagram(HostExecutor* to, const std::string& to_endpoint,
+                        std::shared_ptr<const runtime::Envelope> envelope);
+  std::shared_ptr<Pipe> Connect(const std::string& to_endpoint);
+
+  WorldCore* const core_;
+  HostExecutor* const host_;
+  const uint64_t life_;
+  const std::string endpoint_;
+  const uint64_t incarnation_;
+  std::array<Receiver, runtime::Service_ARRAYSIZE> receivers_;
+  std::map<std::string, std::shared_ptr<Pipe>> streams_;
+  uint64_t dropped_ = 0;
+};
+
+}  // namespace posthatch::simulation
--- a/src/posthatch/simulation/sim_world.h
+++ b/src/posthatch/simulation/sim_world.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -13,25 +14,36 @@
 namespace posthatch::simulation {
 
 class SimHost;
+class SimHostImpl;
+struct WorldCore;
 
 // Random faults of the network, drawn from the world's seed.
 struct NetworkBehaviour {
   runtime::Duration min_delay = std::chrono::microseconds(200);
   runtime::Duration max_delay = std::chrono::milliseconds(2);
-  double loss = 0.0;         // of datagrams; for streams, the chance that a connection breaks
+  // Of datagrams. A stream message that is hit waits 200 ms for its retransmission; one hit in ten
+  // breaks the connection instead.
+  double loss = 0.0;
   double duplication = 0.0;  // of datagrams
   double reordering = 0.0;   // of datagrams
 };
 
 class SimWorld {
  public:
+  static constexpr uint16_t kDefaultInternalPort = 7000;
+  static constexpr uint16_t kDefaultHttpPort = 8080;
+
   explicit SimWorld(uint64_t seed);
   ~SimWorld();
   SimWorld(const SimWorld&) = delete;
   SimWorld& operator=(const SimWorld&) = delete;
 
-  // A machine with its own disk. `ip` is its address; any port of it may be used.
-  SimHost* AddHost(const std::string& name, const std::string& zone, const std::string& ip);
+  // One process with its own disk, on the machine with address `ip`; `name` is its node id. Hosts
+  // may share an ip if their ports differ or they don't run together (the later one takes the
+  // address over). Any port of the ip may be listened on.
+  SimHost* AddHost(const std::string& name, const std::string& zone, const std::string& ip,
+                   uint16_t internal_port = kDefaultInternalPort,
+                   uint16_t http_port = kDefaultHttpPort);
   SimHost* FindHost(const std::string& name) const;  // null if unknown
   const std::vector<SimHost*>& hosts() const;
 
@@ -51,7 +63,9 @@
   std::vector<std::string> RecentTrace() const;
 
   void SetNetwork(const NetworkBehaviour& behaviour);
-  // Cuts messages and connections from one host to another, in that direction only.
+  // Cuts messages and connections from one host to another, in that direction only. Connections
+  // stall; they go on if the cut is healed in time, and break after 8 to 16 s otherwise. Unknown
+  // names end the program: a scenario that names them is wrong.
   void Cut(const std::string& from, const std::string& to);
   void Heal(const std::string& from, const std::string& to);
   void HealAll();
@@ -59,15 +73,19 @@
   void SlowLink(const std::string& from, const std::string& to, runtime::Duration extra_delay);
 
  private:
-  friend class SimHost;
-  class Impl;
-  std::unique_ptr<Impl> impl_;
+  uint32_t NumberOf(const std::string& host_name) const;
+
+  std::unique_ptr<WorldCore> core_;
+  std::vector<std::unique_ptr<SimHostImpl>> owned_hosts_;
+  std::vector<SimHost*> hosts_;
+  std::map<std::string, SimHost*> hosts_by_name_;
 };
 
 class SimHost {
  public:
   // Builds the host's process on its runtime; the returned object is the process and is destroyed
-  // at a crash. Called anew at each start.
+  // at a crash. Called anew at each start. The runtime outlives the process and ignores calls after
+  // its end.
   using Boot = std::function<std::shared_ptr<void>(runtime::Runtime*)>;
 
   virtual ~SimHost() = default;
@@ -84,10 +102,13 @@
   // Valid while running; for tests that talk to components directly.
   virtual runtime::Runtime* runtime() = 0;
 
-  // The process ends at once; connections break; the operating system keeps what was written.
+  // The process ends at once; connections break, which peers see, some of them late; the operating
+  // system keeps what was written and refuses new connections. May be called by the process itself;
+  // it then ends when the running callback has returned.
   virtual void Crash() = 0;
-  // As Crash, and every write not synced is lost, file contents and folder entries alike; a file
-  // being written may keep any prefix of its unsynced tail, by seed.
+  // As Crash, but the machine is off: peers see nothing but silence until the next Start, and every
+  // write not synced is lost, file contents and folder entries alike; a file being written may keep
+  // any prefix of its unsynced tail, by seed.
   virtual void PowerLoss() = 0;
   virtual void LoseDisk() = 0;  // only while not running: the data folder is empty at next start
   // No callback of this host runs until Thaw; its clock goes on; messages wait or are lost as by
--- /dev/null
+++ b/src/posthatch/simulation/trace_log.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "posthatch/runtime/clock.h"
+#include "posthatch/runtime/trace.h"
+
+namespace posthatch::simulation {
+
+// The world's record: a running XXH3 hash over all that happened, and the newest trace lines for
+// reading. Owned by WorldCore.
+class TraceLog {
+ public:
+  // Mixes one happening (a delivery, a disk completion) into the hash. `kind` tells happenings
+  // apart, `actor` and `peer` are host numbers.
+  void Mix(runtime::MonotonicTime time, uint32_t kind, uint32_t actor, uint32_t peer,
+           std::string_view data);
+  // Mixes a trace event into the hash and keeps its line.
+  void AddLine(std::string line);
+
+  uint64_t hash() const { return hash_; }
+  std::vector<std::string> Recent() const { return {lines_.begin(), lines_.end()}; }
+
+ private:
+  static constexpr size_t kMaxLines = 10000;
+
+  uint64_t hash_ = 0;
+  std::deque<std::string> lines_;
+};
+
+}  // namespace posthatch::simulation
--- /dev/null
+++ b/src/posthatch/simulation/world_core.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+
+#include "posthatch/runtime/random.h"
+#include "posthatch/simulation/event_queue.h"
+#include "posthatch/simulation/network.h"
+#include "posthatch/simulation/trace_log.h"
+
+namespace posthatch::simulation {
+
+// Kinds of happenings in the trace hash.
+enum class TraceKind : uint32_t { kDatagram = 1, kStream = 2, kHttp = 3, kDisk = 4, kLife = 5 };
+
+// What all simulated objects of one world share. Owned by SimWorld and destroyed last.
+struct WorldCore {
+  explicit WorldCore(uint64_t world_seed)
+      : seed(world_seed), random(world_seed), network(&random) {}
+
+  // Unique in this world: lives, connections.
+  uint64_t NextId() { return ++last_id; }
+  void Mix(TraceKind kind, uint32_t actor, uint32_t peer, std::string_view data) {
+    trace.Mix(queue.now(), static_cast<uint32_t>(kind), actor, peer, data);
+  }
+
+  const uint64_t seed;
+  uint64_t last_id = 0;
+  runtime::Random random;
+  EventQueue queue;
+  TraceLog trace;
+  Network network;
+};
+
+}  // namespace posthatch::simulation
