Run processes over Asio: HTTP, transport, files, faults, JSON-lines trace

AsioRuntime gives a real process its runtime::Runtime on one event loop thread. Writes go out by non-blocking calls straight from the queue, so that what a failed call has sent is known exactly; reads wait for readiness and share one buffer. Beast parses and formats messages but runs no operations, which keeps compile times low.

--- /dev/null
+++ b/src/posthatch/asio/asio-bench.cc
@@ -0,0 +1,126 @@
+// Requests per second and added latency of the HTTP server and client of one event loop, on
+// loopback. Server and client share the thread, so a request counts the work of both.
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "posthatch/asio/asio_runtime.h"
+
+namespace posthatch::asio {
+namespace {
+
+std::unique_ptr<AsioRuntime> MakeRuntime() {
+  AsioRuntimeOptions options;
+  options.node_id = "bench";
+  options.log_level = runtime::Severity::kError;
+  return AsioRuntime::Create(options).value();
+}
+
+// Keeps `concurrency` calls running until `total` have ended.
+class Load {
+ public:
+  Load(runtime::Runtime* runtime, std::string endpoint, int64_t total)
+      : runtime_(runtime), endpoint_(std::move(endpoint)), to_start_(total), to_end_(total) {
+    latencies_.reserve(static_cast<size_t>(total));
+  }
+
+  void Start(int concurrency) {
+    calls_.resize(static_cast<size_t>(concurrency));
+    for (size_t slot = 0; slot < calls_.size(); ++slot) StartCall(slot);
+  }
+
+  bool done() const { return to_end_ == 0; }
+  int64_t errors() const { return errors_; }
+  double PercentileMicroseconds(double share) {
+    std::sort(latencies_.begin(), latencies_.end());
+    const size_t index = static_cast<size_t>(share * static_cast<double>(latencies_.size() - 1));
+    return static_cast<double>(latencies_[index].count()) / 1000.0;
+  }
+
+ private:
+  void StartCall(size_t slot) {
+    if (to_start_ == 0) return;
+    --to_start_;
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/completions";
+    request.headers.Add("Content-Type", "application/json");
+    request.headers.Add("Authorization", "Bearer 0123456789abcdef");
+    request.headers.Add("X-Request-Id", "request-1");
+    request.body = std::string(200, 'x');
+    const runtime::MonotonicTime start = runtime_->clock->Now();
+    http::CallObserver observer;
+    observer.on_head = [](const http::Response&) {};
+    observer.on_piece = [](const std::string&) {};
+    observer.on_end = [this, slot, start] { Ended(slot, start); };
+    observer.on_error = [this, slot, start](const http::CallError&) {
+      ++errors_;
+      Ended(slot, start);
+    };
+    calls_[slot] = runtime_->http_client->Start(endpoint_, std::move(request), {}, observer);
+  }
+
+  void Ended(size_t slot, runtime::MonotonicTime start) {
+    latencies_.push_back(runtime_->clock->Now() - start);
+    --to_end_;
+    StartCall(slot);
+  }
+
+  runtime::Runtime* const runtime_;
+  const std::string endpoint_;
+  int64_t to_start_;
+  int64_t to_end_;
+  int64_t errors_ = 0;
+  std::vector<std::unique_ptr<http::Call>> calls_;
+  std::vector<runtime::Duration> latencies_;
+};
+
+void BM_WholeAnswers(benchmark::State& state) {
+  constexpr int64_t kCalls = 20000;
+  const auto asio_runtime = MakeRuntime();
+  auto server = asio_runtime->runtime()->http_servers->Listen(
+      "127.0.0.1:0", {}, [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+        http::Response response;
+        response.headers.Add("Content-Type", "application/json");
+        response.body = std::string(300, 'y');
+        writer->SendWhole(std::move(response));
+      });
+  double p50 = 0;
+  double p99 = 0;
+  for (auto _ : state) {
+    Load load(asio_runtime->runtime(), (*server)->endpoint(), kCalls);
+    load.Start(static_cast<int>(state.range(0)));
+    asio_runtime->RunUntil([&load] { return load.done(); }, std::chrono::seconds(60));
+    if (load.errors() > 0 || !load.done()) state.SkipWithError("calls failed");
+    p50 = load.PercentileMicroseconds(0.5);
+    p99 = load.PercentileMicroseconds(0.99);
+  }
+  state.SetItemsProcessed(state.iterations() * kCalls);
+  state.counters["p50_us"] = p50;
+  state.counters["p99_us"] = p99;
+}
+BENCHMARK(BM_WholeAnswers)->Arg(1)->Arg(32)->Arg(256)->Unit(benchmark::kMillisecond);
+
+void BM_StreamedPieces(benchmark::State& state) {
+  constexpr int kPieces = 50;
+  constexpr int64_t kCalls = 1000;
+  const auto asio_runtime = MakeRuntime();
+  auto server = asio_runtime->runtime()->http_servers->Listen(
+      "127.0.0.1:0", {}, [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+        writer->StartStream({});
+        for (int piece = 0; piece < kPieces; ++piece) writer->WritePiece(std::string(100, 'z'));
+        writer->FinishStream();
+      });
+  for (auto _ : state) {
+    Load load(asio_runtime->runtime(), (*server)->endpoint(), kCalls);
+    load.Start(32);
+    asio_runtime->RunUntil([&load] { return load.done(); }, std::chrono::seconds(60));
+    if (load.errors() > 0 || !load.done()) state.SkipWithError("calls failed");
+  }
+  state.SetItemsProcessed(state.iterations() * kCalls * kPieces);
+}
+BENCHMARK(BM_StreamedPieces)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/asio_clock.cc
@@ -0,0 +1,15 @@
+#include "posthatch/asio/asio_clock.h"
+
+#include <chrono>
+
+#include "posthatch/asio/asio_types.h"
+
+namespace posthatch::asio {
+
+runtime::MonotonicTime AsioClock::Now() const { return BootNow(); }
+
+int64_t AsioClock::WallNanoseconds() const {
+  return std::chrono::nanoseconds(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/asio_file_system.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "posthatch/asio/fault_injection.h"
+#include "posthatch/runtime/file_system.h"
+#include "prometheus/registry.h"
+
+namespace posthatch::asio {
+
+struct FileSystemOptions {
+  // Created if missing. Locked as long as the file system lives, so that no second process shares
+  // it.
+  std::string data_folder;
+  // Runs a completion on the event loop thread; called on the disk thread.
+  std::function<void(std::function<void()>)> post;
+  const FaultInjection* faults = nullptr;  // null without fault injection
+};
+
+// Files through POSIX calls on one disk thread. After a failed sync the content of the files is
+// uncertain (the kernel may have dropped the dirty pages and report success next time), so every
+// later batch fails with Internal: the process has to start anew and read what is there.
+// A failed append is cut off again. Destroying it finishes the batches already submitted, without
+// reporting them.
+// Errors: FailedPrecondition (locked by another process), Internal.
+absl::StatusOr<std::unique_ptr<runtime::FileSystem>> MakeAsioFileSystem(
+    const FileSystemOptions& options, prometheus::Registry* metrics);
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/asio_runtime.cc
@@ -0,0 +1,155 @@
+#include "posthatch/asio/asio_runtime.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "posthatch/asio/asio_clock.h"
+#include "posthatch/asio/asio_file_system.h"
+#include "posthatch/asio/asio_timer_service.h"
+#include "posthatch/asio/asio_transport.h"
+#include "posthatch/asio/beast_http_server.h"
+#include "posthatch/asio/tcp_stream.h"
+
+namespace posthatch::asio {
+namespace {
+
+uint64_t TrueRandom() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+class AsioRuntimeImpl : public AsioRuntime {
+ public:
+  explicit AsioRuntimeImpl(std::unique_ptr<JsonTraceSink> trace)
+      : trace_(std::move(trace)),
+        work_(io_context_.get_executor()),
+        timers_(&io_context_),
+        random_(TrueRandom()) {
+    environment_.io_context = &io_context_;
+  }
+
+  ~AsioRuntimeImpl() override {
+    // What the event loop still holds must not be kept for a cut to heal.
+    if (faults_ != nullptr) faults_->SetRules({});
+  }
+
+  absl::Status Open(const AsioRuntimeOptions& options) {
+    if (options.enable_fault_injection) {
+      faults_ = std::make_unique<FaultInjection>();
+      environment_.faults = faults_.get();
+      faults_->Subscribe([this] { ReleaseCutOffSockets(&environment_); });
+    }
+    http_client_ = MakeBeastHttpClient(&environment_, options.http_client, &metrics_);
+    http_servers_ = MakeBeastHttpServerFactory(&environment_, &metrics_);
+    if (!options.data_folder.empty()) {
+      auto file_system = MakeAsioFileSystem(
+          {.data_folder = options.data_folder,
+           .post = [this](std::function<void()> callback) { Post(std::move(callback)); },
+           .faults = faults_.get()},
+          &metrics_);
+      if (!file_system.ok()) return file_system.status();
+      file_system_ = *std::move(file_system);
+    }
+    if (!options.internal_endpoint.empty()) {
+      auto transport = MakeAsioTransport(&environment_,
+                                         {.node_id = options.node_id,
+                                          .endpoint = options.internal_endpoint,
+                                          .incarnation = random_()},
+                                         options.transport, &random_, trace_.get(), &metrics_);
+      if (!transport.ok()) return transport.status();
+      transport_ = *std::move(transport);
+    }
+    FillRuntime();
+    return absl::OkStatus();
+  }
+
+  runtime::Runtime* runtime() override { return &runtime_; }
+  JsonTraceSink* trace() override { return trace_.get(); }
+  FaultInjection* faults() override { return faults_.get(); }
+
+  void Run() override {
+    io_context_.restart();
+    io_context_.run();
+  }
+
+  bool RunUntil(const std::function<bool()>& condition, runtime::Duration limit) override {
+    io_context_.restart();
+    const runtime::MonotonicTime deadline = BootNow() + limit;
+    while (!condition()) {
+      const runtime::Duration left = deadline - BootNow();
+      if (left <= runtime::Duration::zero()) return condition();
+      if (io_context_.run_one_for(left) == 0 && io_context_.stopped()) return condition();
+    }
+    return true;
+  }
+
+  void Stop() override { io_context_.stop(); }
+
+  void Post(std::function<void()> callback) override {
+    boost::asio::post(io_context_, std::move(callback));
+  }
+
+  void OnTerminationSignal(std::function<void()> callback) override {
+    signals_.emplace(io_context_, SIGTERM, SIGINT);
+    on_signal_ = std::move(callback);
+    WaitSignal();
+  }
+
+ private:
+  void FillRuntime() {
+    runtime_.clock = &clock_;
+    runtime_.timers = &timers_;
+    runtime_.random = &random_;
+    runtime_.transport = transport_.get();
+    runtime_.file_system = file_system_.get();
+    runtime_.http_client = http_client_.get();
+    runtime_.http_servers = http_servers_.get();
+    runtime_.trace = trace_.get();
+    runtime_.metrics = &metrics_;
+  }
+
+  void WaitSignal() {
+    signals_->async_wait([this](const boost::system::error_code& error, int) {
+      if (error) return;
+      on_signal_();
+      WaitSignal();
+    });
+  }
+
+  // In this order: the event loop outlives what hangs on it.
+  const std::unique_ptr<JsonTraceSink> trace_;
+  prometheus::Registry metrics_;
+  std::unique_ptr<FaultInjection> faults_;
+  IoEnvironment environment_;
+  boost::asio::io_context io_context_{1};
+  boost::asio::executor_work_guard<IoExecutor> work_;
+  AsioClock clock_;
+  AsioTimerService timers_;
+  runtime::Random random_;
+  std::optional<boost::asio::signal_set> signals_;
+  std::function<void()> on_signal_;
+  std::unique_ptr<http::HttpClient> http_client_;
+  std::unique_ptr<http::HttpServerFactory> http_servers_;
+  std::unique_ptr<runtime::FileSystem> file_system_;
+  std::unique_ptr<runtime::Transport> transport_;
+  runtime::Runtime runtime_;
+};
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<AsioRuntime>> AsioRuntime::Create(
+    const AsioRuntimeOptions& options) {
+  auto trace = JsonTraceSink::Open(options.log_file, options.node_id, options.log_level);
+  if (!trace.ok()) return trace.status();
+  auto created = std::make_unique<AsioRuntimeImpl>(*std::move(trace));
+  const absl::Status status = created->Open(options);
+  if (!status.ok()) return status;
+  return created;
+}
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/asio_transport.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "posthatch/asio/asio_transport_limits.h"
+#include "posthatch/asio/tcp_stream.h"
+#include "posthatch/runtime/random.h"
+#include "posthatch/runtime/trace.h"
+#include "posthatch/runtime/transport.h"
+#include "prometheus/registry.h"
+
+namespace posthatch::asio {
+
+struct TransportIdentity {
+  std::string node_id;
+  std::string endpoint;  // "ip:port"; port 0: chosen by the kernel
+  uint64_t incarnation = 0;
+};
+
+// Messages over TCP, one connection per direction and pair of processes, and over UDP on the same
+// port number. A connection carries frames (envelope_codec.h) one way only; answers come back on
+// the peer's own connection. Pointers must outlive it. Event loop thread only.
+// Errors: FailedPrecondition (address in use), InvalidArgument, Unavailable.
+absl::StatusOr<std::unique_ptr<runtime::Transport>> MakeAsioTransport(
+    IoEnvironment* environment, const TransportIdentity& identity, const TransportLimits& limits,
+    runtime::Random* random, runtime::TraceSink* trace, prometheus::Registry* metrics);
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/beast_http_client.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "posthatch/http/http.h"
+#include "prometheus/registry.h"
+
+namespace posthatch::asio {
+
+struct IoEnvironment;
+
+struct HttpClientOptions {
+  // Kept connections per endpoint; further ones are closed after their answer.
+  size_t max_idle_per_endpoint = 64;
+  // Shorter than the servers' idle timeout, so that they rarely close a connection in use.
+  runtime::Duration idle_timeout = std::chrono::seconds(60);
+};
+
+// HTTP/1.1 client with a pool of kept connections per endpoint. `environment` and `metrics` must
+// outlive it, and it outlives its calls. Event loop thread only.
+std::unique_ptr<http::HttpClient> MakeBeastHttpClient(IoEnvironment* environment,
+                                                      const HttpClientOptions& options,
+                                                      prometheus::Registry* metrics);
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/beast_http_server.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <memory>
+
+#include "posthatch/http/http.h"
+#include "prometheus/registry.h"
+
+namespace posthatch::asio {
+
+struct IoEnvironment;
+
+// HTTP/1.1 servers. A caller's requests on one connection are answered one after another. A
+// request that can't be read is answered 400, 408, 413 or 431 with the error body of docs/API.md,
+// and its connection is closed. `environment` and `metrics` must outlive the factory and its
+// servers. Event loop thread only.
+std::unique_ptr<http::HttpServerFactory> MakeBeastHttpServerFactory(IoEnvironment* environment,
+                                                                    prometheus::Registry* metrics);
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/endpoint.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "posthatch/asio/asio_types.h"
+
+namespace posthatch::asio {
+
+// Reads "ip:port" or "[ipv6]:port"; names are not looked up. Errors: InvalidArgument.
+absl::StatusOr<TcpEndpoint> ParseEndpoint(std::string_view text);
+
+// The reverse of ParseEndpoint.
+std::string FormatEndpoint(const TcpEndpoint& endpoint);
+
+// Maps an error of a socket operation: Unavailable, DeadlineExceeded, Cancelled, ResourceExhausted
+// (no file descriptors left) or Internal; the message names `operation`.
+absl::Status SocketError(std::string_view operation, const boost::system::error_code& error);
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/http_client_connection.cc
@@ -0,0 +1,253 @@
+#include "posthatch/asio/http_client_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace posthatch::asio {
+namespace {
+
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+// What may wait for the rest of a chunk's or trailer's line.
+constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + 4096;
+// Bodies up to this size are copied behind the head, so that both leave in one buffer.
+constexpr size_t kJoinBodyBytes = 8 * 1024;
+
+bool IsInformational(int status) { return status >= 100 && status < 200; }
+
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(IoEnvironment* environment, std::string endpoint,
+                                           HttpConnectionPool* pool)
+    : environment_(environment),
+      endpoint_(std::move(endpoint)),
+      pool_(pool),
+      stream_(std::make_shared<TcpStream>(environment, TcpSocket(*environment->io_context),
+                                          endpoint_, this)) {}
+
+HttpClientConnection::~HttpClientConnection() { stream_->Close(); }
+
+void HttpClientConnection::Begin(uint64_t call, const TcpEndpoint& address,
+                                 const http::Request& request, const http::CallOptions& options,
+                                 http::CallObserver observer) {
+  running_call_ = call;
+  options_ = options;
+  observer_ = std::make_shared<const http::CallObserver>(std::move(observer));
+  written_before_ = stream_->written_bytes();
+  head_request_ = request.method == "HEAD";
+  head_delivered_ = false;
+  paused_ = false;
+  StartParser();
+  Send(request);
+  if (fresh_) {
+    fresh_ = false;
+    phase_ = Phase::kConnecting;
+    stream_->SetDeadlineAfter(options_.connect_timeout);
+    stream_->Connect(address);
+    return;
+  }
+  OnConnected();
+}
+
+void HttpClientConnection::Send(const http::Request& request) {
+  std::string head;
+  head.reserve(512 + request.target.size());
+  AppendRequestHead(request, endpoint_, &head);
+  if (request.body.size() <= kJoinBodyBytes) {
+    head.append(request.body);
+    stream_->Queue(std::move(head));
+  } else {
+    stream_->Queue(std::move(head));
+    stream_->Queue(request.body);
+  }
+}
+
+void HttpClientConnection::StartParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(options_.max_body_bytes);
+  if (head_request_) parser_->skip(true);
+}
+
+void HttpClientConnection::OnConnected() {
+  phase_ = Phase::kAwaitingHead;
+  if (options_.head_timeout > runtime::Duration::zero()) {
+    stream_->SetDeadlineAfter(options_.head_timeout);
+  } else {
+    stream_->ClearDeadline();
+  }
+  stream_->Flush();
+  stream_->ResumeReading();
+}
+
+void HttpClientConnection::Cancel() {
+  phase_ = Phase::kEnded;
+  running_call_ = 0;
+  observer_.reset();
+  stream_->Close();
+}
+
+void HttpClientConnection::FailUnsent(uint64_t call, absl::Status status,
+                                      http::CallObserver observer) {
+  running_call_ = call;
+  observer_ = std::make_shared<const http::CallObserver>(std::move(observer));
+  phase_ = Phase::kConnecting;
+  boost::asio::post(*environment_->io_context,
+                    [self = shared_from_this(), status = std::move(status)] {
+                      if (self->phase_ != Phase::kEnded) self->Fail(status);
+                    });
+}
+
+void HttpClientConnection::PauseReading() {
+  paused_ = true;
+  stream_->PauseReading();
+  if (phase_ == Phase::kReadingBody) stream_->ClearDeadline();
+}
+
+void HttpClientConnection::ResumeReading() {
+  if (!paused_) return;
+  paused_ = false;
+  if (phase_ != Phase::kAwaitingHead && phase_ != Phase::kReadingBody) return;
+  if (phase_ == Phase::kReadingBody && options_.piece_timeout > runtime::Duration::zero()) {
+    stream_->SetDeadlineAfter(options_.piece_timeout);
+  }
+  stream_->ResumeReading();
+}
+
+void HttpClientConnection::OnBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (phase_ == Phase::kIdle) {  // nobody asked for anything
+    pool_->Forget(this);
+    stream_->Close();
+    return;
+  }
+  if (unparsed_.empty()) {
+    Parse(bytes);
+  } else {
+    unparsed_.append(bytes);
+    const std::string joined = std::exchange(unparsed_, {});
+    Parse(joined);
+  }
+}
+
+void HttpClientConnection::Parse(std::string_view bytes) {
+  while (true) {
+    boost::beast::error_code error;
+    bytes.remove_prefix(FeedParser(&*parser_, bytes, &error));
+    if (parser_->is_header_done() && !head_delivered_) {
+      if (IsInformational(parser_->status) && parser_->is_done()) {
+        StartParser();
+        if (bytes.empty()) return;
+        continue;
+      }
+      if (!DeliverHead()) return;
+    }
+    if (!parser_->body.empty()) {
+      const auto observer = observer_;
+      observer->on_piece(std::exchange(parser_->body, {}));
+      if (phase_ != Phase::kReadingBody) return;
+    }
+    if (error) return Fail(absl::DataLossError(absl::StrCat("answer: ", error.message())));
+    break;
+  }
+  if (parser_->is_done()) {
+    if (!bytes.empty()) options_.fresh_connection = true;  // out of step: not to be kept
+    return Finish();
+  }
+  if (bytes.size() > kMaxUnparsedBytes) return Fail(absl::DataLossError("answer: line too long"));
+  unparsed_.assign(bytes);
+  if (phase_ == Phase::kReadingBody && !paused_ &&
+      options_.piece_timeout > runtime::Duration::zero()) {
+    stream_->SetDeadlineAfter(options_.piece_timeout);
+  }
+}
+
+// Returns false if the call has ended meanwhile.
+bool HttpClientConnection::DeliverHead() {
+  head_delivered_ = true;
+  phase_ = Phase::kReadingBody;
+  stream_->ClearDeadline();
+  http::Response head;
+  head.status = parser_->status;
+  head.headers = std::move(parser_->headers);
+  const auto observer = observer_;
+  observer->on_head(head);
+  return phase_ == Phase::kReadingBody;
+}
+
+void HttpClientConnection::Finish() {
+  phase_ = Phase::kIdle;
+  running_call_ = 0;
+  stream_->ClearDeadline();
+  const auto observer = std::exchange(observer_, nullptr);
+  const bool reusable =
+      parser_->keep_alive() && !options_.fresh_connection && stream_->queued_bytes() == 0;
+  stream_->ResumeReading();  // to see an idle connection end
+  if (!reusable || !pool_->Keep(shared_from_this())) {
+    phase_ = Phase::kEnded;
+    stream_->Close();
+  }
+  observer->on_end();
+}
+
+void HttpClientConnection::Fail(absl::Status status) {
+  http::CallError error{std::move(status), Progress()};
+  phase_ = Phase::kEnded;
+  running_call_ = 0;
+  stream_->Close();
+  const auto observer = std::exchange(observer_, nullptr);
+  observer->on_error(std::move(error));
+}
+
+http::CallProgress HttpClientConnection::Progress() const {
+  if (head_delivered_) return http::CallProgress::kAnswered;
+  return stream_->written_bytes() > written_before_ ? http::CallProgress::kSent
+                                                    : http::CallProgress::kNotSent;
+}
+
+void HttpClientConnection::OnReadEnd() {
+  const auto self = shared_from_this();
+  if (phase_ == Phase::kIdle) {
+    pool_->Forget(this);
+    stream_->Close();
+  } else if (head_delivered_) {
+    // Without a length or chunks, a cut answer would look like a complete one: never accepted.
+    Fail(absl::DataLossError("answer ended early"));
+  } else {
+    Fail(absl::UnavailableError("connection closed before the answer"));
+  }
+}
+
+void HttpClientConnection::OnBroken(absl::Status status) {
+  const auto self = shared_from_this();
+  if (phase_ == Phase::kIdle) {
+    pool_->Forget(this);
+    stream_->Close();
+  } else if (head_delivered_) {
+    Fail(absl::DataLossError(status.message()));
+  } else {
+    Fail(std::move(status));
+  }
+}
+
+void HttpClientConnection::OnDeadline() {
+  const auto self = shared_from_this();
+  switch (phase_) {
+    case Phase::kIdle:
+      pool_->Forget(this);
+      stream_->Close();
+      return;
+    case Phase::kConnecting:
+      return Fail(absl::DeadlineExceededError("connect timeout"));
+    case Phase::kAwaitingHead:
+      return Fail(absl::DeadlineExceededError("no answer in time"));
+    case Phase::kReadingBody:
+      return Fail(absl::DeadlineExceededError("answer fell silent"));
+    case Phase::kEnded:
+      return;
+  }
+}
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/http_client_connection.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "posthatch/asio/http_message.h"
+#include "posthatch/asio/tcp_stream.h"
+#include "posthatch/http/http.h"
+
+namespace posthatch::asio {
+
+class HttpClientConnection;
+
+// Where a connection goes after a complete answer, if it can serve another call.
+class HttpConnectionPool {
+ public:
+  // Returns false if the connection is not wanted any more.
+  virtual bool Keep(const std::shared_ptr<HttpClientConnection>& connection) = 0;
+  // An idle connection has ended.
+  virtual void Forget(HttpClientConnection* connection) = 0;
+
+ protected:
+  ~HttpConnectionPool() = default;
+};
+
+// One connection to a server, and the call that runs on it. Shared by the pool while idle, and by
+// the call's handle while it runs. Event loop thread only.
+class HttpClientConnection : public TcpStream::Owner,
+                             public std::enable_shared_from_this<HttpClientConnection> {
+ public:
+  HttpClientConnection(IoEnvironment* environment, std::string endpoint, HttpConnectionPool* pool);
+  ~HttpClientConnection();
+
+  // Starts a call on a connection that is new (then it is connected to `address` first) or idle.
+  // `request` has been checked; `call` tells this call from earlier and later ones, never 0.
+  void Begin(uint64_t call, const TcpEndpoint& address, const http::Request& request,
+             const http::CallOptions& options, http::CallObserver observer);
+  // The call that runs; 0 if none.
+  uint64_t running_call() const { return running_call_; }
+  // Ends the call without a callback.
+  void Cancel();
+  // Fails the call soon, before it has touched the network.
+  void FailUnsent(uint64_t call, absl::Status status, http::CallObserver observer);
+  void PauseReading();
+  void ResumeReading();
+
+  // Ends an idle connection.
+  void CloseIdle() { stream_->Close(); }
+  void SetIdleDeadline(runtime::Duration timeout) { stream_->SetDeadlineAfter(timeout); }
+  const std::string& endpoint() const { return endpoint_; }
+
+  void OnConnected() override;
+  void OnBytes(std::string_view bytes) override;
+  void OnReadEnd() override;
+  void OnBroken(absl::Status status) override;
+  void OnDeadline() override;
+
+ private:
+  enum class Phase { kIdle, kConnecting, kAwaitingHead, kReadingBody, kEnded };
+
+  void Send(const http::Request& request);
+  void StartParser();
+  void Parse(std::string_view bytes);
+  bool DeliverHead();
+  void Finish();
+  void Fail(absl::Status status);
+  http::CallProgress Progress() const;
+
+  IoEnvironment* const environment_;
+  const std::string endpoint_;
+  HttpConnectionPool* pool_;
+  std::shared_ptr<TcpStream> stream_;
+  Phase phase_ = Phase::kIdle;
+  uint64_t running_call_ = 0;
+  bool fresh_ = true;
+  bool paused_ = false;
+  bool head_request_ = false;
+  uint64_t written_before_ = 0;  // stream bytes written when this call began
+  http::CallOptions options_;
+  // Shared, since a callback may end the call and with it this reference.
+  std::shared_ptr<const http::CallObserver> observer_;
+  std::optional<ResponseParser> parser_;
+  bool head_delivered_ = false;
+  std::string unparsed_;
+};
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/lazy_deadline.cc
@@ -0,0 +1,41 @@
+#include "posthatch/asio/lazy_deadline.h"
+
+#include <utility>
+
+namespace posthatch::asio {
+
+LazyDeadline::LazyDeadline(boost::asio::io_context* io_context, std::function<void()> expired)
+    : timer_(*io_context), expired_(std::move(expired)) {}
+
+LazyDeadline::~LazyDeadline() { *alive_ = false; }
+
+void LazyDeadline::Set(runtime::MonotonicTime time) {
+  time_ = time;
+  set_ = true;
+  if (!armed_ || time_ < armed_at_) Arm();
+}
+
+void LazyDeadline::Arm() {
+  armed_ = true;
+  armed_at_ = time_;
+  // Setting the expiry cancels the former wait.
+  timer_.expires_at(BootClock::time_point(time_.time_since_epoch()));
+  timer_.async_wait([this, alive = alive_](const boost::system::error_code& error) {
+    if (!error && *alive) Fired();
+  });
+}
+
+void LazyDeadline::Fired() {
+  armed_ = false;
+  if (!set_) return;
+  if (BootNow() < time_) {
+    Arm();
+    return;
+  }
+  set_ = false;
+  // The callback may destroy this object.
+  const std::function<void()> expired = expired_;
+  expired();
+}
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/lazy_deadline.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "posthatch/asio/asio_types.h"
+
+namespace posthatch::asio {
+
+// A deadline that moves often, as each request on a kept connection does: moving it later costs no
+// timer operation; the timer finds the new time when it fires and waits on. Owned by a connection,
+// whose `expired` callback must keep nothing alive. Event loop thread only.
+class LazyDeadline {
+ public:
+  LazyDeadline(boost::asio::io_context* io_context, std::function<void()> expired);
+  ~LazyDeadline();
+  LazyDeadline(const LazyDeadline&) = delete;
+  LazyDeadline& operator=(const LazyDeadline&) = delete;
+
+  // Runs `expired` once when `time` has come, unless it is set anew or cleared before.
+  void Set(runtime::MonotonicTime time);
+  void Clear() { set_ = false; }
+
+ private:
+  void Arm();
+  void Fired();
+
+  BootTimer timer_;
+  const std::function<void()> expired_;
+  runtime::MonotonicTime time_;
+  runtime::MonotonicTime armed_at_;
+  bool set_ = false;
+  bool armed_ = false;
+  // Tells a completion that outlived its deadline from a live one.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/transport_peer.cc
@@ -0,0 +1,127 @@
+#include "posthatch/asio/transport_peer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace posthatch::asio {
+namespace {
+
+// Frames up to this size are copied together.
+constexpr size_t kCoalesceBytes = 4096;
+
+}  // namespace
+
+TransportPeer::TransportPeer(const TransportPeerContext* context, std::string endpoint,
+                             TcpEndpoint address)
+    : context_(context),
+      endpoint_(std::move(endpoint)),
+      address_(address),
+      back_off_(context->limits.min_back_off),
+      retry_(context->environment->io_context, [this] {
+        backing_off_ = false;
+        if (!waiting_.empty()) Connect();
+      }) {}
+
+TransportPeer::~TransportPeer() {
+  if (stream_ != nullptr) stream_->Close();
+  UpdateQueuedBytes(0);
+}
+
+void TransportPeer::Send(std::string frame) {
+  const size_t queued = waiting_bytes_ + (connected_ ? stream_->queued_bytes() : 0);
+  if (queued + frame.size() > context_->limits.max_queue_bytes) {
+    context_->metrics->queue_full.Increment();
+    return;
+  }
+  last_sent_ = BootNow();
+  context_->metrics->sent_stream.Increment();
+  context_->metrics->sent_bytes.Increment(static_cast<double>(frame.size()));
+  waiting_bytes_ += frame.size();
+  waiting_.push_back(std::move(frame));
+  if (connected_) {
+    HandOver();
+  } else if (stream_ == nullptr && !backing_off_) {
+    Connect();
+  }
+}
+
+bool TransportPeer::Idle() const {
+  const size_t queued = waiting_bytes_ + (connected_ ? stream_->queued_bytes() : 0);
+  return queued == 0 && BootNow() - last_sent_ > context_->limits.idle_timeout;
+}
+
+void TransportPeer::Connect() {
+  stream_ = std::make_shared<TcpStream>(
+      context_->environment, TcpSocket(*context_->environment->io_context), endpoint_, this);
+  stream_->SetDeadlineAfter(context_->limits.connect_timeout);
+  stream_->Connect(address_);
+}
+
+void TransportPeer::OnConnected() {
+  connected_ = true;
+  context_->metrics->connects_ok.Increment();
+  back_off_ = context_->limits.min_back_off;
+  stream_->ClearDeadline();
+  stream_->ResumeReading();  // to see the peer close
+  HandOver();
+}
+
+// Small frames of one turn leave in one system call.
+void TransportPeer::HandOver() {
+  const bool was_empty = stream_->queued_bytes() == 0;
+  for (std::string& frame : waiting_) {
+    if (frame.size() <= kCoalesceBytes) {
+      stream_->QueueCopy(frame);
+    } else {
+      stream_->Queue(std::move(frame));
+    }
+  }
+  waiting_.clear();
+  waiting_bytes_ = 0;
+  if (was_empty) stream_->SetDeadlineAfter(context_->limits.stall_timeout);
+  stream_->FlushSoon();
+  UpdateQueuedBytes(stream_->queued_bytes());
+}
+
+void TransportPeer::OnProgress() {
+  if (stream_->queued_bytes() > 0) {
+    stream_->SetDeadlineAfter(context_->limits.stall_timeout);
+  } else {
+    stream_->ClearDeadline();
+  }
+  UpdateQueuedBytes(stream_->queued_bytes());
+}
+
+void TransportPeer::OnBytes(std::string_view) { Lost(); }  // peers answer on their own connection
+
+void TransportPeer::OnReadEnd() { Lost(); }
+
+void TransportPeer::OnBroken(absl::Status) { Lost(); }
+
+void TransportPeer::OnDeadline() { Lost(); }
+
+void TransportPeer::Lost() {
+  if (!connected_) context_->metrics->connects_failed.Increment();
+  const bool lost_messages = !waiting_.empty() || stream_->queued_bytes() > 0;
+  if (lost_messages) {
+    context_->metrics->connection_lost.Increment(
+        static_cast<double>(std::max<size_t>(waiting_.size(), 1)));
+  }
+  stream_->Close();
+  stream_.reset();
+  connected_ = false;
+  waiting_.clear();
+  waiting_bytes_ = 0;
+  UpdateQueuedBytes(0);
+  backing_off_ = true;
+  retry_.Set(BootNow() + context_->random->Between(back_off_ / 2, back_off_));
+  back_off_ = std::min(back_off_ * 2, context_->limits.max_back_off);
+}
+
+void TransportPeer::UpdateQueuedBytes(size_t now) {
+  context_->metrics->queued_bytes.Increment(static_cast<double>(now) -
+                                            static_cast<double>(reported_bytes_));
+  reported_bytes_ = now;
+}
+
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/transport_peer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "posthatch/asio/asio_transport.h"
+#include "posthatch/asio/lazy_deadline.h"
+#include "posthatch/asio/tcp_stream.h"
+#include "posthatch/asio/transport_metrics.h"
+
+namespace posthatch::asio {
+
+// What the peers of one transport share.
+struct TransportPeerContext {
+  IoEnvironment* environment = nullptr;
+  TransportLimits limits;
+  runtime::Random* random = nullptr;
+  TransportMetrics* metrics = nullptr;
+};
+
+// The outgoing connection to one endpoint: made when there is something to send, made anew after
+// a break, with back-off. Messages that were queued when an attempt fails or a connection breaks
+// are dropped; those sent while it backs off wait for the next attempt. Owned by the transport;
+// event loop thread only.
+class TransportPeer : public TcpStream::Owner {
+ public:
+  TransportPeer(const TransportPeerContext* context, std::string endpoint, TcpEndpoint address);
+  ~TransportPeer();
+  TransportPeer(const TransportPeer&) = delete;
+  TransportPeer& operator=(const TransportPeer&) = delete;
+
+  void Send(std::string frame);
+  // Nothing is queued, and nothing was sent for the idle timeout: the transport may forget it.
+  bool Idle() const;
+
+  void OnConnected() override;
+  void OnBytes(std::string_view bytes) override;
+  void OnReadEnd() override;
+  void OnBroken(absl::Status status) override;
+  void OnProgress() override;
+  void OnDeadline() override;
+
+ private:
+  void Connect();
+  void HandOver();
+  void Lost();
+  void UpdateQueuedBytes(size_t now);
+
+  const TransportPeerContext* const context_;
+  const std::string endpoint_;
+  const TcpEndpoint address_;
+  std::shared_ptr<TcpStream> stream_;  // null while there is no connection
+  bool connected_ = false;
+  std::deque<std::string> waiting_;  // frames not yet handed to a connected stream
+  size_t waiting_bytes_ = 0;
+  size_t reported_bytes_ = 0;  // our share of the gauge
+  runtime::Duration back_off_;
+  LazyDeadline retry_;
+  bool backing_off_ = false;
+  runtime::MonotonicTime last_sent_;
+};
+
+}  // namespace posthatch::asio
