Apply the control commands deterministically

One class per concern, put together by ControlState: configuration history with whole validation and patches, isolation generations, model revisions, evacuations, inventory, worker leases, delivery records, object versions and answered request ids.

--- /dev/null
+++ b/src/posthatch/control/configuration_history.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+#include "google/protobuf/repeated_ptr_field.h"
+#include "posthatch/control/control.pb.h"
+
+namespace posthatch::control {
+
+// The configurations that were accepted, newest last. Decides who wins a version: a change names the
+// version that it was made from, and only the first one for a version is taken. Part of the
+// replicated state: deterministic, no clock. Owned by ControlState.
+class ConfigurationHistory {
+ public:
+  // Whole versions kept for reading and rolling back. The newest is always kept.
+  static constexpr size_t kMaxVersions = 1000;
+  static constexpr size_t kMaxBytes = 32 * 1024 * 1024;
+
+  // OK (with the new version), INVALID (all errors), VERSION_CONFLICT or NOT_FOUND (roll back to a
+  // version that isn't kept). Nothing is changed unless it is OK.
+  CommandResult Apply(uint64_t log_index, const std::string& request_id,
+                      const ChangeConfiguration& change);
+
+  // Null before the first change.
+  const ConfigurationVersion* newest() const {
+    return versions_.empty() ? nullptr : &versions_.back();
+  }
+  // Null if the version isn't kept.
+  const ConfigurationVersion* Find(uint64_t version) const;
+  const std::deque<ConfigurationVersion>& versions() const { return versions_; }
+
+  void Save(google::protobuf::RepeatedPtrField<ConfigurationVersion>* history) const;
+  void Restore(const google::protobuf::RepeatedPtrField<ConfigurationVersion>& history);
+
+ private:
+  // The configuration that `change` would put in force; false with `result` set if there is none.
+  bool MakeCandidate(const ChangeConfiguration& change, Configuration* candidate,
+                     CommandResult* result) const;
+  void Append(ConfigurationVersion version);
+
+  std::deque<ConfigurationVersion> versions_;
+  size_t bytes_ = 0;
+};
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/configuration_patch.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "posthatch/control/configuration.pb.h"
+
+namespace posthatch::control {
+
+// `base` with the patch's removals taken out and its entries replaced or added by name, in that
+// order; `routing` is replaced whole if the patch has it. Names to remove that `base` doesn't have
+// are reported in `errors`.
+Configuration ApplyPatch(const Configuration& base, const ConfigurationPatch& patch,
+                         std::vector<std::string>* errors);
+
+// What differs between two configurations, entry by entry ("tenant alpha: changed", "model m:
+// added"), at most kMaxDifferences lines. Empty if they are equal but for the order of entries.
+std::vector<std::string> DescribeDifferences(const Configuration& from, const Configuration& to);
+
+inline constexpr size_t kMaxDifferences = 100;
+
+}  // namespace posthatch::control
--- a/src/posthatch/control/control_client.h
+++ b/src/posthatch/control/control_client.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 #include "absl/status/statusor.h"
 #include "posthatch/control/control.pb.h"
@@ -30,7 +31,8 @@
 // the same request id) until an answer comes or the time is over.
 class ControlClient {
  public:
-  // Result of the state machine, or DeadlineExceeded / Unavailable: it may still be applied.
+  // Result of the state machine, or DeadlineExceeded / Unavailable: it may still be applied, or
+  // ResourceExhausted: it was not taken and will not be applied.
   using ProposeDone = std::function<void(absl::StatusOr<CommandResult>)>;
 
   virtual ~ControlClient() = default;
@@ -40,4 +42,15 @@
                        ProposeDone done) = 0;
 };
 
+// Asks the leading controller for a view of the control state (QueryRequest).
+class QueryClient {
+ public:
+  // The answer, or DeadlineExceeded / ResourceExhausted.
+  using QueryDone = std::function<void(absl::StatusOr<QueryResponse>)>;
+
+  virtual ~QueryClient() = default;
+  virtual void Query(std::string name, std::string argument, runtime::Duration timeout,
+                     QueryDone done) = 0;
+};
+
 }  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/delivery_records.cc
@@ -0,0 +1,168 @@
+#include "posthatch/control/delivery_records.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace posthatch::control {
+namespace {
+
+// The length keeps ("ab", "c") and ("a", "bc") apart.
+std::string RecordKey(const std::string& tenant, const std::string& idempotency_key) {
+  return absl::StrCat(tenant.size(), ":", tenant, "/", idempotency_key);
+}
+
+bool IsComplete(const std::string& tenant, const std::string& idempotency_key,
+                const std::string& attempt, CommandResult* result) {
+  if (!tenant.empty() && !idempotency_key.empty() && !attempt.empty() &&
+      idempotency_key.size() <= DeliveryRecords::kMaxKeyLength) {
+    return true;
+  }
+  result->set_code(CommandResult::INVALID);
+  result->add_errors("tenant, attempt and an idempotency key of at most 512 bytes are needed");
+  return false;
+}
+
+void AnswerFinished(const DeliveryRecord& record, CommandResult* result) {
+  result->mutable_delivery()->set_kind(DeliveryAnswer::FINISHED);
+  *result->mutable_delivery()->mutable_outcome() = record.outcome();
+}
+
+}  // namespace
+
+CommandResult DeliveryRecords::Begin(const DeliveryBegin& begin, int64_t window_ms) {
+  CommandResult result;
+  if (!IsComplete(begin.tenant(), begin.idempotency_key(), begin.attempt(), &result)) {
+    return result;
+  }
+  AdvanceTime(begin.now_ms(), window_ms);
+  const std::string key = RecordKey(begin.tenant(), begin.idempotency_key());
+  if (IsExpired(key, &result)) return result;
+  result.set_code(CommandResult::OK);
+  const auto found = records_.find(key);
+  if (found == records_.end()) {
+    DeliveryRecord record;
+    record.set_tenant(begin.tenant());
+    record.set_idempotency_key(begin.idempotency_key());
+    record.set_request_hash(begin.request_hash());
+    record.set_gateway(begin.gateway());
+    record.set_attempt(begin.attempt());
+    record.set_begun_ms(now_ms_);
+    Insert(key, std::move(record));
+    result.mutable_delivery()->set_kind(DeliveryAnswer::BEGUN);
+    return result;
+  }
+  const DeliveryRecord& record = found->second;
+  // A record closed before its begin arrived has no request hash.
+  if (!record.request_hash().empty() && record.request_hash() != begin.request_hash()) {
+    result.mutable_delivery()->set_kind(DeliveryAnswer::MISMATCH);
+  } else if (record.finished()) {
+    AnswerFinished(record, &result);
+  } else if (record.attempt() == begin.attempt()) {
+    result.mutable_delivery()->set_kind(DeliveryAnswer::BEGUN);  // the same begin, sent again
+  } else {
+    result.mutable_delivery()->set_kind(DeliveryAnswer::RUNNING);
+  }
+  return result;
+}
+
+CommandResult DeliveryRecords::Finish(const DeliveryFinish& finish, int64_t window_ms) {
+  CommandResult result;
+  if (!IsComplete(finish.tenant(), finish.idempotency_key(), finish.attempt(), &result)) {
+    return result;
+  }
+  if (finish.outcome().kind() == DeliveryOutcome::KIND_UNSPECIFIED) {
+    result.set_code(CommandResult::INVALID);
+    result.add_errors("outcome.kind is needed");
+    return result;
+  }
+  AdvanceTime(finish.now_ms(), window_ms);
+  const std::string key = RecordKey(finish.tenant(), finish.idempotency_key());
+  if (IsExpired(key, &result)) return result;
+  auto found = records_.find(key);
+  if (found == records_.end()) {
+    if (finish.outcome().kind() != DeliveryOutcome::NOT_EXECUTED) {
+      result.set_code(CommandResult::NOT_FOUND);
+      result.add_errors("no attempt has begun with this key");
+      return result;
+    }
+    DeliveryRecord closed;
+    closed.set_tenant(finish.tenant());
+    closed.set_idempotency_key(finish.idempotency_key());
+    closed.set_attempt(finish.attempt());
+    closed.set_begun_ms(now_ms_);
+    Insert(key, std::move(closed));
+    found = records_.find(key);
+  }
+  DeliveryRecord& record = found->second;
+  if (record.attempt() != finish.attempt()) {
+    result.set_code(CommandResult::VERSION_CONFLICT);
+    result.add_errors("another attempt holds the record");
+    result.mutable_delivery()->set_kind(DeliveryAnswer::RUNNING);
+    if (record.finished()) AnswerFinished(record, &result);
+    return result;
+  }
+  if (!record.finished()) {
+    record.set_finished(true);
+    *record.mutable_outcome() = finish.outcome();
+    if (finish.outcome().body().size() > kMaxBodyBytes) {
+      record.mutable_outcome()->Clear();
+      record.mutable_outcome()->set_kind(DeliveryOutcome::UNKNOWN);
+    }
+    outcome_bytes_ += record.outcome().body().size();
+  }
+  result.set_code(CommandResult::OK);
+  AnswerFinished(record, &result);
+  while (outcome_bytes_ > kMaxOutcomeBytes && order_.size() > 1) DropOldest();
+  return result;
+}
+
+void DeliveryRecords::AdvanceTime(int64_t now_ms, int64_t window_ms) {
+  now_ms_ = std::max(now_ms_, now_ms);
+  while (!order_.empty() && records_.at(order_.front()).begun_ms() + window_ms < now_ms_) {
+    DropOldest();
+  }
+  expired_.ForgetBefore(now_ms_ - kExpiredWindows * window_ms);
+}
+
+void DeliveryRecords::Insert(const std::string& key, DeliveryRecord record) {
+  records_[key] = std::move(record);
+  order_.push_back(key);
+  while (order_.size() > kMaxRecords) DropOldest();
+}
+
+void DeliveryRecords::DropOldest() {
+  const std::string& key = order_.front();
+  outcome_bytes_ -= records_.at(key).outcome().body().size();
+  expired_.Add(key, now_ms_);
+  records_.erase(key);
+  order_.pop_front();
+}
+
+bool DeliveryRecords::IsExpired(const std::string& key, CommandResult* result) const {
+  if (records_.contains(key) || !expired_.Contains(key)) return false;
+  result->set_code(CommandResult::WINDOW_PASSED);
+  result->add_errors("the record of this key is no longer kept");
+  return true;
+}
+
+void DeliveryRecords::Save(ControlSnapshot* snapshot) const {
+  for (const std::string& key : order_) *snapshot->add_deliveries() = records_.at(key);
+  snapshot->set_delivery_now_ms(now_ms_);
+  expired_.Save(snapshot->mutable_expired_deliveries());
+}
+
+void DeliveryRecords::Restore(const ControlSnapshot& snapshot) {
+  records_.clear();
+  order_.clear();
+  outcome_bytes_ = 0;
+  now_ms_ = snapshot.delivery_now_ms();
+  expired_.Restore(snapshot.expired_deliveries());
+  for (const DeliveryRecord& record : snapshot.deliveries()) {
+    outcome_bytes_ += record.outcome().body().size();
+    Insert(RecordKey(record.tenant(), record.idempotency_key()), record);
+  }
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/expired_keys.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string_view>
+
+#include "absl/container/flat_hash_set.h"
+#include "google/protobuf/repeated_ptr_field.h"
+#include "posthatch/control/control.pb.h"
+#include "posthatch/control/fingerprint.h"
+
+namespace posthatch::control {
+
+// Keys whose records were dropped, as fingerprints, oldest first: a late resend is refused instead
+// of being taken for something new. Bounded by count. Part of the replicated state.
+class ExpiredKeys {
+ public:
+  explicit ExpiredKeys(size_t max_keys) : max_keys_(max_keys) {}
+
+  void Add(std::string_view key, int64_t dropped_ms);
+  bool Contains(std::string_view key) const { return keys_.contains(FingerprintOf(key)); }
+  // Forgets keys that were dropped before `oldest_ms`.
+  void ForgetBefore(int64_t oldest_ms);
+  size_t size() const { return order_.size(); }
+
+  void Save(google::protobuf::RepeatedPtrField<ExpiredKey>* keys) const;
+  void Restore(const google::protobuf::RepeatedPtrField<ExpiredKey>& keys);
+
+ private:
+  struct Entry {
+    Fingerprint fingerprint;
+    int64_t dropped_ms = 0;
+  };
+
+  void Append(const Entry& entry);
+  void ForgetOldest();
+
+  const size_t max_keys_;
+  std::deque<Entry> order_;
+  absl::flat_hash_set<Fingerprint> keys_;
+};
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/fleet_sections.cc
@@ -0,0 +1,128 @@
+#include "posthatch/control/fleet_sections.h"
+
+#include <algorithm>
+
+namespace posthatch::control {
+namespace {
+
+constexpr std::array<Section, kSectionCount> kSections = {
+    Section::kConfiguration, Section::kIsolation, Section::kRevisions,
+    Section::kEvacuations,   Section::kInventory, Section::kLeases};
+
+uint64_t IndexOf(const FleetState& state, Section section) {
+  switch (section) {
+    case Section::kConfiguration:
+      return state.configuration_index();
+    case Section::kIsolation:
+      return state.isolation_index();
+    case Section::kRevisions:
+      return state.revisions_index();
+    case Section::kEvacuations:
+      return state.evacuations_index();
+    case Section::kInventory:
+      return state.inventory_index();
+    case Section::kLeases:
+      return state.leases_index();
+  }
+  return 0;
+}
+
+void CopySection(const FleetState& from, Section section, FleetState* to) {
+  switch (section) {
+    case Section::kConfiguration:
+      to->set_configuration_version(from.configuration_version());
+      to->set_configuration_index(from.configuration_index());
+      *to->mutable_configuration() = from.configuration();
+      break;
+    case Section::kIsolation:
+      to->set_isolation_index(from.isolation_index());
+      *to->mutable_isolation() = from.isolation();
+      break;
+    case Section::kRevisions:
+      to->set_revisions_index(from.revisions_index());
+      *to->mutable_revisions() = from.revisions();
+      break;
+    case Section::kEvacuations:
+      to->set_evacuations_index(from.evacuations_index());
+      *to->mutable_evacuations() = from.evacuations();
+      break;
+    case Section::kInventory:
+      to->set_inventory_index(from.inventory_index());
+      *to->mutable_inventory() = from.inventory();
+      break;
+    case Section::kLeases:
+      to->set_leases_index(from.leases_index());
+      *to->mutable_leases() = from.leases();
+      break;
+  }
+}
+
+}  // namespace
+
+std::string_view SectionName(Section section) {
+  switch (section) {
+    case Section::kConfiguration:
+      return "configuration";
+    case Section::kIsolation:
+      return "isolation";
+    case Section::kRevisions:
+      return "revisions";
+    case Section::kEvacuations:
+      return "evacuations";
+    case Section::kInventory:
+      return "inventory";
+    case Section::kLeases:
+      return "leases";
+  }
+  return "";
+}
+
+SectionIndices IndicesOf(const FleetState& state) {
+  SectionIndices indices;
+  for (size_t i = 0; i < kSectionCount; ++i) indices[i] = IndexOf(state, kSections[i]);
+  return indices;
+}
+
+SectionIndices IndicesOf(const SessionRenewal& renewal) {
+  return {renewal.configuration_index(), renewal.isolation_index(),
+          renewal.revisions_index(),     renewal.evacuations_index(),
+          renewal.inventory_index(),     renewal.leases_index()};
+}
+
+void SetIndices(const SectionIndices& indices, SessionRenewal* renewal) {
+  renewal->set_configuration_index(indices[0]);
+  renewal->set_isolation_index(indices[1]);
+  renewal->set_revisions_index(indices[2]);
+  renewal->set_evacuations_index(indices[3]);
+  renewal->set_inventory_index(indices[4]);
+  renewal->set_leases_index(indices[5]);
+}
+
+uint64_t HighestIndex(const SectionIndices& indices) {
+  return *std::max_element(indices.begin(), indices.end());
+}
+
+void CopyNewerSections(const FleetState& state, const SectionIndices& known, FleetState* changed,
+                       google::protobuf::RepeatedPtrField<std::string>* names) {
+  for (size_t i = 0; i < kSectionCount; ++i) {
+    if (IndexOf(state, kSections[i]) <= known[i]) continue;
+    CopySection(state, kSections[i], changed);
+    names->Add(std::string(SectionName(kSections[i])));
+  }
+}
+
+bool ApplyNewerSections(const FleetState& changed,
+                        const google::protobuf::RepeatedPtrField<std::string>& names,
+                        FleetState* state) {
+  bool any = false;
+  for (const Section section : kSections) {
+    const bool named =
+        std::find(names.begin(), names.end(), SectionName(section)) != names.end();
+    if (!named || IndexOf(changed, section) <= IndexOf(*state, section)) continue;
+    CopySection(changed, section, state);
+    any = true;
+  }
+  return any;
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/inventory_state.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "posthatch/control/control.pb.h"
+
+namespace posthatch::control {
+
+// The platform's inventory as last accepted. Part of the replicated state; owned by ControlState.
+class InventoryState {
+ public:
+  static constexpr int kMaxBackends = 200000;
+
+  // What a reading brought, for the object versions.
+  struct Change {
+    bool changed = false;
+    std::vector<Backend> appeared;          // backends that were not in the last reading
+    std::vector<std::string> began_drain;   // ids that are draining now and weren't
+  };
+
+  // OK with the version (the same one if nothing changed), or INVALID.
+  CommandResult Apply(const SetInventory& reading, Change* change);
+
+  const Inventory& inventory() const { return inventory_; }
+  void Restore(const Inventory& inventory) { inventory_ = inventory; }
+
+ private:
+  Inventory inventory_;
+};
+
+// Backends sorted by id: two readings with the same content compare equal.
+void SortBackends(Inventory* inventory);
+// True if both list the same backends; versions are not compared.
+bool SameBackends(const Inventory& first, const Inventory& second);
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/isolation_registry.cc
@@ -0,0 +1,77 @@
+#include "posthatch/control/isolation_registry.h"
+
+#include <algorithm>
+#include <set>
+
+#include "posthatch/control/selector.h"
+
+namespace posthatch::control {
+namespace {
+
+bool IsIsolated(const Tenant& tenant, const Configuration& configuration) {
+  const LabelMap labels = TenantLabels(tenant);
+  return std::any_of(configuration.isolation_rules().begin(), configuration.isolation_rules().end(),
+                     [&labels](const IsolationRule& rule) {
+                       return SelectorMatches(rule.isolated(), labels);
+                     });
+}
+
+}  // namespace
+
+std::vector<std::string> IsolationRegistry::Update(uint64_t log_index,
+                                                   const Configuration& configuration) {
+  std::set<std::string> changed;
+  bool shared_changed = shared_generation_ == 0;
+  std::set<std::string> present;
+  for (const Tenant& tenant : configuration.tenants()) {
+    present.insert(tenant.name());
+    const bool isolated = IsIsolated(tenant, configuration);
+    const auto [entry, is_new] = tenants_.try_emplace(tenant.name());
+    Domain& domain = entry->second;
+    const bool flipped = !is_new && domain.isolated != isolated;
+    if (is_new || flipped || (domain.removed && isolated)) {
+      domain.generation = log_index;
+      changed.insert(tenant.name());
+    }
+    shared_changed = shared_changed || flipped;
+    domain.isolated = isolated;
+    domain.removed = false;
+  }
+  for (auto& [name, domain] : tenants_) domain.removed = !present.contains(name);
+  if (shared_changed) {
+    shared_generation_ = log_index;
+    changed.insert("");
+    for (const auto& [name, domain] : tenants_) {
+      if (!domain.isolated) changed.insert(name);
+    }
+  }
+  return {changed.begin(), changed.end()};
+}
+
+void IsolationRegistry::Save(
+    google::protobuf::RepeatedPtrField<TenantIsolation>* isolation) const {
+  if (shared_generation_ == 0) return;
+  isolation->Add()->set_generation(shared_generation_);
+  for (const auto& [name, domain] : tenants_) {
+    TenantIsolation* saved = isolation->Add();
+    saved->set_tenant(name);
+    saved->set_isolated(domain.isolated);
+    saved->set_generation(domain.isolated ? domain.generation : shared_generation_);
+    saved->set_removed(domain.removed);
+  }
+}
+
+void IsolationRegistry::Restore(
+    const google::protobuf::RepeatedPtrField<TenantIsolation>& isolation) {
+  tenants_.clear();
+  shared_generation_ = 0;
+  for (const TenantIsolation& saved : isolation) {
+    if (saved.tenant().empty()) {
+      shared_generation_ = saved.generation();
+      continue;
+    }
+    tenants_[saved.tenant()] = {saved.isolated(), saved.removed(), saved.generation()};
+  }
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/isolation_registry.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "google/protobuf/repeated_ptr_field.h"
+#include "posthatch/control/control.pb.h"
+
+namespace posthatch::control {
+
+// Which tenants are isolated, and the generation of each isolation domain (see TenantIsolation). A
+// generation is the log index of the domain's last change. When a tenant enters or leaves isolation
+// both its own domain and the shared one get a new generation: what it put into the shared domain
+// before must not be used by others, nor the other way round. Removed tenants stay known, so that a
+// tenant made again under the same name can't reach the former one's blocks. Part of the replicated
+// state; owned by ControlState.
+class IsolationRegistry {
+ public:
+  // Follows a configuration that came into force at `log_index`. Returns the names of the tenants
+  // whose domain or generation changed, "" for the shared domain, sorted.
+  std::vector<std::string> Update(uint64_t log_index, const Configuration& configuration);
+
+  void Save(google::protobuf::RepeatedPtrField<TenantIsolation>* isolation) const;
+  void Restore(const google::protobuf::RepeatedPtrField<TenantIsolation>& isolation);
+
+ private:
+  struct Domain {
+    bool isolated = false;
+    bool removed = false;  // not in the configuration at the moment
+    uint64_t generation = 0;
+  };
+
+  std::map<std::string, Domain> tenants_;
+  uint64_t shared_generation_ = 0;
+};
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/object_versions.cc
@@ -0,0 +1,77 @@
+#include "posthatch/control/object_versions.h"
+
+namespace posthatch::control {
+
+bool ObjectVersions::Ensure(const std::string& object) {
+  return versions_.try_emplace(object).second;
+}
+
+bool ObjectVersions::RaiseEpoch(const std::string& object, uint64_t epoch) {
+  Version& version = versions_[object];
+  if (epoch <= version.epoch) return false;
+  version = {epoch, 0};
+  return true;
+}
+
+void ObjectVersions::RaiseEpochByOne(const std::string& object) {
+  Version& version = versions_[object];
+  version = {version.epoch + 1, 0};
+}
+
+bool ObjectVersions::Observe(const ObserveObject& observation, CommandResult* result) {
+  const std::string& object = observation.object();
+  if (object.empty() || object.size() > kMaxNameLength ||
+      object.find('/') == std::string::npos) {
+    result->set_code(CommandResult::INVALID);
+    result->add_errors("object: a name of at most 256 bytes with a '/'");
+    return false;
+  }
+  result->set_code(CommandResult::OK);
+  bool rose = observation.epoch() != 0 && RaiseEpoch(object, observation.epoch());
+  Version& version = versions_[object];
+  const bool current = observation.epoch() == 0 || observation.epoch() == version.epoch;
+  if (observation.lost() && current && !rose) {
+    ++version.sequence;
+    rose = true;
+  }
+  result->set_version(version.sequence);
+  return rose;
+}
+
+bool ObjectVersions::Find(const std::string& object, channels::ObjectVersion* version) const {
+  const auto found = versions_.find(object);
+  if (found == versions_.end()) return false;
+  version->set_epoch(found->second.epoch);
+  version->set_sequence(found->second.sequence);
+  return true;
+}
+
+std::vector<channels::RegisteredObject> ObjectVersions::All() const {
+  std::vector<channels::RegisteredObject> objects;
+  objects.reserve(versions_.size());
+  for (const auto& [name, version] : versions_) {
+    channels::RegisteredObject& object = objects.emplace_back();
+    object.set_object(name);
+    object.mutable_version()->set_epoch(version.epoch);
+    object.mutable_version()->set_sequence(version.sequence);
+  }
+  return objects;
+}
+
+void ObjectVersions::Save(google::protobuf::RepeatedPtrField<ObjectRecord>* objects) const {
+  for (const auto& [name, version] : versions_) {
+    ObjectRecord* saved = objects->Add();
+    saved->set_object(name);
+    saved->set_epoch(version.epoch);
+    saved->set_sequence(version.sequence);
+  }
+}
+
+void ObjectVersions::Restore(const google::protobuf::RepeatedPtrField<ObjectRecord>& objects) {
+  versions_.clear();
+  for (const ObjectRecord& saved : objects) {
+    versions_[saved.object()] = {saved.epoch(), saved.sequence()};
+  }
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/selector.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "posthatch/control/control.pb.h"
+
+// Selectors over labels. The written form, for operators (posthatchctl, docs):
+//
+//   selector    = "*" | requirement *( "," requirement )
+//   requirement = key "=" value | key "==" value | key "!=" value
+//               | key " in (" value *( "," value ) ")" | key " notin (" value *( "," value ) ")"
+//               | key | "!" key
+//   key, value  = 1*( letter | digit | "." | "_" | "-" | "/" | ":" )
+//
+// All requirements must hold. `key != value` and `notin` also hold where the label is absent.
+// "*" matches everything; a selector without requirements matches nothing.
+namespace posthatch::control {
+
+using LabelMap = std::map<std::string, std::string>;
+
+bool SelectorMatches(const Selector& selector, const LabelMap& labels);
+
+// Labels of an inventory entry: its own, and "id", "zone", "kind" ("worker", "store", "service"),
+// "model" and "service" (where not empty), which own labels can't override.
+LabelMap BackendLabels(const Backend& backend);
+// Labels of a tenant: its own, and "name".
+LabelMap TenantLabels(const Tenant& tenant);
+
+// Reads the written form. InvalidArgument says what is wrong and where.
+absl::StatusOr<Selector> ParseSelector(std::string_view text);
+
+// All that is wrong with a selector, each line starting with `where`; appended to `errors`.
+void ValidateSelector(const Selector& selector, std::string_view where,
+                      std::vector<std::string>* errors);
+
+}  // namespace posthatch::control
