--- /dev/null
+++ b/src/posthatch/control/admin_api.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "posthatch/control/control_client.h"
+#include "posthatch/http/http.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::control {
+
+struct AdminApiOptions {
+  // SHA-256 of the operators' bearer token, hexadecimal; empty: none is asked for.
+  std::string admin_token_sha256;
+  // How long a change is tried for. Longer than a session lease and a leader change together, since
+  // a change is acknowledged only once it is in force.
+  runtime::Duration change_timeout = std::chrono::seconds(20);
+  runtime::Duration query_timeout = std::chrono::seconds(5);
+  // Body of GET /admin/v1/members, which each process answers from what it knows itself; may be
+  // empty.
+  std::function<std::string()> members_view;
+};
+
+// The operators' HTTP interface (docs/API.md), the same on every gateway and controller: changes
+// and reads go to the leading controller. Owned by the process, on its event loop thread; all that
+// it is given outlives it.
+class AdminApi {
+ public:
+  AdminApi(runtime::Runtime* runtime, AdminApiOptions options, ControlClient* control_client,
+           QueryClient* query_client);
+
+  // Answers a request under /admin/v1/, now or later; false, with nothing done, if the path isn't
+  // one of its own. /admin/v1/log-level and /admin/v1/index are answered elsewhere.
+  bool HandleRequest(const http::Request& request, std::shared_ptr<http::ResponseWriter> writer);
+
+  // Whether the request carries the operators' token, if one is asked for; compared in constant
+  // time. For the paths under /admin/ that are answered elsewhere.
+  bool Authorized(const http::Request& request) const;
+
+ private:
+  void HandleChange(std::string_view name, const http::Request& request,
+                    std::shared_ptr<http::ResponseWriter> writer);
+  void HandleQuery(std::string_view name, std::string_view query,
+                   std::shared_ptr<http::ResponseWriter> writer);
+
+  runtime::Runtime* const runtime_;
+  const AdminApiOptions options_;
+  ControlClient* const control_client_;
+  QueryClient* const query_client_;
+};
+
+}  // namespace posthatch::control
--- a/src/posthatch/control/configuration_history.cc
+++ b/src/posthatch/control/configuration_history.cc
@@ -65,8 +65,8 @@
         return true;
       }
       result->set_code(CommandResult::NOT_FOUND);
-      result->add_errors(absl::StrCat("roll_back_to: version ", change.roll_back_to(),
-                                      " isn't kept"));
+      result->add_errors(
+          absl::StrCat("roll_back_to: version ", change.roll_back_to(), " isn't kept"));
       return false;
     }
     case ChangeConfiguration::CHANGE_NOT_SET:
--- a/src/posthatch/control/configuration_history.h
+++ b/src/posthatch/control/configuration_history.h
@@ -9,8 +9,8 @@
 
 namespace posthatch::control {
 
-// The configurations that were accepted, newest last. Decides who wins a version: a change names the
-// version that it was made from, and only the first one for a version is taken. Part of the
+// The configurations that were accepted, newest last. Decides who wins a version: a change names
+// the version that it was made from, and only the first one for a version is taken. Part of the
 // replicated state: deterministic, no clock. Owned by ControlState.
 class ConfigurationHistory {
  public:
--- a/src/posthatch/control/configuration_validator.cc
+++ b/src/posthatch/control/configuration_validator.cc
@@ -27,8 +27,7 @@
 constexpr uint32_t kMinDeliveryWindowMs = 60000;
 constexpr uint32_t kMaxDeliveryWindowMs = 86400000;
 
-constexpr std::string_view kNameRule =
-    "1 to 64 letters, digits or ._- and a letter or digit first";
+constexpr std::string_view kNameRule = "1 to 64 letters, digits or ._- and a letter or digit first";
 
 bool IsName(const std::string& name, std::string_view extra) {
   if (name.empty() || name.size() > kMaxNameLength) return false;
@@ -108,8 +107,7 @@
 
   void CheckLabels(const Tenant& tenant, const std::string& where) {
     Require(tenant.labels_size() <= kMaxLabels, where + ".labels", "at most 64");
-    const std::map<std::string, std::string> sorted(tenant.labels().begin(),
-                                                    tenant.labels().end());
+    const std::map<std::string, std::string> sorted(tenant.labels().begin(), tenant.labels().end());
     for (const auto& [key, value] : sorted) {
       Require(IsName(key, "/"), where + ".labels", "a label's name is " + std::string(kNameRule));
       Require(key != "name", where + ".labels", "'name' is set by posthatch");
--- a/src/posthatch/control/control_state.h
+++ b/src/posthatch/control/control_state.h
@@ -37,9 +37,7 @@
   bool Find(const std::string& object, channels::ObjectVersion* version) const override {
     return objects_.Find(object, version);
   }
-  void AddListener(Listener listener) override {
-    object_listeners_.push_back(std::move(listener));
-  }
+  void AddListener(Listener listener) override { object_listeners_.push_back(std::move(listener)); }
 
   // What the gateways decide by, as of the last applied command.
   const FleetState& fleet() const { return fleet_; }
--- /dev/null
+++ b/src/posthatch/control/controller_metrics.cc
@@ -0,0 +1,42 @@
+#include "posthatch/control/controller_metrics.h"
+
+namespace posthatch::control {
+namespace {
+
+prometheus::Counter* AddCounter(prometheus::Registry* registry, const char* name,
+                                const char* help) {
+  return &prometheus::BuildCounter().Name(name).Help(help).Register(*registry).Add({});
+}
+
+prometheus::Gauge* AddGauge(prometheus::Registry* registry, const char* name, const char* help) {
+  return &prometheus::BuildGauge().Name(name).Help(help).Register(*registry).Add({});
+}
+
+}  // namespace
+
+ControllerMetrics::ControllerMetrics(prometheus::Registry* registry) {
+  if (registry == nullptr) {
+    own_registry_ = std::make_unique<prometheus::Registry>();
+    registry = own_registry_.get();
+  }
+  sessions_ = AddGauge(registry, "posthatch_controller_sessions",
+                       "Gateway sessions at this controller; 0 unless it leads");
+  leading_ = AddGauge(registry, "posthatch_controller_leading",
+                      "1 while this controller leads and may serve, else 0");
+  grants_ = AddCounter(registry, "posthatch_controller_grants_total", "Session leases granted");
+  pushes_ = AddCounter(registry, "posthatch_controller_pushes_total",
+                       "Changed sections sent to gateways outside of grants");
+  overloaded_ = AddCounter(registry, "posthatch_controller_overloaded_total",
+                           "Proposals and queries refused because too many were under way");
+  withheld_ = AddCounter(registry, "posthatch_controller_grants_withheld_total",
+                         "Renewals left unanswered because no majority had answered in time");
+  in_force_seconds_ =
+      &prometheus::BuildHistogram()
+           .Name("posthatch_controller_in_force_seconds")
+           .Help("Seconds from an operator's commit until it is in force at every session")
+           .Register(*registry)
+           .Add({}, prometheus::Histogram::BucketBoundaries{0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+                                                            0.5, 1, 2, 4, 8});
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/controller_metrics.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+
+namespace posthatch::control {
+
+// Metrics of a controller's service; each family's help text says what it counts.
+class ControllerMetrics {
+ public:
+  // With a null registry the figures are counted and shown nowhere.
+  explicit ControllerMetrics(prometheus::Registry* registry);
+
+  prometheus::Gauge& sessions() { return *sessions_; }
+  prometheus::Gauge& leading() { return *leading_; }
+  prometheus::Counter& grants() { return *grants_; }
+  prometheus::Counter& pushes() { return *pushes_; }
+  prometheus::Counter& overloaded() { return *overloaded_; }
+  prometheus::Counter& withheld() { return *withheld_; }
+  prometheus::Histogram& in_force_seconds() { return *in_force_seconds_; }
+
+ private:
+  std::unique_ptr<prometheus::Registry> own_registry_;
+  prometheus::Gauge* sessions_;
+  prometheus::Gauge* leading_;
+  prometheus::Counter* grants_;
+  prometheus::Counter* pushes_;
+  prometheus::Counter* overloaded_;
+  prometheus::Counter* withheld_;
+  prometheus::Histogram* in_force_seconds_;
+};
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/controller_service.cc
@@ -0,0 +1,444 @@
+#include "posthatch/control/controller_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "posthatch/control/controller_metrics.h"
+#include "posthatch/control/state_views.h"
+#include "posthatch/control/worker_lease_planner.h"
+
+namespace posthatch::control {
+namespace {
+
+// Changes that come close together go out in one push.
+constexpr runtime::Duration kPushDelay = std::chrono::milliseconds(1);
+// Waiting changes are looked at this long after an acknowledgement, and this often in any case.
+constexpr runtime::Duration kCheckDelay = std::chrono::milliseconds(1);
+constexpr runtime::Duration kCheckInterval = std::chrono::milliseconds(50);
+constexpr uint32_t kNeverRead = UINT32_MAX;
+constexpr int kStatusUnavailable = 503;
+
+runtime::Duration Scaled(runtime::Duration duration, double factor) {
+  return std::chrono::duration_cast<runtime::Duration>(duration * factor);
+}
+
+}  // namespace
+
+ControllerService::ControllerService(runtime::Runtime* runtime, ControllerServiceOptions options,
+                                     consensus::ReplicatedLog* log, LeadershipGuard* guard,
+                                     ControlState* state)
+    : runtime_(runtime),
+      options_(std::move(options)),
+      log_(log),
+      guard_(guard),
+      state_(state),
+      locator_(runtime,
+               [this] {
+                 const std::string leader = log_->leader_endpoint();
+                 if (!leader.empty()) return std::vector<std::string>{leader};
+                 return options_.controllers ? options_.controllers() : std::vector<std::string>();
+               }),
+      client_(runtime, options_.client, &locator_,
+              [this](const std::string& endpoint, const ControlMessage& message) {
+                Send(endpoint, message);
+              }),
+      inventory_reader_(runtime, options_.inventory,
+                        [this](Inventory inventory, runtime::MonotonicTime asked_at) {
+                          OnInventory(std::move(inventory), asked_at);
+                        }),
+      metrics_(std::make_unique<ControllerMetrics>(runtime->metrics)),
+      push_timer_(runtime->timers),
+      check_timer_(runtime->timers),
+      plan_timer_(runtime->timers) {
+  runtime_->transport->SetReceiver(
+      runtime::SERVICE_CONTROL, [this](const runtime::Envelope& envelope) {
+        ControlMessage message;
+        if (!message.ParseFromString(envelope.payload())) return;
+        OnMessage({envelope.from_endpoint(), envelope.from_incarnation()}, message);
+      });
+  log_->SetLeadershipListener(
+      [this](bool is_leader, uint64_t term) { OnLeadership(is_leader, term); });
+  state_->SetSectionListener([this] { SchedulePush(); });
+}
+
+ControllerService::~ControllerService() {
+  runtime_->transport->SetReceiver(runtime::SERVICE_CONTROL, [](const runtime::Envelope&) {});
+  log_->SetLeadershipListener([](bool, uint64_t) {});
+  state_->SetSectionListener({});
+}
+
+void ControllerService::OnLeadership(bool is_leader, uint64_t term) {
+  leading_ = is_leader;
+  term_ = term;
+  sessions_.Clear();
+  waiters_.Abandon();
+  plan_under_way_ = false;
+  inventory_under_way_ = false;
+  inventory_known_ = false;
+  metrics_->leading().Set(is_leader ? 1 : 0);
+  metrics_->sessions().Set(0);
+  if (!is_leader) {
+    inventory_reader_.Stop();
+    plan_timer_.Cancel();
+    return;
+  }
+  leading_since_ = runtime_->clock->Now();
+  handover_at_ = leading_since_ + Scaled(options_.session_lease, 1.0 + options_.clock_rate_margin);
+  control_time_base_ms_ = state_->delivery_now_ms();
+  inventory_reader_.Start();
+  plan_timer_.Start(options_.plan_interval, [this] { PlanWorkerLeases(); });
+  runtime_->trace->Event(runtime::Severity::kInfo, "ControllerLeads", {{"term", term}});
+}
+
+void ControllerService::OnMessage(const Sender& sender, const ControlMessage& message) {
+  switch (message.message_case()) {
+    case ControlMessage::kSessionRenewal:
+      OnRenewal(sender, message.session_renewal());
+      break;
+    case ControlMessage::kStatePushAck:
+      OnPushAck(message.state_push_ack());
+      break;
+    case ControlMessage::kProposeRequest:
+      OnPropose(sender, message.propose_request());
+      break;
+    case ControlMessage::kQueryRequest:
+      OnQuery(sender, message.query_request());
+      break;
+    case ControlMessage::kProposeResponse:
+      client_.OnProposeResponse(sender.endpoint, message.propose_response());
+      break;
+    case ControlMessage::kQueryResponse:
+      client_.OnQueryResponse(sender.endpoint, message.query_response());
+      break;
+    default:
+      break;
+  }
+}
+
+bool ControllerService::MayDecide() const {
+  return leading_ && log_->IsLeader() && guard_->MayGrant();
+}
+
+void ControllerService::OnRenewal(const Sender& sender, const SessionRenewal& renewal) {
+  if (!leading_ || !log_->IsLeader()) {
+    ControlMessage message;
+    message.set_leader_hint(log_->leader_endpoint());
+    Send(sender.endpoint, message);
+    return;
+  }
+  const SessionKey key{renewal.gateway(), renewal.incarnation()};
+  if (renewal.leaving()) {
+    sessions_.End(key);
+    ScheduleCheck(kCheckDelay);
+    return;
+  }
+  if (!MayDecide()) {
+    metrics_->withheld().Increment();
+    return;
+  }
+  if (!renewal.rejection().empty()) {
+    // It may not decide by the old configuration for longer, but a newer one may mend it.
+    runtime_->trace->Event(runtime::Severity::kError, "ConfigurationRejectedByGateway",
+                           {{"gateway", renewal.gateway()}, {"error", renewal.rejection()}});
+    SendGrant(renewal, runtime::Duration::zero(), sender.endpoint, nullptr);
+    return;
+  }
+  Session* session =
+      sessions_.Renew(renewal, sender.endpoint, runtime_->clock->Now() + options_.session_lease,
+                      HighestIndex(IndicesOf(state_->fleet())));
+  if (session == nullptr) return;
+  SendGrant(renewal, options_.session_lease, sender.endpoint, session);
+  metrics_->grants().Increment();
+  metrics_->sessions().Set(static_cast<double>(sessions_.sessions().size()));
+  if (waiters_.size() > 0) ScheduleCheck(kCheckDelay);
+}
+
+void ControllerService::SendGrant(const SessionRenewal& renewal, runtime::Duration lease,
+                                  const std::string& endpoint, Session* session) {
+  ControlMessage message;
+  SessionGrant* grant = message.mutable_session_grant();
+  grant->set_renewal(renewal.renewal());
+  grant->set_incarnation(renewal.incarnation());
+  grant->set_term(term_);
+  grant->set_lease_ms(
+      static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(lease).count()));
+  grant->set_inventory_age_ms(InventoryAgeMs());
+  CopyNewerSections(state_->fleet(), IndicesOf(renewal), grant->mutable_changed(),
+                    grant->mutable_changed_sections());
+  if (session != nullptr) {
+    session->sent_up_to = HighestIndex(IndicesOf(state_->fleet()));
+    session->sent_at = runtime_->clock->Now();
+  }
+  Send(endpoint, message);
+}
+
+void ControllerService::OnPushAck(const StatePushAck& ack) {
+  if (!leading_) return;
+  sessions_.Acknowledge({ack.gateway(), ack.incarnation()}, ack.applied_index(), state_->fleet());
+  if (waiters_.size() > 0) ScheduleCheck(kCheckDelay);
+}
+
+void ControllerService::SchedulePush() {
+  if (!leading_ || push_timer_.running()) return;
+  push_timer_.Start(kPushDelay, [this] { PushAll(); });
+}
+
+void ControllerService::PushAll() {
+  if (!leading_) return;
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  const FleetState& fleet = state_->fleet();
+  const uint64_t newest = HighestIndex(IndicesOf(fleet));
+  // Most sessions lack the same sections: each message is made once.
+  std::map<SectionIndices, ControlMessage> messages;
+  ++last_push_;
+  for (auto& [key, session] : sessions_.mutable_sessions()) {
+    if (session.expiry <= now || HighestIndex(session.known) >= newest) continue;
+    if (session.sent_up_to >= newest && now - session.sent_at < options_.push_retry) continue;
+    ControlMessage& message = messages[session.known];
+    if (!message.has_state_push()) {
+      StatePush* push = message.mutable_state_push();
+      push->set_push(last_push_);
+      push->set_term(term_);
+      push->set_inventory_age_ms(InventoryAgeMs());
+      CopyNewerSections(fleet, session.known, push->mutable_changed(),
+                        push->mutable_changed_sections());
+    }
+    session.sent_up_to = newest;
+    session.sent_at = now;
+    metrics_->pushes().Increment();
+    Send(session.endpoint, message);
+  }
+}
+
+uint32_t ControllerService::InventoryAgeMs() const {
+  if (!inventory_known_) return kNeverRead;
+  return static_cast<uint32_t>(
+      runtime::ToMilliseconds(runtime_->clock->Now() - inventory_read_at_));
+}
+
+void ControllerService::OnPropose(const Sender& sender, const ProposeRequest& request) {
+  ProposalKey key(sender.endpoint, sender.incarnation, request.command().request_id(),
+                  request.until_in_force());
+  if (request.command().request_id().empty()) {
+    std::get<2>(key) = "\n" + std::to_string(++unnamed_proposals_);
+  }
+  const auto under_way = proposals_.find(key);
+  if (under_way != proposals_.end()) {
+    under_way->second = request.call();  // sent again: the newest call is answered
+    return;
+  }
+  ProposeResponse refusal;
+  refusal.set_call(request.call());
+  if (!leading_ || !log_->IsLeader()) {
+    refusal.set_status(ProposeResponse::NOT_LEADER);
+    refusal.set_leader_endpoint(log_->leader_endpoint());
+  } else if (proposals_.size() >= options_.max_proposals) {
+    metrics_->overloaded().Increment();
+    refusal.set_status(ProposeResponse::OVERLOADED);
+  }
+  if (refusal.status() != ProposeResponse::STATUS_UNSPECIFIED) {
+    ControlMessage message;
+    *message.mutable_propose_response() = std::move(refusal);
+    Send(sender.endpoint, message);
+    return;
+  }
+  proposals_[key] = request.call();
+  Command command = request.command();
+  FillControlTime(&command);
+  log_->Propose(command.SerializeAsString(), [this, key, alive = std::weak_ptr<bool>(alive_)](
+                                                 const absl::StatusOr<std::string>& answer) {
+    if (!alive.expired()) OnProposed(key, answer);
+  });
+}
+
+void ControllerService::FillControlTime(Command* command) const {
+  const auto led_for = std::chrono::duration_cast<std::chrono::milliseconds>(
+      runtime_->clock->Now() - leading_since_);
+  const int64_t now_ms = control_time_base_ms_ + led_for.count();
+  if (command->has_delivery_begin()) command->mutable_delivery_begin()->set_now_ms(now_ms);
+  if (command->has_delivery_finish()) command->mutable_delivery_finish()->set_now_ms(now_ms);
+}
+
+void ControllerService::OnProposed(const ProposalKey& key,
+                                   const absl::StatusOr<std::string>& answer) {
+  ProposeResponse response;
+  if (!answer.ok()) {
+    response.set_leader_endpoint(log_->leader_endpoint());
+    switch (answer.status().code()) {
+      case absl::StatusCode::kFailedPrecondition:
+        response.set_status(ProposeResponse::NOT_LEADER);
+        break;
+      case absl::StatusCode::kResourceExhausted:
+        metrics_->overloaded().Increment();
+        response.set_status(ProposeResponse::OVERLOADED);
+        break;
+      default:
+        response.set_status(ProposeResponse::UNCERTAIN);
+    }
+    Respond(key, std::move(response));
+    return;
+  }
+  CommandResult* result = response.mutable_result();
+  if (!result->ParseFromString(*answer)) {
+    response.set_status(ProposeResponse::UNCERTAIN);
+    Respond(key, std::move(response));
+    return;
+  }
+  if (std::get<bool>(key) && result->code() == CommandResult::OK) {
+    WaitUntilInForce(key, *result);
+    return;
+  }
+  response.set_status(ProposeResponse::DONE);
+  Respond(key, std::move(response));
+}
+
+void ControllerService::WaitUntilInForce(const ProposalKey& key, const CommandResult& result) {
+  if (!leading_) {
+    ProposeResponse response;
+    response.set_status(ProposeResponse::UNCERTAIN);
+    Respond(key, std::move(response));
+    return;
+  }
+  const runtime::MonotonicTime committed_at = runtime_->clock->Now();
+  waiters_.Add(result.log_index(), [this, key, result, committed_at](bool in_force) {
+    ProposeResponse response;
+    if (in_force) {
+      *response.mutable_result() = result;
+      const runtime::Duration waited = runtime_->clock->Now() - committed_at;
+      metrics_->in_force_seconds().Observe(std::chrono::duration<double>(waited).count());
+    }
+    response.set_status(in_force ? ProposeResponse::DONE : ProposeResponse::UNCERTAIN);
+    Respond(key, std::move(response));
+  });
+  ScheduleCheck(kCheckDelay);
+}
+
+void ControllerService::Respond(const ProposalKey& key, ProposeResponse response) {
+  const auto proposal = proposals_.find(key);
+  if (proposal == proposals_.end()) return;
+  response.set_call(proposal->second);
+  proposals_.erase(proposal);
+  ControlMessage message;
+  *message.mutable_propose_response() = std::move(response);
+  Send(std::get<0>(key), message);
+}
+
+void ControllerService::ScheduleCheck(runtime::Duration delay) {
+  check_timer_.Start(delay, [this] { CheckWaiters(); });
+}
+
+void ControllerService::CheckWaiters() {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  // Before, gateways may hold leases of a former leader that this one doesn't know.
+  if (now >= handover_at_) waiters_.Check(sessions_, now);
+  if (waiters_.size() == 0) return;
+  PushAll();
+  ScheduleCheck(kCheckInterval);
+}
+
+void ControllerService::OnQuery(const Sender& sender, const QueryRequest& request) {
+  if (!leading_ || queries_ >= options_.max_queries) {
+    if (leading_) metrics_->overloaded().Increment();
+    RefuseQuery(sender.endpoint, request.call());
+    return;
+  }
+  ++queries_;
+  log_->ReadBarrier([this, endpoint = sender.endpoint, request,
+                     alive = std::weak_ptr<bool>(alive_)](const absl::Status& status) {
+    if (alive.expired()) return;
+    --queries_;
+    if (status.ok()) {
+      AnswerQuery(endpoint, request);
+    } else {
+      RefuseQuery(endpoint, request.call());
+    }
+  });
+}
+
+void ControllerService::AnswerQuery(const std::string& endpoint, const QueryRequest& request) {
+  View view;
+  if (request.name() == "controllers" && options_.controllers_view) {
+    view.json = options_.controllers_view();
+  } else {
+    view = RenderView(request.name(), request.argument(), *state_);
+  }
+  ControlMessage message;
+  QueryResponse* response = message.mutable_query_response();
+  response->set_call(request.call());
+  response->set_http_status(static_cast<uint32_t>(view.http_status));
+  response->set_json(std::move(view.json));
+  Send(endpoint, message);
+}
+
+void ControllerService::RefuseQuery(const std::string& endpoint, uint64_t call) {
+  ControlMessage message;
+  QueryResponse* response = message.mutable_query_response();
+  response->set_call(call);
+  response->set_http_status(kStatusUnavailable);
+  response->set_not_leader(true);
+  response->set_leader_endpoint(log_->leader_endpoint());
+  Send(endpoint, message);
+}
+
+void ControllerService::PlanWorkerLeases() {
+  plan_timer_.Start(options_.plan_interval, [this] { PlanWorkerLeases(); });
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  if (!MayDecide() || now < handover_at_ || plan_under_way_) return;
+  sessions_.RemoveExpired(now);
+  metrics_->sessions().Set(static_cast<double>(sessions_.sessions().size()));
+  // A worker that was released is granted again only once no gateway can believe that it holds it.
+  if (!sessions_.InForceEverywhere(state_->fleet().leases_index(), now)) return;
+  Command command;
+  *command.mutable_grant_worker_leases() =
+      WorkerLeasePlanner::Plan(state_->fleet(), sessions_.sessions(), now);
+  const GrantWorkerLeases& plan = command.grant_worker_leases();
+  if (plan.grants().empty() && plan.released().empty()) return;
+  plan_under_way_ = true;
+  ProposeOwn(std::move(command), [this](bool) { plan_under_way_ = false; });
+}
+
+void ControllerService::OnInventory(Inventory inventory, runtime::MonotonicTime asked_at) {
+  if (!MayDecide()) return;
+  if (SameBackends(inventory, state_->fleet().inventory())) {
+    inventory_known_ = true;
+    inventory_read_at_ = asked_at;
+    return;
+  }
+  if (inventory_under_way_) return;
+  inventory_under_way_ = true;
+  Command command;
+  *command.mutable_set_inventory()->mutable_inventory() = std::move(inventory);
+  ProposeOwn(std::move(command), [this, asked_at](bool applied) {
+    inventory_under_way_ = false;
+    if (!applied) return;
+    inventory_known_ = true;
+    inventory_read_at_ = asked_at;
+  });
+}
+
+void ControllerService::ProposeOwn(Command command, std::function<void(bool applied)> done) {
+  log_->Propose(command.SerializeAsString(), [this, term = term_, done = std::move(done),
+                                              alive = std::weak_ptr<bool>(alive_)](
+                                                 const absl::StatusOr<std::string>& answer) {
+    if (alive.expired() || !leading_ || term != term_) return;
+    CommandResult result;
+    done(answer.ok() && result.ParseFromString(*answer) && result.code() == CommandResult::OK);
+  });
+}
+
+void ControllerService::Send(const std::string& endpoint, const ControlMessage& message) {
+  if (endpoint != runtime_->transport->endpoint()) {
+    runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL, message.SerializeAsString(),
+                              runtime::Delivery::kStream);
+    return;
+  }
+  // To itself: the own client asks the own service.
+  runtime_->timers->Schedule(
+      runtime::Duration::zero(), [this, message, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired()) return;
+        OnMessage({runtime_->transport->endpoint(), runtime_->transport->incarnation()}, message);
+      });
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/controller_service.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "posthatch/consensus/replicated_log.h"
+#include "posthatch/control/control_state.h"
+#include "posthatch/control/in_force_waiters.h"
+#include "posthatch/control/inventory_reader.h"
+#include "posthatch/control/leader_client.h"
+#include "posthatch/control/leader_locator.h"
+#include "posthatch/control/leadership_guard.h"
+#include "posthatch/control/session_table.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::control {
+
+class ControllerMetrics;
+
+struct ControllerServiceOptions {
+  runtime::Duration session_lease = std::chrono::seconds(4);
+  // How much longer than a lease a new leader waits before it relies on the ends of sessions that a
+  // former leader granted.
+  double clock_rate_margin = 0.02;
+  InventoryReaderOptions inventory;
+  // Proposals under way at this controller, those waiting to come into force included; beyond, new
+  // ones are answered OVERLOADED.
+  size_t max_proposals = 2048;
+  size_t max_queries = 256;
+  // How often the worker leases are looked at.
+  runtime::Duration plan_interval = std::chrono::milliseconds(250);
+  // How long an unacknowledged push is waited for before it is sent again.
+  runtime::Duration push_retry = std::chrono::milliseconds(250);
+  LeaderClientOptions client;
+  // Internal endpoints of the other controllers, for as long as the log knows no leader.
+  LeaderLocator::Endpoints controllers;
+  // Body of GET /admin/v1/controllers; may be empty.
+  std::function<std::string()> controllers_view;
+};
+
+// What a controller does for gateways and operators, besides the log itself. On the leader:
+// sessions, grants, pushes, acknowledgements, worker leases, the inventory
+// (docs/design-docs/configuration.md); on the others: names the leader. One per controller, on its
+// event loop thread; it takes SERVICE_CONTROL of the runtime's transport, the log's leadership
+// listener and the state's section listener. All that it is given outlives it.
+class ControllerService {
+ public:
+  ControllerService(runtime::Runtime* runtime, ControllerServiceOptions options,
+                    consensus::ReplicatedLog* log, LeadershipGuard* guard, ControlState* state);
+  ~ControllerService();
+  ControllerService(const ControllerService&) = delete;
+  ControllerService& operator=(const ControllerService&) = delete;
+
+  // This controller's own way to the leader (itself perhaps), for its operators' interface.
+  LeaderClient* client() { return &client_; }
+  // True if this controller leads and has applied all that earlier leaders acknowledged.
+  bool leading() const { return leading_; }
+  size_t session_count() const { return sessions_.sessions().size(); }
+
+ private:
+  struct Sender {
+    std::string endpoint;
+    uint64_t incarnation = 0;
+  };
+  // Sender's endpoint and incarnation, request id, until_in_force.
+  using ProposalKey = std::tuple<std::string, uint64_t, std::string, bool>;
+
+  void OnLeadership(bool is_leader, uint64_t term);
+  void OnMessage(const Sender& sender, const ControlMessage& message);
+  bool MayDecide() const;
+
+  // Sessions.
+  void OnRenewal(const Sender& sender, const SessionRenewal& renewal);
+  void SendGrant(const SessionRenewal& renewal, runtime::Duration lease,
+                 const std::string& endpoint, Session* session);
+  void OnPushAck(const StatePushAck& ack);
+  void SchedulePush();
+  void PushAll();
+  uint32_t InventoryAgeMs() const;
+
+  // Proposals and queries.
+  void OnPropose(const Sender& sender, const ProposeRequest& request);
+  void FillControlTime(Command* command) const;
+  void OnProposed(const ProposalKey& key, const absl::StatusOr<std::string>& answer);
+  void WaitUntilInForce(const ProposalKey& key, const CommandResult& result);
+  void Respond(const ProposalKey& key, ProposeResponse response);
+  void ScheduleCheck(runtime::Duration delay);
+  void CheckWaiters();
+  void OnQuery(const Sender& sender, const QueryRequest& request);
+  void AnswerQuery(const std::string& endpoint, const QueryRequest& request);
+  void RefuseQuery(const std::string& endpoint, uint64_t call);
+
+  // The leader's own decisions.
+  void PlanWorkerLeases();
+  void OnInventory(Inventory inventory, runtime::MonotonicTime asked_at);
+  void ProposeOwn(Command command, std::function<void(bool applied)> done);
+
+  void Send(const std::string& endpoint, const ControlMessage& message);
+
+  runtime::Runtime* const runtime_;
+  const ControllerServiceOptions options_;
+  consensus::ReplicatedLog* const log_;
+  LeadershipGuard* const guard_;
+  ControlState* const state_;
+  // Callbacks that may outlive this object hold a weak pointer to it.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  LeaderLocator locator_;
+  LeaderClient client_;
+  InventoryReader inventory_reader_;
+  const std::unique_ptr<ControllerMetrics> metrics_;
+
+  bool leading_ = false;
+  uint64_t term_ = 0;
+  runtime::MonotonicTime leading_since_;
+  // From here on no session of a former leader is left.
+  runtime::MonotonicTime handover_at_;
+  int64_t control_time_base_ms_ = 0;
+  SessionTable sessions_;
+  InForceWaiters waiters_;
+  std::map<ProposalKey, uint64_t> proposals_;  // the newest call of each, which is answered
+  uint64_t unnamed_proposals_ = 0;             // tells apart proposals without request id
+  size_t queries_ = 0;
+  uint64_t last_push_ = 0;
+  bool plan_under_way_ = false;
+  bool inventory_under_way_ = false;
+  bool inventory_known_ = false;
+  runtime::MonotonicTime inventory_read_at_;
+  runtime::Timer push_timer_;
+  runtime::Timer check_timer_;
+  runtime::Timer plan_timer_;
+};
+
+}  // namespace posthatch::control
--- a/src/posthatch/control/fleet_sections.cc
+++ b/src/posthatch/control/fleet_sections.cc
@@ -84,9 +84,8 @@
 }
 
 SectionIndices IndicesOf(const SessionRenewal& renewal) {
-  return {renewal.configuration_index(), renewal.isolation_index(),
-          renewal.revisions_index(),     renewal.evacuations_index(),
-          renewal.inventory_index(),     renewal.leases_index()};
+  return {renewal.configuration_index(), renewal.isolation_index(), renewal.revisions_index(),
+          renewal.evacuations_index(),   renewal.inventory_index(), renewal.leases_index()};
 }
 
 void SetIndices(const SectionIndices& indices, SessionRenewal* renewal) {
@@ -116,8 +115,7 @@
                         FleetState* state) {
   bool any = false;
   for (const Section section : kSections) {
-    const bool named =
-        std::find(names.begin(), names.end(), SectionName(section)) != names.end();
+    const bool named = std::find(names.begin(), names.end(), SectionName(section)) != names.end();
     if (!named || IndexOf(changed, section) <= IndexOf(*state, section)) continue;
     CopySection(changed, section, state);
     any = true;
--- /dev/null
+++ b/src/posthatch/control/gateway_session.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "posthatch/control/control_client.h"
+#include "posthatch/control/leader_client.h"
+#include "posthatch/control/leader_locator.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace prometheus {
+class Counter;
+class Gauge;
+}  // namespace prometheus
+
+namespace posthatch::control {
+
+struct GatewaySessionOptions {
+  std::string zone;
+  runtime::Duration renew_interval = std::chrono::seconds(1);
+  // While a renewal is unanswered or there is no lease.
+  runtime::Duration retry_interval = std::chrono::milliseconds(250);
+  // Taken off a granted lease, for clocks that run at different rates.
+  double clock_rate_margin = 0.02;
+  LeaderClientOptions client;
+};
+
+// A gateway's side of the control plane (docs/DESIGN.md, "The session lease"): keeps the session
+// lease, puts the sections that the leader sends into force, and brings commands and queries to the
+// leader. Sections never go back. One per gateway, on its event loop thread; it takes
+// SERVICE_CONTROL of the runtime's transport.
+class GatewaySession : public FleetView, public ControlClient, public QueryClient {
+ public:
+  // `controllers` gives the internal endpoints of the controllers believed to exist. Starts to
+  // renew at once.
+  GatewaySession(runtime::Runtime* runtime, GatewaySessionOptions options,
+                 LeaderLocator::Endpoints controllers);
+  ~GatewaySession() override;
+  GatewaySession(const GatewaySession&) = delete;
+  GatewaySession& operator=(const GatewaySession&) = delete;
+
+  // FleetView.
+  bool LeaseValid() const override;
+  runtime::MonotonicTime lease_expiry() const override { return lease_expiry_; }
+  const FleetState& state() const override { return state_; }
+  runtime::Duration InventoryAge() const override;
+  void AddListener(Listener listener) override { listeners_.push_back(std::move(listener)); }
+
+  // ControlClient, QueryClient.
+  void Propose(Command command, runtime::Duration timeout, bool until_in_force,
+               ProposeDone done) override;
+  void Query(std::string name, std::string argument, runtime::Duration timeout,
+             QueryDone done) override;
+
+  // True while this gateway holds the worker's lease and its session; sets the fencing token, which
+  // goes with every order. To be asked at the last step before each order.
+  bool HoldsWorker(const std::string& worker_id, uint64_t* fencing_token) const;
+
+  // Gives up the lease at once and tells the leader, which needn't wait for its end then.
+  void Leave();
+
+  static constexpr runtime::Duration kUnknownAge = std::chrono::hours(1);
+
+ private:
+  void OnEnvelope(const runtime::Envelope& envelope);
+  void OnGrant(const std::string& from_endpoint, const SessionGrant& grant);
+  void OnPush(const std::string& from_endpoint, const StatePush& push);
+  void OnLeaderHint(const std::string& from_endpoint, const std::string& hint);
+  // Puts newer sections in force. False if the configuration was rejected: nothing was applied.
+  bool PutInForce(const FleetState& changed,
+                  const google::protobuf::RepeatedPtrField<std::string>& names, bool* any);
+  void Acknowledge(const std::string& endpoint, uint64_t push);
+  void Renew();
+  void ScheduleRenewal();
+  SessionRenewal MakeRenewal(bool leaving) const;
+  void Send(const std::string& endpoint, const ControlMessage& message);
+  void NotifyListeners();
+
+  runtime::Runtime* const runtime_;
+  const GatewaySessionOptions options_;
+  LeaderLocator locator_;
+  LeaderClient client_;
+  runtime::Timer renew_timer_;
+
+  FleetState state_;
+  runtime::MonotonicTime lease_expiry_;
+  bool has_lease_ = false;  // a lease was ever granted and not given up
+  bool left_ = false;
+  uint64_t term_ = 0;  // newest leader's term
+  uint64_t renewal_ = 0;
+  std::map<uint64_t, runtime::MonotonicTime> sent_;  // renewal -> when it was sent
+  uint64_t answered_renewal_ = 0;
+  std::string rejection_;
+  bool inventory_known_ = false;
+  runtime::MonotonicTime inventory_read_at_;
+  std::vector<Listener> listeners_;
+
+  prometheus::Counter* renewals_counter_ = nullptr;
+  prometheus::Counter* grants_counter_ = nullptr;
+  prometheus::Counter* rejections_counter_ = nullptr;
+  prometheus::Gauge* version_gauge_ = nullptr;
+};
+
+}  // namespace posthatch::control
--- a/src/posthatch/control/isolation_registry.cc
+++ b/src/posthatch/control/isolation_registry.cc
@@ -10,10 +10,9 @@
 
 bool IsIsolated(const Tenant& tenant, const Configuration& configuration) {
   const LabelMap labels = TenantLabels(tenant);
-  return std::any_of(configuration.isolation_rules().begin(), configuration.isolation_rules().end(),
-                     [&labels](const IsolationRule& rule) {
-                       return SelectorMatches(rule.isolated(), labels);
-                     });
+  return std::any_of(
+      configuration.isolation_rules().begin(), configuration.isolation_rules().end(),
+      [&labels](const IsolationRule& rule) { return SelectorMatches(rule.isolated(), labels); });
 }
 
 }  // namespace
@@ -48,8 +47,7 @@
   return {changed.begin(), changed.end()};
 }
 
-void IsolationRegistry::Save(
-    google::protobuf::RepeatedPtrField<TenantIsolation>* isolation) const {
+void IsolationRegistry::Save(google::protobuf::RepeatedPtrField<TenantIsolation>* isolation) const {
   if (shared_generation_ == 0) return;
   isolation->Add()->set_generation(shared_generation_);
   for (const auto& [name, domain] : tenants_) {
--- /dev/null
+++ b/src/posthatch/control/leader_client.cc
@@ -0,0 +1,184 @@
+#include "posthatch/control/leader_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/status/status.h"
+
+namespace posthatch::control {
+namespace {
+
+// Pause after a refusal that named another leader, and after one that didn't.
+constexpr runtime::Duration kRedirectPause = std::chrono::milliseconds(5);
+constexpr runtime::Duration kRefusedPause = std::chrono::milliseconds(100);
+constexpr runtime::Duration kOverloadPause = std::chrono::milliseconds(200);
+constexpr runtime::Duration kNoControllerPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
+LeaderClient::LeaderClient(runtime::Runtime* runtime, LeaderClientOptions options,
+                           LeaderLocator* locator, Sender sender)
+    : runtime_(runtime),
+      options_(options),
+      locator_(locator),
+      sender_(std::move(sender)),
+      // An answer to an earlier life of this process must not fit a call of this one.
+      last_call_(runtime->transport->incarnation()) {}
+
+void LeaderClient::Propose(Command command, runtime::Duration timeout, bool until_in_force,
+                           ProposeDone done) {
+  auto operation = std::make_unique<Operation>(runtime_->timers);
+  ProposeRequest* request = operation->message.mutable_propose_request();
+  *request->mutable_command() = std::move(command);
+  request->set_until_in_force(until_in_force);
+  operation->resend_interval =
+      until_in_force ? options_.in_force_resend_interval : options_.resend_interval;
+  operation->propose_done = std::move(done);
+  Start(std::move(operation), timeout);
+}
+
+void LeaderClient::Query(std::string name, std::string argument, runtime::Duration timeout,
+                         QueryDone done) {
+  auto operation = std::make_unique<Operation>(runtime_->timers);
+  QueryRequest* request = operation->message.mutable_query_request();
+  request->set_name(std::move(name));
+  request->set_argument(std::move(argument));
+  operation->resend_interval = options_.resend_interval;
+  operation->query_done = std::move(done);
+  Start(std::move(operation), timeout);
+}
+
+void LeaderClient::Start(std::unique_ptr<Operation> operation, runtime::Duration timeout) {
+  operation->deadline = runtime_->clock->Now() + timeout;
+  const uint64_t operation_id = ++last_operation_;
+  const bool overloaded = operations_.size() >= options_.max_calls;
+  operations_[operation_id] = std::move(operation);
+  if (!overloaded) {
+    SendOperation(operation_id);
+    return;
+  }
+  operations_[operation_id]->timer.Start(runtime::Duration::zero(), [this, operation_id] {
+    Finish(operation_id, absl::ResourceExhaustedError("too many calls to the controllers"));
+  });
+}
+
+void LeaderClient::SendOperation(uint64_t operation_id) {
+  Operation* operation = operations_.at(operation_id).get();
+  const std::string target = locator_->Target();
+  if (target.empty()) {
+    SendLater(operation_id, kNoControllerPause);
+    return;
+  }
+  const uint64_t call = ++last_call_;
+  call_owners_[call] = operation_id;
+  operation->open_calls.insert(call);
+  operation->sent_to = target;
+  if (operation->message.has_propose_request()) {
+    operation->message.mutable_propose_request()->set_call(call);
+  } else {
+    operation->message.mutable_query_request()->set_call(call);
+  }
+  const runtime::Duration left = operation->deadline - runtime_->clock->Now();
+  operation->timer.Start(std::min(operation->resend_interval, left),
+                         [this, operation_id] { OnSilence(operation_id); });
+  sender_(target, operation->message);
+}
+
+void LeaderClient::OnSilence(uint64_t operation_id) {
+  Operation* operation = operations_.at(operation_id).get();
+  locator_->Suspect(operation->sent_to);
+  if (runtime_->clock->Now() < operation->deadline) {
+    SendOperation(operation_id);
+    return;
+  }
+  const bool never_taken = operation->open_calls.empty() && !operation->uncertain;
+  Finish(operation_id, never_taken ? absl::ResourceExhaustedError("no controller took the request")
+                                   : absl::DeadlineExceededError("no answer from the controllers"));
+}
+
+void LeaderClient::SendLater(uint64_t operation_id, runtime::Duration delay) {
+  Operation* operation = operations_.at(operation_id).get();
+  const runtime::Duration left = operation->deadline - runtime_->clock->Now();
+  if (left <= delay) {
+    operation->timer.Start(std::max(left, runtime::Duration::zero()),
+                           [this, operation_id] { OnSilence(operation_id); });
+    return;
+  }
+  operation->timer.Start(delay, [this, operation_id] { SendOperation(operation_id); });
+}
+
+void LeaderClient::OnProposeResponse(const std::string& from_endpoint,
+                                     const ProposeResponse& response) {
+  const uint64_t operation_id = OperationOf(response.call());
+  if (operation_id == 0) return;
+  switch (response.status()) {
+    case ProposeResponse::DONE: {
+      locator_->Heard(from_endpoint);
+      std::unique_ptr<Operation> operation = Remove(operation_id);
+      if (operation->propose_done) operation->propose_done(response.result());
+      return;
+    }
+    case ProposeResponse::UNCERTAIN:
+      operations_.at(operation_id)->uncertain = true;
+      SendLater(operation_id, kRefusedPause);
+      return;
+    case ProposeResponse::OVERLOADED: {
+      operations_.at(operation_id)->open_calls.erase(response.call());
+      call_owners_.erase(response.call());
+      const runtime::Duration pause = runtime_->random->Between(kOverloadPause, 2 * kOverloadPause);
+      SendLater(operation_id, pause);
+      return;
+    }
+    default:
+      OnRefused(response.call(), from_endpoint, response.leader_endpoint());
+  }
+}
+
+void LeaderClient::OnQueryResponse(const std::string& from_endpoint,
+                                   const QueryResponse& response) {
+  const uint64_t operation_id = OperationOf(response.call());
+  if (operation_id == 0) return;
+  if (response.not_leader()) {
+    OnRefused(response.call(), from_endpoint, response.leader_endpoint());
+    return;
+  }
+  locator_->Heard(from_endpoint);
+  std::unique_ptr<Operation> operation = Remove(operation_id);
+  if (operation->query_done) operation->query_done(response);
+}
+
+void LeaderClient::OnRefused(uint64_t call, const std::string& from_endpoint,
+                             const std::string& hint) {
+  const uint64_t operation_id = OperationOf(call);
+  operations_.at(operation_id)->open_calls.erase(call);
+  call_owners_.erase(call);
+  const bool redirected = !hint.empty() && hint != from_endpoint;
+  if (redirected) {
+    locator_->FollowHint(hint);
+  } else {
+    locator_->Suspect(from_endpoint);
+  }
+  SendLater(operation_id, redirected ? kRedirectPause : kRefusedPause);
+}
+
+void LeaderClient::Finish(uint64_t operation_id, absl::Status status) {
+  std::unique_ptr<Operation> operation = Remove(operation_id);
+  if (operation->propose_done) operation->propose_done(status);
+  if (operation->query_done) operation->query_done(status);
+}
+
+uint64_t LeaderClient::OperationOf(uint64_t call) const {
+  const auto owner = call_owners_.find(call);
+  return owner == call_owners_.end() ? 0 : owner->second;
+}
+
+std::unique_ptr<LeaderClient::Operation> LeaderClient::Remove(uint64_t operation_id) {
+  auto found = operations_.find(operation_id);
+  std::unique_ptr<Operation> operation = std::move(found->second);
+  operations_.erase(found);
+  for (const uint64_t call : operation->open_calls) call_owners_.erase(call);
+  operation->timer.Cancel();
+  return operation;
+}
+
+}  // namespace posthatch::control
--- a/src/posthatch/control/object_versions.cc
+++ b/src/posthatch/control/object_versions.cc
@@ -20,8 +20,7 @@
 
 bool ObjectVersions::Observe(const ObserveObject& observation, CommandResult* result) {
   const std::string& object = observation.object();
-  if (object.empty() || object.size() > kMaxNameLength ||
-      object.find('/') == std::string::npos) {
+  if (object.empty() || object.size() > kMaxNameLength || object.find('/') == std::string::npos) {
     result->set_code(CommandResult::INVALID);
     result->add_errors("object: a name of at most 256 bytes with a '/'");
     return false;
--- a/src/posthatch/control/object_versions.h
+++ b/src/posthatch/control/object_versions.h
@@ -23,8 +23,8 @@
   bool RaiseEpoch(const std::string& object, uint64_t epoch);
   // Raises the epoch by one.
   void RaiseEpochByOne(const std::string& object);
-  // Applies an observation; returns whether the version rose. `result` gets OK with the sequence, or
-  // INVALID. An observation of an older epoch changes nothing.
+  // Applies an observation; returns whether the version rose. `result` gets OK with the sequence,
+  // or INVALID. An observation of an older epoch changes nothing.
   bool Observe(const ObserveObject& observation, CommandResult* result);
 
   bool Find(const std::string& object, channels::ObjectVersion* version) const;
--- a/src/posthatch/control/selector.cc
+++ b/src/posthatch/control/selector.cc
@@ -127,8 +127,8 @@
   }
   bool AtEnd() const { return position_ == text_.size(); }
   absl::Status Error(const std::string& what) const {
-    return absl::InvalidArgumentError(absl::StrCat("selector, character ", position_ + 1, ": ",
-                                                   what));
+    return absl::InvalidArgumentError(
+        absl::StrCat("selector, character ", position_ + 1, ": ", what));
   }
 
   std::string_view text_;
@@ -138,11 +138,11 @@
 void ValidateRequirement(const Requirement& requirement, const std::string& where,
                          std::vector<std::string>* errors) {
   if (!IsWord(requirement.key())) {
-    errors->push_back(absl::StrCat(where, ".key: 1 to ", kMaxWordLength,
-                                   " letters, digits or ._-/:"));
+    errors->push_back(
+        absl::StrCat(where, ".key: 1 to ", kMaxWordLength, " letters, digits or ._-/:"));
   }
-  const bool wants_values = requirement.operator_() == Requirement::IN ||
-                            requirement.operator_() == Requirement::NOT_IN;
+  const bool wants_values =
+      requirement.operator_() == Requirement::IN || requirement.operator_() == Requirement::NOT_IN;
   if (requirement.operator_() == Requirement::OPERATOR_UNSPECIFIED ||
       !Requirement::Operator_IsValid(requirement.operator_())) {
     errors->push_back(absl::StrCat(where, ".operator: one of IN, NOT_IN, EXISTS, NOT_EXISTS"));
@@ -156,8 +156,8 @@
   }
   for (const std::string& value : requirement.values()) {
     if (IsWord(value)) continue;
-    errors->push_back(absl::StrCat(where, ".values: 1 to ", kMaxWordLength,
-                                   " letters, digits or ._-/:"));
+    errors->push_back(
+        absl::StrCat(where, ".values: 1 to ", kMaxWordLength, " letters, digits or ._-/:"));
     break;
   }
 }
@@ -167,10 +167,9 @@
 bool SelectorMatches(const Selector& selector, const LabelMap& labels) {
   if (selector.match_all()) return true;
   if (selector.requirements().empty()) return false;
-  return std::all_of(selector.requirements().begin(), selector.requirements().end(),
-                     [&labels](const Requirement& requirement) {
-                       return RequirementHolds(requirement, labels);
-                     });
+  return std::all_of(
+      selector.requirements().begin(), selector.requirements().end(),
+      [&labels](const Requirement& requirement) { return RequirementHolds(requirement, labels); });
 }
 
 LabelMap BackendLabels(const Backend& backend) {
--- /dev/null
+++ b/src/posthatch/control/session_table.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "posthatch/control/control.pb.h"
+#include "posthatch/control/fleet_sections.h"
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::control {
+
+// One life of one gateway process.
+struct SessionKey {
+  std::string gateway;
+  uint64_t incarnation = 0;
+
+  friend auto operator<=>(const SessionKey&, const SessionKey&) = default;
+};
+
+struct Session {
+  SessionKey key;
+  std::string zone;
+  std::string endpoint;
+  // Never before the end of the lease as the gateway counts it.
+  runtime::MonotonicTime expiry;
+  uint64_t renewal = 0;
+  SectionIndices known{};    // sections that the gateway has said to be in force
+  uint64_t known_up_to = 0;  // every change up to this log index is in force there, or no lease is
+  uint64_t sent_up_to = 0;   // what was last sent to it, and when
+  runtime::MonotonicTime sent_at;
+};
+
+// The sessions that the leading controller has granted, in its memory only. Times are given by the
+// caller. Owned by ControllerService.
+class SessionTable {
+ public:
+  // Renews or begins a session; null if the renewal is an old one that came late. A session that
+  // begins gets its first lease with the state as of `applied_index`.
+  Session* Renew(const SessionRenewal& renewal, const std::string& endpoint,
+                 runtime::MonotonicTime expiry, uint64_t applied_index);
+  // Null if there is none.
+  Session* Find(const SessionKey& key);
+  // The gateway has in force all that `state` has up to `applied_index`.
+  void Acknowledge(const SessionKey& key, uint64_t applied_index, const FleetState& state);
+  void End(const SessionKey& key) { sessions_.erase(key); }
+  void Clear() { sessions_.clear(); }
+  void RemoveExpired(runtime::MonotonicTime now);
+
+  // True if every session that hasn't run out at `now` knows all changes up to `log_index`.
+  bool InForceEverywhere(uint64_t log_index, runtime::MonotonicTime now) const;
+  const std::map<SessionKey, Session>& sessions() const { return sessions_; }
+  std::map<SessionKey, Session>& mutable_sessions() { return sessions_; }
+
+ private:
+  std::map<SessionKey, Session> sessions_;
+};
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/state_views.cc
@@ -0,0 +1,149 @@
+#include "posthatch/control/state_views.h"
+
+#include <google/protobuf/util/json_util.h>
+
+#include <boost/json.hpp>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "posthatch/control/configuration_patch.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::control {
+namespace {
+
+constexpr int kStatusNotFound = 404;
+
+// By way of protobuf's own JSON, with the field names of the .proto files.
+boost::json::value ToJson(const google::protobuf::Message& message) {
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  std::string text;
+  if (!google::protobuf::util::MessageToJsonString(message, &text, options).ok()) return {};
+  boost::json::error_code error;
+  boost::json::value value = boost::json::parse(text, error);
+  return error ? boost::json::value() : value;
+}
+
+View Found(const boost::json::value& value) { return {200, boost::json::serialize(value)}; }
+View NotFound(std::string_view what) { return {kStatusNotFound, ErrorJson("not_found", what)}; }
+
+const ConfigurationVersion* FindVersion(const ConfigurationHistory& history,
+                                        const std::string& text) {
+  if (text.empty()) return history.newest();
+  uint64_t version = 0;
+  return absl::SimpleAtoi(text, &version) ? history.Find(version) : nullptr;
+}
+
+View ConfigurationView(std::string_view query, const ControlState& state) {
+  const std::string wanted = QueryValue(query, "version");
+  const ConfigurationVersion* version = FindVersion(state.history(), wanted);
+  if (version == nullptr && !wanted.empty()) return NotFound("this version isn't kept");
+  const ConfigurationVersion none;
+  if (version == nullptr) version = &none;
+  return Found(boost::json::object{{"version", version->version()},
+                                   {"log_index", version->log_index()},
+                                   {"configuration", ToJson(version->configuration())}});
+}
+
+View HistoryView(const ControlState& state) {
+  boost::json::array versions;
+  for (const ConfigurationVersion& version : state.history().versions()) {
+    versions.push_back(boost::json::object{{"version", version.version()},
+                                           {"request_id", version.request_id()},
+                                           {"log_index", version.log_index()}});
+  }
+  return Found(boost::json::object{{"versions", std::move(versions)}});
+}
+
+View DiffView(std::string_view query, const ControlState& state) {
+  const ConfigurationVersion* from = FindVersion(state.history(), QueryValue(query, "from"));
+  const ConfigurationVersion* to = FindVersion(state.history(), QueryValue(query, "to"));
+  if (from == nullptr || to == nullptr) return NotFound("one of the versions isn't kept");
+  boost::json::array differences;
+  for (const std::string& line : DescribeDifferences(from->configuration(), to->configuration())) {
+    differences.emplace_back(line);
+  }
+  return Found(boost::json::object{
+      {"from", from->version()}, {"to", to->version()}, {"differences", std::move(differences)}});
+}
+
+View EvacuationsView(const ControlState& state) {
+  boost::json::array evacuations;
+  for (const Evacuation& evacuation : state.fleet().evacuations()) {
+    evacuations.push_back(ToJson(evacuation));
+  }
+  return Found(boost::json::object{{"evacuations", std::move(evacuations)}});
+}
+
+View RevisionsView(const ControlState& state) {
+  boost::json::array revisions;
+  for (const ModelRevision& revision : state.fleet().revisions()) {
+    revisions.push_back(boost::json::object{{"model", revision.model()},
+                                            {"revision", revision.revision()},
+                                            {"weights", revision.weights()},
+                                            {"request_id", revision.request_id()}});
+  }
+  return Found(boost::json::object{{"revisions", std::move(revisions)}});
+}
+
+View IsolationView(const ControlState& state) {
+  boost::json::array domains;
+  for (const TenantIsolation& domain : state.fleet().isolation()) {
+    domains.push_back(boost::json::object{{"tenant", domain.tenant()},
+                                          {"isolated", domain.isolated()},
+                                          {"generation", domain.generation()},
+                                          {"removed", domain.removed()}});
+  }
+  return Found(boost::json::object{{"isolation", std::move(domains)}});
+}
+
+View InventoryView(const ControlState& state) {
+  boost::json::array backends;
+  for (const Backend& backend : state.fleet().inventory().backends()) {
+    backends.push_back(ToJson(backend));
+  }
+  return Found(boost::json::object{{"version", state.fleet().inventory().version()},
+                                   {"backends", std::move(backends)}});
+}
+
+View LeasesView(const ControlState& state) {
+  boost::json::array leases;
+  for (const WorkerLease& lease : state.fleet().leases()) {
+    leases.push_back(boost::json::object{{"worker_id", lease.worker_id()},
+                                         {"holder", lease.holder()},
+                                         {"holder_incarnation", lease.holder_incarnation()},
+                                         {"fencing_token", lease.fencing_token()}});
+  }
+  return Found(boost::json::object{{"leases", std::move(leases)}});
+}
+
+}  // namespace
+
+View RenderView(std::string_view name, std::string_view query, const ControlState& state) {
+  if (name == "configuration") return ConfigurationView(query, state);
+  if (name == "configuration/history") return HistoryView(state);
+  if (name == "configuration/diff") return DiffView(query, state);
+  if (name == "evacuations") return EvacuationsView(state);
+  if (name == "model-revisions") return RevisionsView(state);
+  if (name == "isolation") return IsolationView(state);
+  if (name == "inventory") return InventoryView(state);
+  if (name == "leases") return LeasesView(state);
+  return NotFound("no such view");
+}
+
+std::string QueryValue(std::string_view query, std::string_view key) {
+  for (const absl::string_view part : absl::StrSplit(util::ToAbsl(query), '&')) {
+    const std::vector<absl::string_view> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+    if (pair.size() == 2 && pair[0] == util::ToAbsl(key)) return std::string(pair[1]);
+  }
+  return {};
+}
+
+std::string ErrorJson(std::string_view code, std::string_view message) {
+  return boost::json::serialize(
+      boost::json::object{{"error", boost::json::object{{"code", code}, {"message", message}}}});
+}
+
+}  // namespace posthatch::control
--- /dev/null
+++ b/src/posthatch/control/state_views.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "posthatch/control/control_state.h"
+
+namespace posthatch::control {
+
+struct View {
+  int http_status = 200;
+  std::string json;
+};
+
+// Bodies of the GET requests under /admin/v1 that show the control state (docs/API.md). `name` is
+// the path after /admin/v1/; `query` the part after '?'. 404 for an unknown name or version.
+View RenderView(std::string_view name, std::string_view query, const ControlState& state);
+
+// The value of `key` in "a=1&b=2"; empty if missing.
+std::string QueryValue(std::string_view query, std::string_view key);
+
+// JSON of one error, as every refusal under /admin/v1 has it.
+std::string ErrorJson(std::string_view code, std::string_view message);
+
+}  // namespace posthatch::control
--- a/src/posthatch/control/worker_lease_table.h
+++ b/src/posthatch/control/worker_lease_table.h
@@ -15,8 +15,8 @@
 // worker over by accident. Part of the replicated state; owned by ControlState.
 class WorkerLeaseTable {
  public:
-  // Releases first, then grants. OK if all grants were made; VERSION_CONFLICT with an error for each
-  // that was refused, the others being made. `changed` tells whether any lease changed.
+  // Releases first, then grants. OK if all grants were made; VERSION_CONFLICT with an error for
+  // each that was refused, the others being made. `changed` tells whether any lease changed.
   CommandResult Apply(uint64_t log_index, const GrantWorkerLeases& command, bool* changed);
 
   // Null if nobody holds the worker.
