--- /dev/null
+++ b/src/posthatch/gateway/answer_check.cc
@@ -0,0 +1,87 @@
+#include "posthatch/gateway/answer_check.h"
+
+#include <xxhash.h>
+
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace posthatch::gateway {
+namespace {
+
+absl::Status Broken(const char* what) { return absl::DataLossError(what); }
+
+std::string_view StringField(const boost::json::object& object, std::string_view name) {
+  const boost::json::value* field = object.if_contains(name);
+  if (field == nullptr || !field->is_string()) return {};
+  return {field->get_string().data(), field->get_string().size()};
+}
+
+// The text of the first choice, or nothing if there is none.
+std::string_view FirstText(const boost::json::object& answer) {
+  const boost::json::value* choices = answer.if_contains("choices");
+  if (choices == nullptr || !choices->is_array() || choices->get_array().empty()) return {};
+  const boost::json::value& choice = choices->get_array().front();
+  if (!choice.is_object()) return {};
+  if (choice.get_object().contains("text")) return StringField(choice.get_object(), "text");
+  const boost::json::value* message = choice.get_object().if_contains("message");
+  if (message == nullptr || !message->is_object()) return {};
+  return StringField(message->get_object(), "content");
+}
+
+bool ChecksumFits(std::string_view checksum, std::string_view text) {
+  uint64_t expected = 0;
+  const char* const end = checksum.data() + checksum.size();
+  const auto [parsed, error] = std::from_chars(checksum.data(), end, expected, 16);
+  return error == std::errc() && parsed == end && expected == XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace
+
+absl::Status CheckCompletionBody(std::string_view body, std::string_view request_id) {
+  boost::json::error_code error;
+  const boost::json::value parsed = boost::json::parse(body, error);
+  if (error || !parsed.is_object()) return Broken("the answer is not a JSON object");
+  const boost::json::object& answer = parsed.get_object();
+  if (StringField(answer, "request_id") != request_id) {
+    return Broken("the answer belongs to another request");
+  }
+  if (StringField(answer, "id").empty()) return Broken("the answer names no run");
+  const boost::json::value* choices = answer.if_contains("choices");
+  if (choices == nullptr || !choices->is_array() || choices->get_array().empty()) {
+    return Broken("the answer has no choices");
+  }
+  const std::string_view checksum = StringField(answer, "checksum");
+  if (!checksum.empty() && !ChecksumFits(checksum, FirstText(answer))) {
+    return Broken("the answer's checksum doesn't fit");
+  }
+  return absl::OkStatus();
+}
+
+absl::Status CheckServiceBody(std::string_view body, std::string_view request_id,
+                              std::string_view operation) {
+  boost::json::error_code error;
+  const boost::json::value parsed = boost::json::parse(body, error);
+  if (error || !parsed.is_object()) return Broken("the answer is not a JSON object");
+  const boost::json::object& answer = parsed.get_object();
+  if (StringField(answer, "request_id") != request_id) {
+    return Broken("the answer belongs to another request");
+  }
+  if (StringField(answer, "operation") != operation) {
+    return Broken("the answer belongs to another operation");
+  }
+  return absl::OkStatus();
+}
+
+bool ProvesNotExecuted(const http::Response& answer) {
+  if (answer.status != 409 && answer.status != 429 && answer.status != 503) return false;
+  boost::json::error_code error;
+  const boost::json::value parsed = boost::json::parse(answer.body, error);
+  if (error || !parsed.is_object()) return false;
+  const boost::json::value* fields = parsed.get_object().if_contains("error");
+  if (fields != nullptr && fields->is_object()) {
+    return StringField(fields->get_object(), "executed") == "no";
+  }
+  return StringField(parsed.get_object(), "executed") == "no";
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/backend_directory.cc
@@ -0,0 +1,200 @@
+#include "posthatch/gateway/backend_directory.h"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+#include "posthatch/gateway/selector_matcher.h"
+
+namespace posthatch::gateway {
+namespace {
+
+// A repeated ejection lasts longer, up to this many times the configured length.
+constexpr uint32_t kMaxEjectionFactor = 4;
+// How long a worker that refused a revision isn't asked for it again.
+constexpr runtime::Duration kRefusalPause = std::chrono::milliseconds(250);
+constexpr double kSmallestShare = 0.02;
+
+BackendPool* FindPool(absl::flat_hash_map<std::string, BackendPool>* pools,
+                      const std::string& name) {
+  const auto found = pools->find(name);
+  return found == pools->end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+void BackendDirectory::Update(const control::FleetState& state, const control::Inventory* own) {
+  absl::flat_hash_set<std::string> draining_by_own;
+  if (own != nullptr) {
+    for (const control::Backend& backend : own->backends()) {
+      if (backend.draining()) draining_by_own.insert(backend.id());
+    }
+  }
+  for (auto& [id, entry] : entries_) entry->listed = false;
+  for (const control::Backend& backend : state.inventory().backends()) {
+    Take(backend, backend.draining() || draining_by_own.contains(backend.id()));
+  }
+  if (own != nullptr) {
+    for (const control::Backend& backend : own->backends()) {
+      const BackendPointer known = Find(backend.id());
+      if (known == nullptr || !known->listed) Take(backend, backend.draining());
+    }
+  }
+  absl::erase_if(entries_, [](const auto& item) { return !item.second->listed; });
+  MarkEvacuated(state);
+  RebuildPools();
+}
+
+void BackendDirectory::Take(const control::Backend& backend, bool draining) {
+  BackendPointer& entry = entries_[backend.id()];
+  const bool moved = entry != nullptr && entry->backend.endpoint() != backend.endpoint();
+  if (entry == nullptr || moved) {
+    // Running attempts keep the entry of the old place, which gets no new work.
+    entry = std::make_shared<BackendEntry>();
+    StartSlowly(entry.get(), "seen");
+  } else if (entry->draining && !draining) {
+    StartSlowly(entry.get(), "returned");
+  }
+  entry->backend = backend;
+  entry->listed = true;
+  entry->draining = draining;
+}
+
+void BackendDirectory::MarkEvacuated(const control::FleetState& state) {
+  for (auto& [id, entry] : entries_) {
+    entry->evacuated = std::any_of(state.evacuations().begin(), state.evacuations().end(),
+                                   [&item = entry->backend](const control::Evacuation& evacuation) {
+                                     return MatchesBackend(evacuation.selector(), item);
+                                   });
+  }
+}
+
+void BackendDirectory::RebuildPools() {
+  worker_pools_.clear();
+  service_pools_.clear();
+  size_t eligible = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry->draining || entry->evacuated) continue;
+    const control::Backend& backend = entry->backend;
+    if (backend.kind() == control::BACKEND_KIND_STORE) continue;
+    const bool worker = backend.kind() == control::BACKEND_KIND_WORKER;
+    BackendPool& pool = worker ? worker_pools_[backend.model()] : service_pools_[backend.service()];
+    pool.all.push_back(entry);
+    if (backend.zone() == options_->zone) pool.local.push_back(entry);
+    ++eligible;
+  }
+  // Hash maps differ in order from run to run; routing must not.
+  const auto by_id = [](const BackendPointer& left, const BackendPointer& right) {
+    return left->backend.id() < right->backend.id();
+  };
+  for (auto* pools : {&worker_pools_, &service_pools_}) {
+    for (auto& [name, pool] : *pools) {
+      std::sort(pool.all.begin(), pool.all.end(), by_id);
+      std::sort(pool.local.begin(), pool.local.end(), by_id);
+    }
+  }
+  metrics_->backends_eligible.Set(static_cast<double>(eligible));
+}
+
+BackendPool* BackendDirectory::WorkerPool(const std::string& model) {
+  return FindPool(&worker_pools_, model);
+}
+
+BackendPool* BackendDirectory::ServicePool(const std::string& service) {
+  return FindPool(&service_pools_, service);
+}
+
+BackendPointer BackendDirectory::Find(const std::string& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : found->second;
+}
+
+bool BackendDirectory::Eligible(const BackendEntry& entry, uint64_t revision) const {
+  if (!entry.listed || entry.draining || entry.evacuated) return false;
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  if (now < entry.ejected_until) return false;
+  if (entry.refused_revision == revision && now < entry.refused_until) return false;
+  return entry.in_flight < Limit(entry);
+}
+
+bool BackendDirectory::EligibleForTrial(const BackendEntry& entry) const {
+  return entry.listed && !entry.draining && !entry.evacuated && entry.in_flight == 0 &&
+         runtime_->clock->Now() >= entry.refused_until;
+}
+
+double BackendDirectory::SlowStartShare(const BackendEntry& entry) const {
+  const runtime::Duration length = lookup_->limits().slow_start;
+  const runtime::Duration elapsed = runtime_->clock->Now() - entry.slow_start_from;
+  if (elapsed >= length) return 1.0;
+  const double share = static_cast<double>(elapsed.count()) /
+                       static_cast<double>(std::max<int64_t>(1, length.count()));
+  return std::clamp(share, kSmallestShare, 1.0);
+}
+
+uint32_t BackendDirectory::Limit(const BackendEntry& entry) const {
+  const uint32_t gateways = options_->LiveGateways();
+  const uint32_t full = (lookup_->limits().max_requests_per_worker + gateways - 1) / gateways;
+  return std::max<uint32_t>(1, static_cast<uint32_t>(full * SlowStartShare(entry)));
+}
+
+runtime::Duration BackendDirectory::Silence(const BackendEntry& entry) const {
+  if (entry.unanswered == 0) return runtime::Duration::zero();
+  return runtime_->clock->Now() - entry.waiting_since;
+}
+
+void BackendDirectory::OnDispatched(BackendEntry* entry, uint64_t pending_blocks) {
+  if (entry->unanswered == 0) entry->waiting_since = runtime_->clock->Now();
+  ++entry->unanswered;
+  ++entry->in_flight;
+  entry->pending_blocks += pending_blocks;
+}
+
+void BackendDirectory::OnHead(BackendEntry* entry, uint64_t pending_blocks) {
+  --entry->unanswered;
+  entry->pending_blocks -= pending_blocks;
+  entry->waiting_since = runtime_->clock->Now();
+}
+
+void BackendDirectory::OnEnded(BackendEntry* entry) { --entry->in_flight; }
+
+void BackendDirectory::OnSuccess(BackendEntry* entry) {
+  const bool was_ejected = entry->ejections_in_row > 0;
+  entry->consecutive_failures = 0;
+  entry->ejections_in_row = 0;
+  entry->ejected_until = runtime::MonotonicTime();
+  if (was_ejected) StartSlowly(entry, "returned");
+}
+
+void BackendDirectory::OnFailure(BackendEntry* entry) {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  if (now < entry->ejected_until) return;
+  const bool on_trial = entry->ejections_in_row > 0;
+  ++entry->consecutive_failures;
+  if (!on_trial && entry->consecutive_failures < lookup_->limits().outlier_consecutive_failures) {
+    return;
+  }
+  entry->ejections_in_row = std::min(entry->ejections_in_row + 1, kMaxEjectionFactor);
+  entry->ejected_until = now + lookup_->limits().outlier_ejection * entry->ejections_in_row;
+  entry->consecutive_failures = 0;
+  metrics_->ejections.Increment();
+  // What comes back after the ejection is taken as cold.
+  entry->slow_start_from = entry->ejected_until;
+}
+
+void BackendDirectory::OnRefused(BackendEntry* entry, uint64_t revision) {
+  entry->consecutive_failures = 0;
+  entry->refused_revision = revision;
+  entry->refused_until = runtime_->clock->Now() + kRefusalPause;
+}
+
+void BackendDirectory::OnEpoch(BackendEntry* entry, uint64_t epoch) {
+  if (epoch == 0 || epoch == entry->epoch) return;
+  if (entry->epoch != 0) StartSlowly(entry, "epoch");
+  entry->epoch = epoch;
+}
+
+void BackendDirectory::StartSlowly(BackendEntry* entry, const std::string& cause) {
+  entry->slow_start_from = runtime_->clock->Now();
+  metrics_->slow_starts.Increment(cause);
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/caller_api.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "posthatch/gateway/gateway_context.h"
+
+namespace posthatch::gateway {
+
+// The callers' HTTP interface (docs/API.md, "Callers"): finds the route, the tenant and the
+// operation, admits the request and starts it, or refuses it at once. Event loop thread only.
+class CallerApi {
+ public:
+  explicit CallerApi(GatewayContext* context) : context_(context) {}
+
+  void HandleRequest(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  // From now on every request is refused with `draining`.
+  void StopTaking() { draining_ = true; }
+  bool draining() const { return draining_; }
+
+ private:
+  struct Route {
+    enum class Kind { kCompletions, kChat, kService };
+    Kind kind = Kind::kCompletions;
+    std::string service;
+    std::string operation;
+  };
+
+  static std::optional<Route> FindRoute(const http::Request& request);
+  // Checks everything that needs no admission and fills `call`; the error otherwise.
+  std::optional<ApiError> Examine(CallerCall* call);
+  void StartInference(const Route& route, CallerCall call);
+  void StartService(const Route& route, CallerCall call);
+  // Takes the tenant's place; false if the request was refused.
+  bool Admit(CallerCall* call);
+  void Refuse(const CallerCall& call, ApiError error);
+
+  GatewayContext* const context_;
+  bool draining_ = false;
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/delivery_records.cc
@@ -0,0 +1,54 @@
+#include "posthatch/gateway/delivery_records.h"
+
+#include <utility>
+
+namespace posthatch::gateway {
+namespace {
+
+// A begin that takes longer than a dispatch may wait for it (DESIGN.md) is of no use.
+constexpr runtime::Duration kBeginTimeout = std::chrono::seconds(2);
+constexpr runtime::Duration kFinishTimeout = std::chrono::seconds(10);
+constexpr runtime::Duration kAbandonTimeout = std::chrono::seconds(30);
+
+}  // namespace
+
+control::Command DeliveryRecords::BeginCommand(const DeliveryKey& key) const {
+  control::Command command;
+  command.set_request_id("begin/" + key.attempt);
+  control::DeliveryBegin* begin = command.mutable_delivery_begin();
+  begin->set_tenant(key.tenant);
+  begin->set_idempotency_key(key.idempotency_key);
+  begin->set_request_hash(key.request_hash);
+  begin->set_gateway(gateway_id_);
+  begin->set_attempt(key.attempt);
+  return command;
+}
+
+void DeliveryRecords::Begin(const DeliveryKey& key, Done done) {
+  client_->Propose(BeginCommand(key), kBeginTimeout, false, std::move(done));
+}
+
+void DeliveryRecords::Finish(const DeliveryKey& key, control::DeliveryOutcome outcome, Done done) {
+  control::Command command;
+  command.set_request_id("finish/" + key.attempt);
+  control::DeliveryFinish* finish = command.mutable_delivery_finish();
+  finish->set_tenant(key.tenant);
+  finish->set_idempotency_key(key.idempotency_key);
+  finish->set_attempt(key.attempt);
+  *finish->mutable_outcome() = std::move(outcome);
+  client_->Propose(std::move(command), kFinishTimeout, false, std::move(done));
+}
+
+void DeliveryRecords::Abandon(const DeliveryKey& key) {
+  std::weak_ptr<bool> alive = alive_;
+  const auto on_begin = [this, alive, key](const absl::StatusOr<control::CommandResult>& result) {
+    if (alive.expired() || !result.ok()) return;
+    if (result->delivery().kind() != control::DeliveryAnswer::BEGUN) return;
+    control::DeliveryOutcome outcome;
+    outcome.set_kind(control::DeliveryOutcome::NOT_EXECUTED);
+    Finish(key, std::move(outcome), [](const absl::StatusOr<control::CommandResult>&) {});
+  };
+  client_->Propose(BeginCommand(key), kAbandonTimeout, false, on_begin);
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/delivery_records.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "posthatch/control/control_client.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::gateway {
+
+// One attempt at a non-repeatable operation.
+struct DeliveryKey {
+  std::string tenant;
+  std::string idempotency_key;
+  std::string request_hash;  // of operation and body
+  std::string attempt;       // nonce of this attempt; tells it from every other send of the key
+};
+
+// The delivery records in the replicated log, as a gateway writes them (DESIGN.md, "Non-repeatable
+// operations"). Event loop thread only.
+class DeliveryRecords {
+ public:
+  // The log's answer, or an error: the begin or finish may still be applied.
+  using Done = std::function<void(absl::StatusOr<control::CommandResult>)>;
+
+  DeliveryRecords(control::ControlClient* client, std::string gateway_id)
+      : client_(client), gateway_id_(std::move(gateway_id)) {}
+
+  void Begin(const DeliveryKey& key, Done done);
+  void Finish(const DeliveryKey& key, control::DeliveryOutcome outcome, Done done);
+  // A begin got no answer: finds out in the background whether it was applied, and closes the
+  // record as never executed if so. The attempt must not dispatch any more.
+  void Abandon(const DeliveryKey& key);
+
+ private:
+  control::Command BeginCommand(const DeliveryKey& key) const;
+
+  control::ControlClient* const client_;
+  const std::string gateway_id_;
+  // Gone with this object: answers after that are dropped.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/delivery_request.cc
@@ -0,0 +1,252 @@
+#include "posthatch/gateway/delivery_request.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/gateway/answer_check.h"
+#include "posthatch/gateway/key_digest.h"
+
+namespace posthatch::gateway {
+namespace {
+
+ApiError RecordUnavailable(const char* message) {
+  return ApiError{503, "record_unavailable", message, Executed::kUnknown, 1};
+}
+
+}  // namespace
+
+DeliveryRequest::DeliveryRequest(GatewayContext* context, CallerCall call, std::string service,
+                                 std::string operation)
+    : context_(context),
+      call_(std::move(call)),
+      service_(std::move(service)),
+      operation_(std::move(operation)),
+      deadline_timer_(context->runtime->timers) {}
+
+void DeliveryRequest::Begin() {
+  key_.tenant = call_.tenant->name();
+  key_.idempotency_key = call_.idempotency_key;
+  // The service's name can't contain '/', so that the parts can't run into each other.
+  key_.request_hash = Sha256Hex(absl::StrCat(service_, "/", operation_, "\n", call_.request.body));
+  key_.attempt = context_->NewNonce();
+  begin_sent_ = context_->runtime->clock->Now();
+  std::weak_ptr<ActiveRequest> weak = weak_from_this();
+  context_->deliveries->Begin(key_, [this, weak](const auto& result) {
+    if (const auto self = weak.lock()) OnBegun(result);
+  });
+}
+
+void DeliveryRequest::OnBegun(const absl::StatusOr<control::CommandResult>& result) {
+  if (!result.ok()) {
+    context_->deliveries->Abandon(key_);
+    Refuse(RecordUnavailable("the delivery record could not be written in time"));
+    return;
+  }
+  if (result->code() == control::CommandResult::WINDOW_PASSED) {
+    Refuse({410, "key_expired", "the idempotency key's record is past its window",
+            Executed::kUnknown});
+    return;
+  }
+  if (result->code() != control::CommandResult::OK) {
+    Refuse(RecordUnavailable("the delivery record was refused"));
+    return;
+  }
+  AnswerByRecord(result->delivery());
+}
+
+void DeliveryRequest::AnswerByRecord(const control::DeliveryAnswer& delivery) {
+  switch (delivery.kind()) {
+    case control::DeliveryAnswer::BEGUN:
+      Dispatch();
+      return;
+    case control::DeliveryAnswer::FINISHED:
+      Replay(delivery.outcome());
+      return;
+    case control::DeliveryAnswer::RUNNING:
+      Refuse(
+          {409, "in_progress", "another attempt with this key is running", Executed::kUnknown, 1});
+      return;
+    case control::DeliveryAnswer::MISMATCH:
+      Refuse({409, "key_reused", "the idempotency key was used for another request",
+              Executed::kUnknown});
+      return;
+    default:
+      Refuse(RecordUnavailable("the delivery record's answer is not known"));
+  }
+}
+
+void DeliveryRequest::Replay(const control::DeliveryOutcome& outcome) {
+  context_->metrics->deliveries.Increment("replayed");
+  if (outcome.kind() == control::DeliveryOutcome::NOT_EXECUTED) {
+    Refuse({410, "key_expired", "this key was closed before it ran; use a new one", Executed::kNo});
+    return;
+  }
+  if (outcome.kind() != control::DeliveryOutcome::ANSWERED) {
+    Refuse({502, "backend_failed", "the first send of this key got no answer", Executed::kUnknown});
+    return;
+  }
+  http::Response kept;
+  kept.status = static_cast<int>(outcome.status());
+  kept.headers.Add("Content-Type", outcome.content_type());
+  kept.body = outcome.body();
+  context_->metrics->answers.Increment("ok");
+  call_.writer->SendWhole(MakeCallerAnswer(call_, std::move(kept)));
+  End();
+}
+
+std::optional<ApiError> DeliveryRequest::WhyNotDispatch() const {
+  const runtime::MonotonicTime now = context_->runtime->clock->Now();
+  if (now - begin_sent_ >= kDispatchLimit || now >= call_.deadline) {
+    return ApiError{504, "timeout", "it took too long to write the delivery record", Executed::kNo,
+                    1};
+  }
+  if (std::optional<ApiError> error = context_->WhyNotDecide()) return error;
+  // The configuration may have changed while the record was written.
+  const auto tenant = context_->tenants->Authenticate(call_.request.headers.Get("Authorization"));
+  if (tenant == nullptr || tenant->name() != call_.tenant->name()) {
+    return ApiError{401, "unauthorized", "the key is no longer valid", Executed::kNo};
+  }
+  return std::nullopt;
+}
+
+void DeliveryRequest::Dispatch() {
+  if (std::optional<ApiError> error = WhyNotDispatch()) {
+    CloseNotExecuted(*std::move(error));
+    return;
+  }
+  RouteDecision decision =
+      context_->router->RouteService(service_, call_.tenant->priority(), tried_);
+  if (decision.outcome != RouteDecision::Outcome::kChosen) {
+    const bool shed = decision.outcome == RouteDecision::Outcome::kShed;
+    CloseNotExecuted({503, shed ? "overloaded" : "no_capacity",
+                      "no back end may take the operation", Executed::kNo, 1});
+    return;
+  }
+  if (tried_.empty()) {
+    context_->retry_budget->CountFirst();
+  } else if (!context_->retry_budget->TryRetry(context_->lookup->limits().retry_ratio)) {
+    context_->metrics->retries_denied.Increment("budget");
+    CloseNotExecuted(
+        {502, "backend_failed", "the back end could not be reached", Executed::kNo, 1});
+    return;
+  }
+  SendTo(std::move(decision.backend));
+}
+
+void DeliveryRequest::SendTo(BackendPointer backend) {
+  const uint32_t number = static_cast<uint32_t>(tried_.size()) + 1;
+  AttemptPlan plan;
+  plan.backend = std::move(backend);
+  plan.nonce = key_.attempt;
+  plan.request.method = "POST";
+  plan.request.target = absl::StrCat("/operations/", operation_);
+  plan.request.body = call_.request.body;
+  AddAttemptHeaders(*context_, call_, plan.nonce, number, &plan.request.headers);
+  const runtime::Duration left = call_.deadline - context_->runtime->clock->Now();
+  plan.call_options.fresh_connection = true;
+  plan.call_options.head_timeout = left;
+  plan.call_options.piece_timeout = left;
+  plan.call_options.max_body_bytes = kMaxKeptBodyBytes;
+  context_->metrics->attempts.Increment(number == 1 ? "first" : "retry");
+  AttemptListener* const listener = this;
+  attempt_ = std::make_shared<ProxyAttempt>(context_->runtime, context_->backends, listener,
+                                            std::move(plan));
+  deadline_timer_.Start(left, [this] {
+    attempt_->Fail({AttemptFailure::Cause::kTimeout, "no answer before the deadline"});
+  });
+  attempt_->Start();
+}
+
+void DeliveryRequest::OnStreamHead(const http::Response&) {}
+void DeliveryRequest::OnStreamPiece(std::string) {}
+void DeliveryRequest::OnStreamEnd() {}
+
+void DeliveryRequest::OnWholeAnswer(http::Response answer) {
+  deadline_timer_.Cancel();
+  if (ProvesNotExecuted(answer)) {
+    context_->backends->OnRefused(attempt_->backend(), 0);
+    CloseNotExecuted(
+        {503, "no_capacity", "the back end refused the operation before it ran", Executed::kNo, 1});
+    return;
+  }
+  const bool whole =
+      answer.status != 200 || CheckServiceBody(answer.body, call_.request_id, operation_).ok();
+  if (!whole || answer.body.size() > kMaxKeptBodyBytes) {
+    context_->backends->OnFailure(attempt_->backend());
+    context_->metrics->attempt_failures.Increment("bad_answer");
+    CloseUnknown({502, "backend_failed", "the back end's answer was broken", Executed::kUnknown});
+    return;
+  }
+  context_->backends->OnSuccess(attempt_->backend());
+  control::DeliveryOutcome outcome;
+  outcome.set_kind(control::DeliveryOutcome::ANSWERED);
+  outcome.set_status(static_cast<uint32_t>(answer.status));
+  outcome.set_content_type(std::string(answer.headers.Get("Content-Type")));
+  outcome.set_body(answer.body);
+  Commit(std::move(outcome), MakeCallerAnswer(call_, std::move(answer)), "ok");
+}
+
+void DeliveryRequest::OnAttemptFailed(AttemptFailure failure) {
+  deadline_timer_.Cancel();
+  context_->metrics->attempt_failures.Increment(failure.name());
+  if (!failure.ProvesNotExecuted()) {
+    const bool late = failure.cause == AttemptFailure::Cause::kTimeout;
+    CloseUnknown({late ? 504 : 502, late ? "timeout" : "backend_failed",
+                  "the back end was asked and gave no whole answer", Executed::kUnknown});
+    return;
+  }
+  if (tried_.empty()) context_->retry_budget->TakeBackFirst();
+  tried_.push_back(attempt_->backend()->backend.id());
+  context_->requests->Discard(std::move(attempt_));
+  if (tried_.size() >= context_->options->max_attempts) {
+    CloseNotExecuted({502, "backend_failed", "no back end could be reached", Executed::kNo, 1});
+    return;
+  }
+  Dispatch();
+}
+
+void DeliveryRequest::CloseNotExecuted(ApiError refusal) {
+  control::DeliveryOutcome outcome;
+  outcome.set_kind(control::DeliveryOutcome::NOT_EXECUTED);
+  Commit(std::move(outcome), MakeErrorResponse(refusal), refusal.code);
+}
+
+void DeliveryRequest::CloseUnknown(ApiError error) {
+  control::DeliveryOutcome outcome;
+  outcome.set_kind(control::DeliveryOutcome::UNKNOWN);
+  Commit(std::move(outcome), MakeErrorResponse(error), error.code);
+}
+
+void DeliveryRequest::Commit(control::DeliveryOutcome outcome, http::Response answer,
+                             const std::string& code) {
+  std::weak_ptr<ActiveRequest> weak = weak_from_this();
+  const auto done = [this, weak, answer = std::move(answer), code](const auto& result) mutable {
+    if (const auto self = weak.lock()) OnCommitted(result, std::move(answer), code);
+  };
+  context_->deliveries->Finish(key_, std::move(outcome), done);
+}
+
+void DeliveryRequest::OnCommitted(const absl::StatusOr<control::CommandResult>& result,
+                                  http::Response answer, const std::string& code) {
+  if (!result.ok() || result->code() != control::CommandResult::OK) {
+    Refuse(RecordUnavailable("the outcome could not be recorded"));
+    return;
+  }
+  context_->metrics->answers.Increment(code);
+  context_->metrics->deliveries.Increment(code);
+  call_.writer->SendWhole(std::move(answer));
+  End();
+}
+
+void DeliveryRequest::Refuse(const ApiError& error) {
+  context_->metrics->deliveries.Increment(error.code);
+  SendError(*context_, call_.writer.get(), error);
+  End();
+}
+
+void DeliveryRequest::End() {
+  deadline_timer_.Cancel();
+  context_->requests->Retire(this);
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/fleet_lookup.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/control/control.pb.h"
+#include "posthatch/index/block_hash.h"
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::gateway {
+
+// control.RoutingPolicy with its defaults filled in.
+struct RoutingLimits {
+  double retry_ratio = 0.2;
+  runtime::Duration request_timeout = std::chrono::seconds(60);
+  runtime::Duration slow_start = std::chrono::seconds(10);
+  uint32_t max_requests_per_worker = 64;
+  uint32_t outlier_consecutive_failures = 3;
+  runtime::Duration outlier_ejection = std::chrono::seconds(5);
+};
+
+struct ModelEntry {
+  size_t block_bytes = 0;  // of canonical prompt text
+  uint64_t revision = 0;   // newest ordered; 0 before the first order
+};
+
+// Look-ups over FleetState by name, rebuilt whenever it changes. Event loop thread only.
+class FleetLookup {
+ public:
+  void Rebuild(const control::FleetState& state);
+
+  // Null if the configuration has no such model.
+  const ModelEntry* FindModel(const std::string& name) const;
+  const control::ServiceRoute* FindService(const std::string& name) const;
+  const RoutingLimits& limits() const { return limits_; }
+
+  // The identity of blocks that `tenant` may make and use under the newest revision of `model`.
+  // An isolated tenant has a domain of its own, with its generation. All others share one domain,
+  // whose generation is a fingerprint of the isolated tenants and their generations: when a tenant
+  // leaves the shared domain, the blocks that it made there can't be named any more. A tenant that
+  // the state doesn't mention counts as isolated.
+  index::BlockSeed SeedFor(const std::string& model, uint64_t revision,
+                           const std::string& tenant) const;
+
+ private:
+  void RebuildIsolation(const control::FleetState& state);
+
+  RoutingLimits limits_;
+  absl::flat_hash_map<std::string, ModelEntry> models_;
+  absl::flat_hash_map<std::string, control::ServiceRoute> services_;
+  absl::flat_hash_map<std::string, control::TenantIsolation> isolation_;
+  uint64_t shared_generation_ = 0;
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/gateway-test.cc
@@ -0,0 +1,48 @@
+#include "posthatch/gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include "posthatch/gateway/gateway_test_fixture.h"
+
+namespace posthatch::gateway {
+namespace {
+
+TEST_F(GatewayTest, WholeAnswerGoesThrough) {
+  StartGateway();
+  EXPECT_TRUE(gateway->Ready());
+  const auto writer = Complete();
+  ASSERT_EQ(client.calls.size(), 1u);
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Attempt-Number"), "1");
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Tenant"), "one");
+  EXPECT_FALSE(LastCall().Field("X-Posthatch-Cache-Salt").empty());
+  EXPECT_EQ(LastCall().Field("Authorization"), "");
+  LastCall().GoodCompletion();
+  EXPECT_EQ(writer->whole.status, 200);
+  ASSERT_EQ(locator.recorded.size(), 1u);
+}
+
+TEST_F(GatewayTest, StreamGoesThrough) {
+  StartGateway();
+  const auto writer = Complete(true);
+  LastCall().Head();
+  EXPECT_FALSE(writer->started);
+  LastCall().Piece(LastCall().Event(0));
+  LastCall().Piece(LastCall().Event(1) + "data: [DONE]\n\n");
+  EXPECT_FALSE(writer->finished);
+  LastCall().End();
+  EXPECT_TRUE(writer->finished);
+  EXPECT_EQ(writer->written, LastCall().Event(0) + LastCall().Event(1) + "data: [DONE]\n\n");
+}
+
+TEST_F(GatewayTest, OperationIsRecordedAroundItsRun) {
+  StartGateway();
+  const auto writer = Place("k");
+  ASSERT_EQ(client.calls.size(), 1u);
+  EXPECT_TRUE(LastCall().options.fresh_connection);
+  LastCall().GoodOperation("place");
+  EXPECT_EQ(writer->whole.status, 200);
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::ANSWERED);
+}
+
+}  // namespace
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/gateway.cc
@@ -0,0 +1,59 @@
+#include "posthatch/gateway/gateway.h"
+
+#include <utility>
+
+namespace posthatch::gateway {
+
+Gateway::Gateway(runtime::Runtime* runtime, GatewayOptions options, control::FleetView* view,
+                 control::ControlClient* control, index::PrefixLocator* locator)
+    : runtime_(runtime),
+      options_(std::move(options)),
+      view_(view),
+      metrics_(runtime->metrics),
+      backends_(runtime, &options_, &lookup_, &metrics_),
+      links_(runtime->clock),
+      router_(runtime, &options_, &backends_, locator, &links_, &metrics_),
+      retry_budget_(runtime->clock),
+      admission_(runtime->clock, &options_, &metrics_),
+      inventory_(runtime, &options_, view, &metrics_, [this] { OnStateChanged(); }),
+      deliveries_(control, options_.gateway_id),
+      requests_(runtime->timers),
+      context_{runtime,        &options_, view,        locator,     &metrics_,
+               &lookup_,       &tenants_, &admission_, &backends_,  &router_,
+               &retry_budget_, &links_,   &requests_,  &inventory_, &deliveries_},
+      caller_api_(&context_) {
+  std::weak_ptr<bool> alive = alive_;
+  view_->AddListener([this, alive](const control::FleetState&) {
+    if (!alive.expired()) OnStateChanged();
+  });
+  OnStateChanged();
+  inventory_.Start();
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::OnStateChanged() {
+  const control::FleetState& state = view_->state();
+  lookup_.Rebuild(state);
+  if (configuration_index_ != state.configuration_index()) {
+    configuration_index_ = state.configuration_index();
+    tenants_.Rebuild(state.configuration());
+  }
+  backends_.Update(state, inventory_.own());
+}
+
+void Gateway::HandleRequest(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+  caller_api_.HandleRequest(std::move(request), std::move(writer));
+}
+
+void Gateway::Drain(std::function<void()> done) {
+  caller_api_.StopTaking();
+  requests_.OnEmpty(std::move(done));
+}
+
+bool Gateway::Ready() const {
+  return !caller_api_.draining() && view_->LeaseValid() &&
+         view_->state().configuration_version() > 0;
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/gateway.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "posthatch/gateway/caller_api.h"
+#include "posthatch/gateway/gateway_context.h"
+
+namespace posthatch::gateway {
+
+// The data plane of one gateway: takes callers' requests, admits, routes and relays them. Owned by
+// the process; everything given to the constructor outlives it. Event loop thread only.
+class Gateway {
+ public:
+  Gateway(runtime::Runtime* runtime, GatewayOptions options, control::FleetView* view,
+          control::ControlClient* control, index::PrefixLocator* locator);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Handler of the callers' paths in docs/API.md; answers anything else with 404.
+  void HandleRequest(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  // Refuses new requests with `draining`, lets running ones end, then calls `done`.
+  void Drain(std::function<void()> done);
+  // Whether requests can be served: a valid lease, a configuration, and not draining.
+  bool Ready() const;
+  const GatewayMetrics& metrics() const { return metrics_; }
+
+ private:
+  void OnStateChanged();
+
+  runtime::Runtime* const runtime_;
+  const GatewayOptions options_;
+  control::FleetView* const view_;
+  GatewayMetrics metrics_;
+  FleetLookup lookup_;
+  TenantDirectory tenants_;
+  BackendDirectory backends_;
+  LinkSpeedEstimator links_;
+  WorkerRouter router_;
+  RetryBudget retry_budget_;
+  AdmissionControl admission_;
+  InventoryFallback inventory_;
+  DeliveryRecords deliveries_;
+  RequestRegistry requests_;
+  GatewayContext context_;
+  CallerApi caller_api_;
+  uint64_t configuration_index_ = 0;
+  // Gone with this object: the view keeps its listeners.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/gateway_context.cc
@@ -0,0 +1,58 @@
+#include "posthatch/gateway/gateway_context.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace posthatch::gateway {
+
+std::optional<ApiError> GatewayContext::WhyNotDecide() const {
+  if (!view->LeaseValid()) {
+    return ApiError{503, "no_lease", "this gateway holds no session lease at the moment",
+                    Executed::kNo, 1};
+  }
+  if (!inventory->MayDecide()) {
+    return ApiError{503, "no_lease", "this gateway's list of back ends is too old", Executed::kNo,
+                    1};
+  }
+  return std::nullopt;
+}
+
+std::string GatewayContext::NewNonce() const {
+  const uint64_t high = (*runtime->random)();
+  const uint64_t low = (*runtime->random)();
+  return absl::StrCat(absl::Hex(high, absl::kZeroPad16), absl::Hex(low, absl::kZeroPad16));
+}
+
+void SendError(const GatewayContext& context, http::ResponseWriter* writer, const ApiError& error) {
+  context.metrics->answers.Increment(error.code);
+  writer->SendWhole(MakeErrorResponse(error));
+}
+
+void AddAttemptHeaders(const GatewayContext& context, const CallerCall& call,
+                       const std::string& nonce, uint32_t attempt_number, http::Headers* headers) {
+  const runtime::Duration left = call.deadline - context.runtime->clock->Now();
+  const int64_t left_milliseconds =
+      std::max<int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+  headers->Add("Content-Type", "application/json");
+  headers->Add("X-Request-Id", call.request_id);
+  headers->Add("X-Posthatch-Attempt", nonce);
+  headers->Add("X-Posthatch-Attempt-Number", std::to_string(attempt_number));
+  headers->Add("X-Posthatch-Gateway", context.options->gateway_id);
+  headers->Add("X-Posthatch-Tenant", call.tenant->name());
+  headers->Add("X-Posthatch-Deadline-Ms", std::to_string(left_milliseconds));
+  if (!call.idempotency_key.empty()) headers->Add("Idempotency-Key", call.idempotency_key);
+}
+
+http::Response MakeCallerAnswer(const CallerCall& call, http::Response answer) {
+  http::Response response;
+  response.status = answer.status;
+  const std::string_view content_type = answer.headers.Get("Content-Type");
+  response.headers.Add("Content-Type", content_type.empty() ? "application/json" : content_type);
+  response.headers.Add("X-Request-Id", call.request_id);
+  response.body = std::move(answer.body);
+  return response;
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/inference_body.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+
+namespace posthatch::gateway {
+
+// What the gateway needs of a completion request's body. The body itself is passed on unchanged.
+struct InferenceBody {
+  std::string model;
+  std::string prompt;  // canonical text, whose blocks are cached (docs/BACKENDS.md, "Worker")
+  bool chat = false;
+  bool stream = false;
+};
+
+// Reads a caller's body; InvalidArgument says what is missing.
+absl::StatusOr<InferenceBody> ParseInferenceBody(std::string_view body, bool chat);
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/inference_request.cc
@@ -0,0 +1,160 @@
+#include "posthatch/gateway/inference_request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "posthatch/gateway/answer_check.h"
+
+namespace posthatch::gateway {
+namespace {
+
+// How long a caller may keep its worker waiting before the stream is broken off.
+constexpr runtime::Duration kStallTimeout = std::chrono::seconds(30);
+
+uint64_t NumberField(const http::Headers& headers, std::string_view name) {
+  const std::string_view text = headers.Get(name);
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+InferenceRequest::InferenceRequest(GatewayContext* context, CallerCall call, InferenceBody body)
+    : RepeatableRequest(context, std::move(call)),
+      body_(std::move(body)),
+      stall_timer_(context->runtime->timers) {}
+
+void InferenceRequest::Identify() {
+  const ModelEntry* model = context()->lookup->FindModel(body_.model);
+  block_bytes_ = model == nullptr ? 0 : model->block_bytes;
+  const uint64_t revision = model == nullptr ? 0 : model->revision;
+  seed_ = context()->lookup->SeedFor(body_.model, revision, call().tenant->name());
+  std::string salt = index::CacheSalt(seed_);
+  if (salt == salt_) return;
+  salt_ = std::move(salt);
+  chain_ = index::HashBlocks(salt_, body_.prompt, block_bytes_);
+}
+
+RouteDecision InferenceRequest::Plan(const std::vector<std::string>& tried, AttemptPlan* plan) {
+  Identify();
+  RouteQuery query;
+  query.model = &body_.model;
+  query.seed = &seed_;
+  query.chain = &chain_;
+  query.priority = call().tenant->priority();
+  query.tried = &tried;
+  decision_ = context()->router->RouteInference(query);
+  if (decision_.outcome != RouteDecision::Outcome::kChosen) return decision_;
+  const uint32_t there = std::max(decision_.cached_blocks, decision_.fetch_blocks);
+  plan->pending_blocks = chain_.size() - std::min<size_t>(there, chain_.size());
+  plan->stream = body_.stream;
+  plan->request.method = "POST";
+  plan->request.target = body_.chat ? "/v1/chat/completions" : "/v1/completions";
+  plan->request.body = call().request.body;
+  AddRouteHeaders(decision_, &plan->request.headers);
+  return decision_;
+}
+
+void InferenceRequest::AddRouteHeaders(const RouteDecision& decision,
+                                       http::Headers* headers) const {
+  headers->Add("X-Posthatch-Cache-Salt", salt_);
+  headers->Add("X-Posthatch-Model-Revision", std::to_string(seed_.model_revision));
+  if (decision.fetch_endpoint.empty()) return;
+  headers->Add("X-Posthatch-Kv-Source", decision.fetch_endpoint);
+  headers->Add("X-Posthatch-Kv-Blocks", std::to_string(decision.fetch_blocks));
+}
+
+absl::Status InferenceRequest::CheckAnswer(const http::Response& answer) {
+  return CheckCompletionBody(answer.body, call().request_id);
+}
+
+void InferenceRequest::OnGoodAnswer(const http::Response& answer) { RecordKept(answer.headers); }
+
+void InferenceRequest::RecordKept(const http::Headers& head) {
+  const uint64_t epoch = NumberField(head, "X-Worker-Epoch");
+  const uint64_t cached = NumberField(head, "X-Worker-Cached-Blocks");
+  context()->metrics->prompt_blocks.Increment("asked", static_cast<double>(chain_.size()));
+  context()->metrics->prompt_blocks.Increment("cached", static_cast<double>(cached));
+  if (epoch == 0 || chain_.empty()) return;
+  context()->locator->RecordDispatch(seed_, chain_, attempt()->backend()->backend.id(), epoch);
+}
+
+void InferenceRequest::OnStreamHead(const http::Response& head) {
+  stream_headers_ = head.headers;
+  relay_ = std::make_unique<StreamRelay>(call().writer, call().request_id,
+                                         context()->options->max_stream_buffer_bytes);
+}
+
+void InferenceRequest::OnStreamPiece(std::string piece) {
+  const bool shown_before = relay_->shown();
+  if (absl::Status status = relay_->Feed(std::move(piece)); !status.ok()) {
+    OnStreamBroken(status);
+    return;
+  }
+  if (!shown_before && relay_->shown()) OnFirstPiece();
+  if (relay_->Full() && !paused_) HoldBackWorker();
+}
+
+void InferenceRequest::OnFirstPiece() {
+  // From here on silence is bounded, not the whole length.
+  deadline_timer()->Cancel();
+  ObserveFirstByte();
+  context()->backends->OnSuccess(attempt()->backend());
+  const uint64_t cached =
+      std::min<uint64_t>(NumberField(stream_headers_, "X-Worker-Cached-Blocks"), chain_.size());
+  const uint64_t prefilled = chain_.size() - cached;
+  const runtime::Duration elapsed = context()->runtime->clock->Now() - attempt()->started();
+  const std::string& worker = attempt()->backend()->backend.id();
+  if (decision_.fetch_endpoint.empty()) {
+    context()->links->RecordPrefill(prefilled, elapsed);
+  } else if (cached > decision_.cached_blocks) {
+    context()->links->RecordFetch(decision_.fetch_source, worker, cached - decision_.cached_blocks,
+                                  prefilled, elapsed);
+  }
+  RecordKept(stream_headers_);
+}
+
+void InferenceRequest::HoldBackWorker() {
+  paused_ = true;
+  context()->metrics->stream_pauses.Increment();
+  attempt()->PauseReading();
+  stall_timer_.Start(kStallTimeout, [this] {
+    attempt()->Fail({AttemptFailure::Cause::kTimeout, "the caller doesn't read its answer"});
+  });
+  std::weak_ptr<ActiveRequest> weak = weak_from_this();
+  call().writer->OnWritable([this, weak] {
+    const auto self = weak.lock();
+    if (self == nullptr || !paused_) return;
+    paused_ = false;
+    stall_timer_.Cancel();
+    if (attempt() != nullptr) attempt()->ResumeReading();
+  });
+}
+
+void InferenceRequest::OnStreamEnd() {
+  if (absl::Status status = relay_->Finish(); !status.ok()) {
+    // The attempt itself has ended and can't fail any more.
+    context()->backends->OnFailure(attempt()->backend());
+    OnAttemptFailed({AttemptFailure::Cause::kCut, std::string(status.message())});
+    return;
+  }
+  Complete();
+}
+
+void InferenceRequest::OnStreamBroken(const absl::Status& status) {
+  attempt()->Fail({AttemptFailure::Cause::kBadAnswer, std::string(status.message())});
+}
+
+void InferenceRequest::OnAttemptFailed(AttemptFailure failure) {
+  stall_timer_.Cancel();
+  if (failure.cause == AttemptFailure::Cause::kRefused) {
+    context()->backends->OnRefused(attempt()->backend(), seed_.model_revision);
+  }
+  RepeatableRequest::OnAttemptFailed(std::move(failure));
+}
+
+void InferenceRequest::BreakOff(const ApiError& error) { relay_->Break(error); }
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/proxy_attempt.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "posthatch/gateway/backend_directory.h"
+#include "posthatch/http/http.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::gateway {
+
+// Why a dispatch brought no usable answer.
+struct AttemptFailure {
+  enum class Cause {
+    kNotSent,       // no byte went out
+    kCut,           // the connection broke, or the body was not whole
+    kTimeout,       // no answer in time
+    kWrongAttempt,  // the answer belongs to another attempt: crossed, late or double
+    kBadAnswer,     // the answer is not what BACKENDS.md says
+    kRefused,       // refused before running
+  };
+  Cause cause = Cause::kNotSent;
+  std::string message;
+
+  // Whether this attempt has provably not run and will not run.
+  bool ProvesNotExecuted() const { return cause == Cause::kNotSent || cause == Cause::kRefused; }
+  // Name in metrics.
+  const char* name() const;
+};
+
+// Told how an attempt goes: OnWholeAnswer, or OnStreamHead, pieces and OnStreamEnd, or at any point
+// OnAttemptFailed, after which nothing more comes.
+class AttemptListener {
+ public:
+  virtual ~AttemptListener() = default;
+  virtual void OnStreamHead(const http::Response& head) = 0;
+  virtual void OnStreamPiece(std::string piece) = 0;
+  virtual void OnStreamEnd() = 0;
+  virtual void OnWholeAnswer(http::Response answer) = 0;
+  virtual void OnAttemptFailed(AttemptFailure failure) = 0;
+};
+
+struct AttemptPlan {
+  BackendPointer backend;
+  http::Request request;        // complete but for the attempt's own fields
+  std::string nonce;            // of this attempt; the answer has to echo it
+  uint64_t pending_blocks = 0;  // prompt blocks that the worker has to prefill
+  bool stream = false;          // hand on a body of status 200 as it comes
+  http::CallOptions call_options;
+};
+
+// One dispatch to one back end. Accepts only an answer that echoes this attempt's nonce. Keeps the
+// directory's account of requests in flight. Destroying it cancels the call. Event loop thread
+// only.
+class ProxyAttempt {
+ public:
+  // The listener outlives the attempt.
+  ProxyAttempt(runtime::Runtime* runtime, BackendDirectory* directory, AttemptListener* listener,
+               AttemptPlan plan);
+  ~ProxyAttempt();
+  ProxyAttempt(const ProxyAttempt&) = delete;
+  ProxyAttempt& operator=(const ProxyAttempt&) = delete;
+
+  void Start();
+  void PauseReading();
+  void ResumeReading();
+  BackendEntry* backend() const { return plan_.backend.get(); }
+  runtime::MonotonicTime started() const { return started_; }
+  // Ends the attempt as failed, for example at the request's deadline.
+  void Fail(AttemptFailure failure);
+
+ private:
+  void OnHead(const http::Response& head);
+  void OnPiece(std::string piece);
+  void OnEnd();
+  void OnError(const http::CallError& error);
+  // The head came or nobody waits for it any more.
+  void SettleHead();
+  void SettleEnd();
+
+  runtime::Runtime* const runtime_;
+  BackendDirectory* const directory_;
+  AttemptListener* const listener_;
+  AttemptPlan plan_;
+  std::unique_ptr<http::Call> call_;
+  http::Response answer_;
+  runtime::MonotonicTime started_;
+  bool streaming_ = false;
+  bool head_settled_ = true;  // until Start
+  bool ended_ = true;
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/repeatable_request.cc
@@ -0,0 +1,185 @@
+#include "posthatch/gateway/repeatable_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/gateway/answer_check.h"
+
+namespace posthatch::gateway {
+namespace {
+
+// One attempt's wait for the head of its answer, as a part of the whole time.
+constexpr int kAttemptShareOfTimeout = 4;
+// Longest silence inside an answer that has begun.
+constexpr runtime::Duration kPieceTimeout = std::chrono::seconds(10);
+// With less time than this left, another attempt is of no use.
+constexpr runtime::Duration kLeastTimeForRetry = std::chrono::milliseconds(50);
+
+}  // namespace
+
+RepeatableRequest::RepeatableRequest(GatewayContext* context, CallerCall call)
+    : context_(context), call_(std::move(call)), deadline_timer_(context->runtime->timers) {}
+
+void RepeatableRequest::Begin() {
+  std::weak_ptr<ActiveRequest> weak = weak_from_this();
+  call_.writer->OnCallerGone([this, weak] {
+    if (const auto self = weak.lock()) OnCallerGone();
+  });
+  deadline_timer_.Start(call_.deadline - context_->runtime->clock->Now(), [this] { OnDeadline(); });
+  TryDispatch();
+}
+
+std::optional<ApiError> RepeatableRequest::WhyNotDispatch() {
+  if (std::optional<ApiError> error = context_->WhyNotDecide()) return error;
+  if (attempts_ == 0) return std::nullopt;
+  // Time has passed since the request was let in.
+  const auto tenant = context_->tenants->Authenticate(call_.request.headers.Get("Authorization"));
+  if (tenant == nullptr || tenant->name() != call_.tenant->name()) {
+    return ApiError{401, "unauthorized", "the key is no longer valid", Executed::kNo};
+  }
+  return std::nullopt;
+}
+
+void RepeatableRequest::TryDispatch() {
+  if (std::optional<ApiError> error = WhyNotDispatch()) {
+    Refuse(*std::move(error));
+    return;
+  }
+  AttemptPlan plan;
+  RouteDecision decision = Plan(tried_, &plan);
+  if (decision.outcome == RouteDecision::Outcome::kShed) {
+    Refuse({503, "overloaded", "the back ends are busy with work of higher priority", Executed::kNo,
+            1});
+    return;
+  }
+  if (decision.outcome == RouteDecision::Outcome::kNoCapacity) {
+    Refuse({503, "no_capacity", "no back end may take the request now", Executed::kNo, 1});
+    return;
+  }
+  if (attempts_ == 0) {
+    context_->retry_budget->CountFirst();
+  } else if (!context_->retry_budget->TryRetry(context_->lookup->limits().retry_ratio)) {
+    context_->metrics->retries_denied.Increment("budget");
+    Refuse({502, "backend_failed", "the back end failed, and too many requests are being retried",
+            Executed::kNo, 1});
+    return;
+  }
+  plan.backend = std::move(decision.backend);
+  Dispatch(std::move(plan));
+}
+
+void RepeatableRequest::Dispatch(AttemptPlan plan) {
+  ++attempts_;
+  plan.nonce = context_->NewNonce();
+  AddAttemptHeaders(*context_, call_, plan.nonce, attempts_, &plan.request.headers);
+  const runtime::Duration left = call_.deadline - context_->runtime->clock->Now();
+  const runtime::Duration share =
+      context_->lookup->limits().request_timeout / kAttemptShareOfTimeout;
+  plan.call_options.head_timeout = std::min(left, share);
+  plan.call_options.piece_timeout = kPieceTimeout;
+  plan.call_options.max_body_bytes = plan.stream ? SIZE_MAX : context_->options->max_answer_bytes;
+  context_->metrics->attempts.Increment(attempts_ == 1 ? "first" : "retry");
+  AttemptListener* const listener = this;
+  attempt_ = std::make_shared<ProxyAttempt>(context_->runtime, context_->backends, listener,
+                                            std::move(plan));
+  attempt_->Start();
+}
+
+void RepeatableRequest::OnStreamHead(const http::Response&) {}
+void RepeatableRequest::OnStreamPiece(std::string) {}
+void RepeatableRequest::OnStreamEnd() {}
+void RepeatableRequest::BreakOff(const ApiError&) {}
+
+void RepeatableRequest::OnWholeAnswer(http::Response answer) {
+  if (ended_) return;
+  if (ProvesNotExecuted(answer)) {
+    OnAttemptFailed({AttemptFailure::Cause::kRefused, "refused before running"});
+    return;
+  }
+  absl::Status status = absl::OkStatus();
+  if (answer.status == 200) status = CheckAnswer(answer);
+  if (answer.status >= 500) status = absl::UnavailableError("the back end answered with an error");
+  if (!status.ok()) {
+    context_->backends->OnFailure(attempt_->backend());
+    OnAttemptFailed({AttemptFailure::Cause::kBadAnswer, std::string(status.message())});
+    return;
+  }
+  context_->backends->OnSuccess(attempt_->backend());
+  if (answer.status == 200) OnGoodAnswer(answer);
+  ObserveFirstByte();
+  call_.writer->SendWhole(MakeCallerAnswer(call_, std::move(answer)));
+  Complete();
+}
+
+void RepeatableRequest::OnAttemptFailed(AttemptFailure failure) {
+  if (ended_) return;
+  context_->metrics->attempt_failures.Increment(failure.name());
+  if (!failure.ProvesNotExecuted()) proved_not_executed_ = false;
+  if (attempts_ == 1 && failure.cause == AttemptFailure::Cause::kNotSent) {
+    context_->retry_budget->TakeBackFirst();
+  }
+  tried_.push_back(attempt_->backend()->backend.id());
+  context_->requests->Discard(attempt_);
+  if (Shown()) {
+    context_->metrics->stream_breaks.Increment(failure.name());
+    context_->metrics->answers.Increment("broken_stream");
+    BreakOff(FinalError(failure));
+    End();
+    return;
+  }
+  const runtime::Duration left = call_.deadline - context_->runtime->clock->Now();
+  if (attempts_ >= context_->options->max_attempts || left < kLeastTimeForRetry) {
+    context_->metrics->retries_denied.Increment(left < kLeastTimeForRetry ? "deadline"
+                                                                          : "attempts");
+    Refuse(FinalError(failure));
+    return;
+  }
+  TryDispatch();
+}
+
+ApiError RepeatableRequest::FinalError(const AttemptFailure& failure) const {
+  if (failure.cause == AttemptFailure::Cause::kRefused) {
+    return {503, "no_capacity", "the back ends refused the request", Executed::kNo, 1};
+  }
+  if (failure.cause == AttemptFailure::Cause::kTimeout) {
+    return {504, "timeout", "no answer in time", Executed::kUnknown, 1};
+  }
+  return {502, "backend_failed", "the back end gave no whole answer", Executed::kUnknown, 1};
+}
+
+void RepeatableRequest::OnDeadline() {
+  if (attempt_ == nullptr || ended_) return;
+  attempt_->Fail({AttemptFailure::Cause::kTimeout, "the deadline passed"});
+}
+
+void RepeatableRequest::OnCallerGone() {
+  if (ended_) return;
+  context_->metrics->answers.Increment("caller_gone");
+  if (attempt_ != nullptr) context_->requests->Discard(std::exchange(attempt_, nullptr));
+  End();
+}
+
+void RepeatableRequest::ObserveFirstByte() {
+  const runtime::Duration elapsed = context_->runtime->clock->Now() - call_.received;
+  context_->metrics->first_byte_seconds.Observe(std::chrono::duration<double>(elapsed).count());
+}
+
+void RepeatableRequest::Refuse(ApiError error) {
+  const bool proved = proved_not_executed_ && call_.idempotency_key.empty();
+  error.executed = proved ? Executed::kNo : Executed::kUnknown;
+  SendError(*context_, call_.writer.get(), error);
+  End();
+}
+
+void RepeatableRequest::Complete() {
+  context_->metrics->answers.Increment("ok");
+  End();
+}
+
+void RepeatableRequest::End() {
+  ended_ = true;
+  deadline_timer_.Cancel();
+  context_->requests->Retire(this);
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/request_registry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::gateway {
+
+// A request that has been taken and not answered to its end.
+class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
+ public:
+  virtual ~ActiveRequest() = default;
+  virtual void Begin() = 0;
+};
+
+// Owns the requests in progress. What has ended is destroyed a turn of the event loop later,
+// because it usually ends in one of its own callbacks. Event loop thread only.
+class RequestRegistry {
+ public:
+  explicit RequestRegistry(runtime::TimerService* timers) : sweep_timer_(timers) {}
+
+  // Takes the request and begins it.
+  void Start(std::shared_ptr<ActiveRequest> request);
+  // The request has ended.
+  void Retire(ActiveRequest* request);
+  // Destroys `object` a turn later.
+  void Discard(std::shared_ptr<void> object);
+  size_t size() const { return active_.size(); }
+  // Runs `callback` once no request is in progress, perhaps at once.
+  void OnEmpty(std::function<void()> callback);
+
+ private:
+  void Sweep();
+
+  absl::flat_hash_map<ActiveRequest*, std::shared_ptr<ActiveRequest>> active_;
+  std::vector<std::shared_ptr<void>> discarded_;
+  std::function<void()> on_empty_;
+  runtime::Timer sweep_timer_;
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/retry_budget.cc
@@ -0,0 +1,35 @@
+#include "posthatch/gateway/retry_budget.h"
+
+namespace posthatch::gateway {
+
+int64_t RetryBudget::CurrentNumber() const {
+  return runtime::ToNanoseconds(clock_->Now()) / kBucketLength.count();
+}
+
+RetryBudget::Bucket& RetryBudget::Current() {
+  const int64_t number = CurrentNumber();
+  Bucket& bucket = buckets_[static_cast<size_t>(number % kBuckets)];
+  if (bucket.number != number) bucket = Bucket{number, 0, 0};
+  return bucket;
+}
+
+void RetryBudget::CountFirst() { ++Current().firsts; }
+
+void RetryBudget::TakeBackFirst() { --Current().firsts; }
+
+bool RetryBudget::TryRetry(double ratio) {
+  Bucket& current = Current();
+  const int64_t oldest = current.number - kBuckets + 1;
+  int64_t firsts = 0;
+  int64_t retries = 0;
+  for (const Bucket& bucket : buckets_) {
+    if (bucket.number < oldest) continue;
+    firsts += bucket.firsts;
+    retries += bucket.retries;
+  }
+  if (static_cast<double>(retries + 1) > ratio * static_cast<double>(firsts)) return false;
+  ++current.retries;
+  return true;
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/service_request.cc
@@ -0,0 +1,28 @@
+#include "posthatch/gateway/service_request.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/gateway/answer_check.h"
+
+namespace posthatch::gateway {
+
+RouteDecision ServiceRequest::Plan(const std::vector<std::string>& tried, AttemptPlan* plan) {
+  plan->request.method = "POST";
+  plan->request.target = absl::StrCat("/operations/", operation_);
+  plan->request.body = call().request.body;
+  return context()->router->RouteService(service_, call().tenant->priority(), tried);
+}
+
+absl::Status ServiceRequest::CheckAnswer(const http::Response& answer) {
+  return CheckServiceBody(answer.body, call().request_id, operation_);
+}
+
+void ServiceRequest::OnAttemptFailed(AttemptFailure failure) {
+  if (failure.cause == AttemptFailure::Cause::kRefused) {
+    context()->backends->OnRefused(attempt()->backend(), 0);
+  }
+  RepeatableRequest::OnAttemptFailed(std::move(failure));
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/stream_relay.cc
@@ -0,0 +1,38 @@
+#include "posthatch/gateway/stream_relay.h"
+
+#include <utility>
+
+namespace posthatch::gateway {
+
+absl::Status StreamRelay::Feed(std::string chunk) {
+  absl::StatusOr<std::string> events = checker_.Feed(std::move(chunk));
+  if (!events.ok()) return events.status();
+  if (events->empty()) return absl::OkStatus();
+  if (!shown_) StartAnswer();
+  writer_->WritePiece(*std::move(events));
+  return absl::OkStatus();
+}
+
+absl::Status StreamRelay::Finish() {
+  if (absl::Status status = checker_.Finish(); !status.ok()) return status;
+  writer_->WritePiece(std::string(SseStreamChecker::kDoneEvent));
+  writer_->FinishStream();
+  return absl::OkStatus();
+}
+
+void StreamRelay::Break(const ApiError& error) {
+  writer_->WritePiece(MakeErrorEvent(error));
+  writer_->Abort();
+}
+
+void StreamRelay::StartAnswer() {
+  shown_ = true;
+  http::Response head;
+  head.status = 200;
+  head.headers.Add("Content-Type", "text/event-stream");
+  head.headers.Add("Cache-Control", "no-store");
+  head.headers.Add("X-Request-Id", request_id_);
+  writer_->StartStream(std::move(head));
+}
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/stream_relay.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "posthatch/gateway/api_error.h"
+#include "posthatch/gateway/sse_stream_checker.h"
+#include "posthatch/http/http.h"
+
+namespace posthatch::gateway {
+
+// Hands the checked events of one worker's stream on to the caller. The answer's head goes out with
+// the first whole event: until then nothing has been shown and the request may be tried elsewhere.
+// Event loop thread only.
+class StreamRelay {
+ public:
+  StreamRelay(std::shared_ptr<http::ResponseWriter> writer, std::string request_id,
+              size_t max_buffered_bytes)
+      : writer_(std::move(writer)),
+        request_id_(request_id),
+        checker_(std::move(request_id)),
+        max_buffered_bytes_(max_buffered_bytes) {}
+
+  // Takes bytes from the worker; DataLoss if they aren't the next part of one whole stream.
+  absl::Status Feed(std::string chunk);
+  // The worker's body has ended properly. OK: the caller's has too.
+  absl::Status Finish();
+  // Ends the caller's stream visibly incomplete.
+  void Break(const ApiError& error);
+
+  bool shown() const { return shown_; }
+  // Whether so much waits for the caller that the worker should not be read on.
+  bool Full() const { return shown_ && writer_->buffered_bytes() > max_buffered_bytes_; }
+
+ private:
+  void StartAnswer();
+
+  const std::shared_ptr<http::ResponseWriter> writer_;
+  const std::string request_id_;
+  SseStreamChecker checker_;
+  const size_t max_buffered_bytes_;
+  bool shown_ = false;
+};
+
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/worker_router.cc
@@ -0,0 +1,193 @@
+#include "posthatch/gateway/worker_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "posthatch/gateway/admission_control.h"
+
+namespace posthatch::gateway {
+namespace {
+
+constexpr size_t kHoldersCompared = 4;
+constexpr int kDraws = 8;
+// A zone's back end above this share of its limit sends new work to other zones.
+constexpr double kLocalLoadLimit = 0.5;
+// What one running request adds to the time of the next one's first token, in milliseconds.
+constexpr double kRunningCost = 3.0;
+
+bool Contains(const std::vector<std::string>& list, const std::string& id) {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+}  // namespace
+
+double WorkerRouter::RelativeLoad(const BackendEntry& entry) const {
+  const double silent_seconds = std::chrono::duration<double>(directory_->Silence(entry)).count();
+  return (entry.in_flight + 1.0) / directory_->Limit(entry) * (1.0 + silent_seconds);
+}
+
+BackendPointer WorkerRouter::NextInTurn(BackendPool* pool, uint64_t revision,
+                                        const std::vector<std::string>& tried) {
+  for (size_t step = 0; step < pool->all.size(); ++step) {
+    const BackendPointer& entry = pool->all[pool->next_turn++ % pool->all.size()];
+    if (!directory_->Eligible(*entry, revision) || Contains(tried, entry->backend.id())) continue;
+    return entry;
+  }
+  return nullptr;
+}
+
+BackendPointer WorkerRouter::Draw(const std::vector<BackendPointer>& from, uint64_t revision,
+                                  const std::vector<std::string>& tried) {
+  if (from.empty()) return nullptr;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const BackendPointer& entry = from[runtime_->random->Uniform(from.size())];
+    if (!directory_->Eligible(*entry, revision) || Contains(tried, entry->backend.id())) continue;
+    const double share = directory_->SlowStartShare(*entry);
+    if (share >= 1.0 || runtime_->random->Chance(share)) return entry;
+  }
+  return nullptr;
+}
+
+BackendPointer WorkerRouter::BetterOfTwo(const std::vector<BackendPointer>& from, uint64_t revision,
+                                         const std::vector<std::string>& tried) {
+  const BackendPointer first = Draw(from, revision, tried);
+  if (first == nullptr) return nullptr;
+  const BackendPointer second = Draw(from, revision, tried);
+  if (second == nullptr) return first;
+  return RelativeLoad(*second) < RelativeLoad(*first) ? second : first;
+}
+
+BackendPointer WorkerRouter::SearchAll(const BackendPool& pool, uint64_t revision,
+                                       const std::vector<std::string>& tried) {
+  BackendPointer best;
+  for (const BackendPointer& entry : pool.all) {
+    if (!directory_->Eligible(*entry, revision) || Contains(tried, entry->backend.id())) continue;
+    if (best == nullptr || RelativeLoad(*entry) < RelativeLoad(*best)) best = entry;
+  }
+  if (best != nullptr) return best;
+  for (const BackendPointer& entry : pool.all) {
+    if (!directory_->EligibleForTrial(*entry) || Contains(tried, entry->backend.id())) continue;
+    if (best == nullptr || entry->ejected_until < best->ejected_until) best = entry;
+  }
+  return best;
+}
+
+BackendPointer WorkerRouter::LeastLoaded(BackendPool* pool, uint64_t revision,
+                                         const std::vector<std::string>& tried) {
+  BackendPointer local = BetterOfTwo(pool->local, revision, tried);
+  if (local != nullptr && RelativeLoad(*local) <= kLocalLoadLimit) return local;
+  BackendPointer any = BetterOfTwo(pool->all, revision, tried);
+  if (any != nullptr && (local == nullptr || RelativeLoad(*any) < RelativeLoad(*local))) return any;
+  if (local != nullptr) return local;
+  return SearchAll(*pool, revision, tried);
+}
+
+const index::PrefixHolder* WorkerRouter::BestSource(const std::vector<index::PrefixHolder>& holders,
+                                                    const Candidate& candidate) const {
+  const std::string& worker = candidate.backend->backend.id();
+  for (const index::PrefixHolder& holder : holders) {  // longest first
+    if (holder.blocks <= candidate.cached_blocks) return nullptr;
+    if (holder.backend_id == worker) continue;
+    const BackendPointer source = directory_->Find(holder.backend_id);
+    if (source == nullptr || source->evacuated) continue;
+    if (links_->FetchPays(holder.backend_id, worker)) return &holder;
+  }
+  return nullptr;
+}
+
+void WorkerRouter::Estimate(const std::vector<index::PrefixHolder>& holders, size_t chain_length,
+                            Candidate* candidate) const {
+  const BackendEntry& entry = *candidate->backend;
+  candidate->source = BestSource(holders, *candidate);
+  const uint32_t reachable =
+      candidate->source == nullptr ? candidate->cached_blocks : candidate->source->blocks;
+  const double prefill = links_->PrefillCost();
+  double cost =
+      static_cast<double>(entry.pending_blocks) * prefill + entry.in_flight * kRunningCost +
+      runtime::ToMilliseconds(directory_->Silence(entry)) +
+      static_cast<double>(chain_length - std::min<size_t>(reachable, chain_length)) * prefill;
+  if (candidate->source != nullptr) {
+    cost += (reachable - candidate->cached_blocks) *
+            links_->FetchCost(candidate->source->backend_id, entry.backend.id());
+  }
+  candidate->cost = cost / directory_->SlowStartShare(entry);
+}
+
+BackendPointer WorkerRouter::ByPrefix(const RouteQuery& query, BackendPool* pool,
+                                      RouteDecision* decision) {
+  const uint64_t revision = query.seed->model_revision;
+  std::vector<index::PrefixHolder> holders;
+  if (!query.chain->empty()) holders = locator_->Locate(*query.seed, *query.chain);
+  std::vector<Candidate> candidates;
+  for (const index::PrefixHolder& holder : holders) {
+    if (candidates.size() >= kHoldersCompared) break;
+    const BackendPointer entry = directory_->Find(holder.backend_id);
+    if (entry == nullptr || entry->backend.kind() != control::BACKEND_KIND_WORKER) continue;
+    if (entry->backend.model() != *query.model || !directory_->Eligible(*entry, revision)) continue;
+    if (Contains(*query.tried, holder.backend_id)) continue;
+    const bool lost_since = entry->epoch > holder.epoch;
+    candidates.push_back(Candidate{entry, lost_since ? 0 : holder.blocks});
+  }
+  const BackendPointer drawn = LeastLoaded(pool, revision, *query.tried);
+  if (drawn != nullptr) candidates.push_back(Candidate{drawn});
+  const Candidate* best = nullptr;
+  for (Candidate& candidate : candidates) {
+    Estimate(holders, query.chain->size(), &candidate);
+    if (best == nullptr || candidate.cost < best->cost) best = &candidate;
+  }
+  if (best == nullptr) return nullptr;
+  decision->cached_blocks = best->cached_blocks;
+  if (best->source != nullptr) {
+    decision->fetch_source = best->source->backend_id;
+    decision->fetch_endpoint = directory_->Find(best->source->backend_id)->backend.endpoint();
+    decision->fetch_blocks = best->source->blocks;
+  }
+  return best->backend;
+}
+
+void WorkerRouter::Finish(BackendPointer chosen, uint32_t priority, const std::string& reason,
+                          RouteDecision* decision) {
+  if (chosen == nullptr) {
+    metrics_->routes.Increment("none");
+    return;
+  }
+  const double allowed =
+      std::ceil(AdmissionControl::AllowedShare(priority) * directory_->Limit(*chosen));
+  if (chosen->in_flight + 1.0 > allowed) {
+    decision->outcome = RouteDecision::Outcome::kShed;
+    metrics_->routes.Increment("shed");
+    return;
+  }
+  decision->outcome = RouteDecision::Outcome::kChosen;
+  decision->backend = std::move(chosen);
+  metrics_->routes.Increment(reason);
+}
+
+RouteDecision WorkerRouter::RouteInference(const RouteQuery& query) {
+  RouteDecision decision;
+  BackendPool* pool = directory_->WorkerPool(*query.model);
+  BackendPointer chosen;
+  std::string reason = "none";
+  if (pool != nullptr && options_->routing_mode == RoutingMode::kRoundRobin) {
+    chosen = NextInTurn(pool, query.seed->model_revision, *query.tried);
+    reason = "round_robin";
+  } else if (pool != nullptr) {
+    chosen = ByPrefix(query, pool, &decision);
+    reason = decision.cached_blocks > 0 ? "prefix" : "load";
+    if (!decision.fetch_endpoint.empty()) reason = "fetch";
+  }
+  Finish(std::move(chosen), query.priority, reason, &decision);
+  return decision;
+}
+
+RouteDecision WorkerRouter::RouteService(const std::string& service, uint32_t priority,
+                                         const std::vector<std::string>& tried) {
+  RouteDecision decision;
+  BackendPool* pool = directory_->ServicePool(service);
+  BackendPointer chosen = pool == nullptr ? nullptr : LeastLoaded(pool, 0, tried);
+  Finish(std::move(chosen), priority, "load", &decision);
+  return decision;
+}
+
+}  // namespace posthatch::gateway
