channels: invalidation server, relay point and subscriptions

Change: ChannelPublisher holds registrations, batches invalidations and sends heartbeats after them; InvalidationServer feeds it from the control state, RelayPoint from an upstream SubscriptionSet.

--- /dev/null
+++ b/src/posthatch/channels/channel_names.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "posthatch/channels/channels.pb.h"
+#include "posthatch/runtime/clock.h"
+
+// The one place that says which object belongs to which channel (WCIP 4.3: a channel covers a class
+// of related objects), and how long each class may be trusted.
+namespace posthatch::channels {
+
+// Workers and their draining marks are spread over this many channels by a hash of their id.
+inline constexpr uint32_t kWorkerShards = 4;
+
+// Covers every object: one registration and one heartbeat for all classes (WCIP 4.1, aggregation).
+inline constexpr char kAggregateChannel[] = "all";
+
+// "workers/<shard>" for worker/<id> and drain/<id>, "models", "tenants" or "stores"; empty for an
+// object of no known class.
+std::string ChannelOf(std::string_view object);
+
+// Every channel but the aggregate, in a fixed order.
+const std::vector<std::string>& ClassChannels();
+
+// Whether `channel` is a class channel or the aggregate.
+bool IsChannel(std::string_view channel);
+
+// Freshness guarantee X of an object (WCIP 3.1).
+runtime::Duration GuaranteeOf(std::string_view object);
+
+// Lowest guarantee of any object that `channel` may cover.
+runtime::Duration LowestGuarantee(std::string_view channel);
+
+// Order of versions: epoch first, then sequence. Negative, zero or positive.
+int CompareVersions(const ObjectVersion& left, const ObjectVersion& right);
+
+inline ObjectVersion MakeVersion(uint64_t epoch, uint64_t sequence) {
+  ObjectVersion version;
+  version.set_epoch(epoch);
+  version.set_sequence(sequence);
+  return version;
+}
+
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/channel_subscription.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/channels/channels.pb.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::channels {
+
+struct SubscriptionOptions {
+  runtime::Duration lifetime = std::chrono::minutes(2);   // wished; zero: volume validation
+  runtime::Duration heartbeat = std::chrono::seconds(1);  // wished
+  runtime::Duration answer_timeout = std::chrono::milliseconds(400);
+  runtime::Duration retry_delay = std::chrono::milliseconds(100);
+  std::string zone;
+  bool relay = false;     // this process runs a relay point
+  bool targeted = false;  // only objects given to Include(), not the whole channel
+};
+
+struct SubscriptionStats {
+  uint64_t requests_sent = 0;
+  uint64_t answers = 0;
+  uint64_t refusals = 0;
+  uint64_t redirections = 0;
+  uint64_t messages = 0;
+  uint64_t ignored = 0;  // of an old registration, doubled, or not asked for
+  uint64_t gaps = 0;
+  uint64_t epoch_changes = 0;
+  uint64_t silences = 0;  // no message for two heartbeats
+};
+
+// One subscriber's registration on one channel (WCIP 5.2, 5.3) and its judgement of the channel's
+// objects. Trust rests on nothing but this process's monotonic clock and the server's stated times:
+// an object may be used until t1 + (t3 - t2) + X. Owned by SubscriptionSet; event loop thread only.
+class ChannelSubscription {
+ public:
+  struct Observer {
+    std::function<void(const std::vector<std::string>& objects)> on_objects;  // new versions
+    std::function<void()> on_synchronised;  // an answer came: objects() is whole
+    std::function<void()> on_renewed;       // proven() has moved on
+    std::function<void()> on_lost;          // nothing is trusted until the next answer
+  };
+  using Endpoints = std::function<std::vector<std::string>()>;
+
+  // `endpoints`: internal endpoints of the controllers, in any order.
+  ChannelSubscription(runtime::Runtime* runtime, SubscriptionOptions options, std::string channel,
+                      Endpoints endpoints, Observer observer);
+  ChannelSubscription(const ChannelSubscription&) = delete;
+  ChannelSubscription& operator=(const ChannelSubscription&) = delete;
+
+  void Start();
+  void HandleResponse(const runtime::Envelope& envelope, const RegistrationResponse& response);
+  void HandleMessage(const runtime::Envelope& envelope, const ChannelMessage& message);
+
+  // Targeted service only: changes the list of objects, by an increment if registered.
+  void Include(const std::string& object);
+  void Exclude(const std::string& object);
+
+  bool IsFresh(const std::string& object, const ObjectVersion& version) const;
+  bool CurrentVersion(const std::string& object, ObjectVersion* version) const;
+
+  // Registered, and heard from within two heartbeats, by the clock at this moment.
+  bool Live() const;
+  // This process's time up to which the channel's objects are proved to be the newest.
+  runtime::MonotonicTime proven() const;
+  // Covered objects, sorted by name.
+  std::vector<RegisteredObject> Objects() const;
+  // Every object ever heard of, covered or not, sorted.
+  std::vector<std::string> KnownNames() const;
+  bool Find(const std::string& object, ObjectVersion* version) const;
+  const std::string& server() const;  // empty if not registered
+  const SubscriptionStats& stats() const { return stats_; }
+
+ private:
+  struct Attempt {
+    uint64_t number = 0;
+    std::string server;
+    runtime::MonotonicTime sent;  // t1
+  };
+  struct Registered {
+    uint64_t number = 0;
+    std::string server;
+    uint64_t epoch = 0;
+    runtime::MonotonicTime sent;  // t1
+    int64_t server_ns = 0;        // t2
+    uint64_t expected_sequence = 1;
+    runtime::Duration heartbeat{};
+    bool volume_validation = false;
+    runtime::MonotonicTime ends;
+    runtime::MonotonicTime proven;
+    runtime::MonotonicTime last_arrival;
+  };
+  struct Object {
+    ObjectVersion version;
+    runtime::Duration guarantee{};
+    bool covered = false;
+  };
+
+  void Register();
+  std::string ChooseServer();
+  void OnAnswerTimeout();
+  void TryNextServer();
+  void TakeAnswer(const RegistrationResponse& response);
+  void TakeIncrementAnswer(const RegistrationResponse& response);
+  void SendIncrement();
+  void TakeObjects(const google::protobuf::RepeatedPtrField<ObjectState>& states);
+  // This process's time of the server's moment `server_ns` at the latest.
+  runtime::MonotonicTime ProvenAt(const Registered& registered, int64_t server_ns) const;
+  void Lose();
+  void WatchSilence();
+  void Avoid(const std::string& endpoint);
+
+  runtime::Runtime* const runtime_;
+  const SubscriptionOptions options_;
+  const std::string channel_;
+  const Endpoints endpoints_;
+  const Observer observer_;
+
+  uint64_t last_number_;
+  size_t server_index_ = 0;
+  std::string redirected_to_;  // a relay point, while it is used
+  std::string redirected_from_;
+  int redirections_in_a_row_ = 0;
+  // Relay points that fell silent, until when they are not used.
+  absl::btree_map<std::string, runtime::MonotonicTime> avoided_;
+  std::optional<Attempt> attempt_;
+  std::optional<Registered> registered_;
+  absl::flat_hash_map<std::string, Object> objects_;
+  // Targeted service: what is wished, and what the running increment changes.
+  absl::btree_set<std::string> targets_;
+  absl::btree_set<std::string> increment_include_;
+  absl::btree_set<std::string> increment_exclude_;
+  uint64_t increment_ = 0;
+  runtime::Timer answer_timer_;
+  runtime::Timer renewal_timer_;
+  runtime::Timer silence_timer_;
+  runtime::Timer increment_timer_;
+  SubscriptionStats stats_;
+};
+
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/invalidation_server.cc
@@ -0,0 +1,59 @@
+#include "posthatch/channels/invalidation_server.h"
+
+#include <utility>
+
+#include "posthatch/channels/channel_names.h"
+
+namespace posthatch::channels {
+
+InvalidationServer::InvalidationServer(runtime::Runtime* runtime, InvalidationServerOptions options,
+                                       ObjectSource* objects, std::function<ServingState()> serving)
+    : runtime_(runtime),
+      objects_(objects),
+      serving_(std::move(serving)),
+      publisher_(runtime, options.publisher, this) {
+  const std::weak_ptr<bool> alive = alive_;
+  objects_->AddListener([this, alive](const std::string& object, const ObjectVersion&) {
+    if (!alive.expired()) publisher_.ObjectChanged(object);
+  });
+  runtime_->transport->SetReceiver(
+      runtime::SERVICE_CHANNELS, [this](const runtime::Envelope& envelope) { Receive(envelope); });
+}
+
+InvalidationServer::~InvalidationServer() {
+  runtime_->transport->SetReceiver(runtime::SERVICE_CHANNELS, [](const runtime::Envelope&) {});
+}
+
+void InvalidationServer::Receive(const runtime::Envelope& envelope) {
+  ChannelEnvelope content;
+  if (content.ParseFromString(envelope.payload())) publisher_.HandleEnvelope(envelope, content);
+}
+
+PublisherProof InvalidationServer::Prove(const std::string& /*channel*/) {
+  // The time first, then the check: if this process is stopped in between, the check sees the
+  // later time, and what is proved stays the earlier one.
+  PublisherProof proof;
+  proof.proven = runtime_->clock->Now();
+  const ServingState state = serving_();
+  proof.live = state.serving;
+  proof.epoch = state.epoch;
+  return proof;
+}
+
+std::vector<RegisteredObject> InvalidationServer::Objects(const std::string& channel) const {
+  std::vector<RegisteredObject> covered;
+  for (RegisteredObject& object : objects_->Objects()) {
+    if (channel == kAggregateChannel || ChannelOf(object.object()) == channel) {
+      covered.push_back(std::move(object));
+    }
+  }
+  return covered;
+}
+
+bool InvalidationServer::Find(const std::string& channel, const std::string& object,
+                              ObjectVersion* version) const {
+  if (channel != kAggregateChannel && ChannelOf(object) != channel) return false;
+  return objects_->Find(object, version);
+}
+
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/invalidation_server.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/channels/channel_publisher.h"
+#include "posthatch/channels/object_source.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::channels {
+
+struct InvalidationServerOptions {
+  PublisherOptions publisher;
+};
+
+// The invalidation server of every channel (WCIP 2, 5), on each controller; it answers and sends
+// only while this process leads. Takes the process's SERVICE_CHANNELS messages. Owned by the
+// controller's assembly; must not outlive `objects`. Event loop thread only.
+class InvalidationServer : private PublisherSource {
+ public:
+  // `serving` is asked at each moment of sending, after the time to be proved has been read: it
+  // must check its right to serve against the clock (lease, quorum), not against a cached flag.
+  InvalidationServer(runtime::Runtime* runtime, InvalidationServerOptions options,
+                     ObjectSource* objects, std::function<ServingState()> serving);
+  ~InvalidationServer() override;
+  InvalidationServer(const InvalidationServer&) = delete;
+  InvalidationServer& operator=(const InvalidationServer&) = delete;
+
+  size_t registration_count() const { return publisher_.registration_count(); }
+  const PublisherStats& stats() const { return publisher_.stats(); }
+
+ private:
+  PublisherProof Prove(const std::string& channel) override;
+  std::vector<RegisteredObject> Objects(const std::string& channel) const override;
+  bool Find(const std::string& channel, const std::string& object,
+            ObjectVersion* version) const override;
+  void Receive(const runtime::Envelope& envelope);
+
+  runtime::Runtime* const runtime_;
+  ObjectSource* const objects_;
+  const std::function<ServingState()> serving_;
+  ChannelPublisher publisher_;
+  // Guards the listener left with `objects_`, which can't be taken back.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/relay_point.cc
@@ -0,0 +1,119 @@
+#include "posthatch/channels/relay_point.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/channels/channel_names.h"
+
+namespace posthatch::channels {
+
+RelayPoint::RelayPoint(runtime::Runtime* runtime, PublisherOptions options,
+                       SubscriptionSet* upstream)
+    : runtime_(runtime), upstream_(upstream), publisher_(runtime, options, this) {
+  for (const std::string& channel : upstream_->Channels()) {
+    const ChannelSubscription* subscription = upstream_->Find(channel);
+    if (subscription->Live()) relayed_[channel] = subscription->proven();
+  }
+  upstream_->AddListener(this);
+  upstream_->SetRequestHandler(
+      [this](const runtime::Envelope& envelope, const ChannelEnvelope& content) {
+        publisher_.HandleEnvelope(envelope, content);
+      });
+}
+
+RelayPoint::~RelayPoint() {
+  upstream_->SetRequestHandler(nullptr);
+  upstream_->RemoveListener(this);
+}
+
+PublisherProof RelayPoint::Prove(const std::string& channel) {
+  PublisherProof proof;
+  proof.epoch = runtime_->transport->incarnation();
+  if (channel == kAggregateChannel) {
+    proof.live = !relayed_.empty();
+    proof.proven = AggregateProven();
+    return proof;
+  }
+  const auto found = relayed_.find(channel);
+  if (found == relayed_.end()) return proof;
+  const ChannelSubscription* subscription = upstream_->Find(channel);
+  // Asked by the clock at this moment: after a freeze the loss may not have been noticed yet.
+  proof.live = subscription->Live();
+  proof.proven = found->second;
+  return proof;
+}
+
+runtime::MonotonicTime RelayPoint::AggregateProven() const {
+  runtime::MonotonicTime proven = runtime::MonotonicTime::max();
+  for (const auto& [channel, time] : relayed_) proven = std::min(proven, time);
+  return relayed_.empty() ? runtime::MonotonicTime::min() : proven;
+}
+
+std::vector<RegisteredObject> RelayPoint::Objects(const std::string& channel) const {
+  if (channel != kAggregateChannel || relayed_.contains(channel)) {
+    return relayed_.contains(channel) ? upstream_->Find(channel)->Objects()
+                                      : std::vector<RegisteredObject>();
+  }
+  std::vector<RegisteredObject> all;
+  for (const auto& [upstream_channel, time] : relayed_) {
+    std::vector<RegisteredObject> objects = upstream_->Find(upstream_channel)->Objects();
+    std::move(objects.begin(), objects.end(), std::back_inserter(all));
+  }
+  return all;
+}
+
+bool RelayPoint::Find(const std::string& channel, const std::string& object,
+                      ObjectVersion* version) const {
+  std::string upstream_channel = ChannelOf(object);
+  if (channel != kAggregateChannel && channel != upstream_channel) return false;
+  if (relayed_.contains(kAggregateChannel)) upstream_channel = kAggregateChannel;
+  return relayed_.contains(upstream_channel) &&
+         upstream_->Find(upstream_channel)->Find(object, version);
+}
+
+std::vector<std::string> RelayPoint::ObjectNames(const std::string& channel) const {
+  std::vector<std::string> names;
+  for (const RegisteredObject& object : upstream_->Find(channel)->Objects()) {
+    names.push_back(object.object());
+  }
+  return names;
+}
+
+void RelayPoint::OnObjects(const std::string& channel, const std::vector<std::string>& objects) {
+  if (!relayed_.contains(channel)) return;
+  for (const std::string& object : objects) publisher_.ObjectChanged(object);
+}
+
+void RelayPoint::OnSynchronised(const std::string& channel) {
+  relayed_[channel] = upstream_->Find(channel)->proven();
+  // What changed while nothing was heard is not known, so everything is said again. It waits in the
+  // publisher and goes out before anything that carries the new proof.
+  for (const std::string& object : upstream_->Find(channel)->KnownNames()) {
+    publisher_.ObjectChanged(object);
+  }
+}
+
+void RelayPoint::OnRenewed(const std::string& channel) {
+  const auto found = relayed_.find(channel);
+  if (found == relayed_.end()) return;
+  found->second = upstream_->Find(channel)->proven();
+  // At once, so that a level of relay points adds only its sending time to the age of the proof.
+  // The aggregate has its own heartbeat (WCIP 4.1): it would be sent once per upstream channel.
+  publisher_.Renew(channel);
+}
+
+void RelayPoint::OnLost(const std::string& channel) {
+  const auto found = relayed_.find(channel);
+  if (found == relayed_.end()) return;
+  const std::vector<std::string> names = ObjectNames(channel);
+  const runtime::MonotonicTime proven = found->second;
+  if (channel != kAggregateChannel) {
+    publisher_.ExcludeObjects(channel, names, proven);
+    publisher_.ExcludeObjects(kAggregateChannel, names, AggregateProven());
+  } else {
+    publisher_.ExcludeObjects(channel, names, proven);
+  }
+  relayed_.erase(found);
+}
+
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/subscription_set.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "posthatch/channels/channel_subscription.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::channels {
+
+struct SubscriptionSetOptions {
+  SubscriptionOptions subscription;
+  // One registration on the aggregate channel instead of one per class; for subscribers that stand
+  // behind relay points.
+  bool aggregate = false;
+};
+
+// All registrations of one process, and its answer to "may this be trusted now?". Takes the
+// process's SERVICE_CHANNELS messages; requests from further subscribers go to the relay point, if
+// one is set. Owned by index::IndexNode. Event loop thread only.
+class SubscriptionSet : public ObjectTrust {
+ public:
+  // Hears of everything that happens to the channels, after the set has taken it in.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void OnObjects(const std::string& channel, const std::vector<std::string>& objects) = 0;
+    virtual void OnSynchronised(const std::string& channel) = 0;
+    virtual void OnRenewed(const std::string& channel) = 0;
+    virtual void OnLost(const std::string& channel) = 0;
+  };
+  using RequestHandler =
+      std::function<void(const runtime::Envelope& envelope, const ChannelEnvelope& content)>;
+
+  // `endpoints`: internal endpoints of the controllers; asked at each registration.
+  SubscriptionSet(runtime::Runtime* runtime, SubscriptionSetOptions options,
+                  ChannelSubscription::Endpoints endpoints);
+  ~SubscriptionSet() override;
+  SubscriptionSet(const SubscriptionSet&) = delete;
+  SubscriptionSet& operator=(const SubscriptionSet&) = delete;
+
+  void Start();
+  // Listeners must outlive the set, or be removed.
+  void AddListener(Listener* listener);
+  void RemoveListener(Listener* listener);
+  void SetRequestHandler(RequestHandler handler) { request_handler_ = std::move(handler); }
+
+  bool IsFresh(const std::string& object, const ObjectVersion& version) const override;
+  bool CurrentVersion(const std::string& object, ObjectVersion* version) const override;
+
+  // Targeted service only.
+  void Include(const std::string& object);
+  void Exclude(const std::string& object);
+
+  // The subscription of a channel, or null. With `aggregate` there is only that of "all".
+  const ChannelSubscription* Find(const std::string& channel) const;
+  std::vector<std::string> Channels() const;
+  // Channels whose registration is live now.
+  size_t live_channels() const;
+  SubscriptionStats TotalStats() const;
+
+ private:
+  ChannelSubscription* FindFor(const std::string& object) const;
+  void AddChannel(const std::string& channel, const ChannelSubscription::Endpoints& endpoints);
+  void Receive(const runtime::Envelope& envelope);
+
+  runtime::Runtime* const runtime_;
+  const SubscriptionSetOptions options_;
+  absl::btree_map<std::string, std::unique_ptr<ChannelSubscription>> subscriptions_;
+  std::vector<Listener*> listeners_;
+  RequestHandler request_handler_;
+};
+
+}  // namespace posthatch::channels
