--- /dev/null
+++ b/src/posthatch/index/dispatch_recorder.cc
@@ -0,0 +1,82 @@
+#include "posthatch/index/dispatch_recorder.h"
+
+#include <utility>
+
+#include "posthatch/index/index_update_publisher.h"
+
+namespace posthatch::index {
+
+DispatchRecorder::DispatchRecorder(runtime::Runtime* runtime, Options options, Parts parts)
+    : runtime_(runtime),
+      options_(options),
+      parts_(std::move(parts)),
+      report_timer_(runtime->timers) {}
+
+std::vector<PrefixHolder> DispatchRecorder::Locate(const BlockSeed& seed,
+                                                   const std::vector<BlockHash>& chain) {
+  return parts_.locator->Locate(seed, chain);
+}
+
+void DispatchRecorder::RecordDispatch(const BlockSeed& seed, const std::vector<BlockHash>& chain,
+                                      const std::string& worker_id, uint64_t worker_epoch) {
+  parts_.locator->RecordDispatch(seed, chain, worker_id, worker_epoch);
+  if (chain.empty()) return;
+  parts_.attributions->RecordBlocks(seed, chain);
+  Report(seed, chain, worker_id);
+  if (options_.workers_put_to_store) AddToStores(seed, chain);
+}
+
+void DispatchRecorder::Report(const BlockSeed& seed, const std::vector<BlockHash>& chain,
+                              const std::string& worker_id) {
+  for (const control::WorkerLease& lease : parts_.fleet->state().leases()) {
+    if (lease.worker_id() != worker_id) continue;
+    if (lease.holder() == runtime_->transport->node_id()) return;
+    Extent extent = MakeExtent(worker_id, channels::ObjectVersion(), seed);
+    extent.set_block_hashes(PackBlocks(chain));
+    *waiting_[lease.holder()].add_made() = std::move(extent);
+    if (!report_timer_.running()) report_timer_.Start(options_.report_period, [this] { Flush(); });
+    return;
+  }
+}
+
+void DispatchRecorder::AddToStores(const BlockSeed& seed, const std::vector<BlockHash>& chain) {
+  for (const control::Backend& backend : parts_.fleet->state().inventory().backends()) {
+    if (backend.kind() != control::BACKEND_KIND_STORE) continue;
+    channels::ObjectVersion version;
+    const std::string object = HolderObject(HolderKind::kStore, backend.id());
+    if (!parts_.trust->CurrentVersion(object, &version)) continue;
+    parts_.locator->Add(HolderKind::kStore, backend.id(), version, seed, chain);
+  }
+}
+
+void DispatchRecorder::NoteGateway(const std::string& node_id, const std::string& endpoint) {
+  endpoint_by_gateway_[node_id] = endpoint;
+}
+
+void DispatchRecorder::Flush() {
+  for (const auto& [gateway, report] : waiting_) {
+    IndexMessage message;
+    *message.mutable_dispatches() = report;
+    const std::string payload = message.SerializeAsString();
+    const auto known = endpoint_by_gateway_.find(gateway);
+    const std::vector<std::string> endpoints = known != endpoint_by_gateway_.end()
+                                                   ? std::vector<std::string>{known->second}
+                                                   : parts_.gateways();
+    for (const std::string& endpoint : endpoints) {
+      runtime_->transport->Send(endpoint, runtime::SERVICE_INDEX, payload,
+                                runtime::Delivery::kStream);
+    }
+  }
+  waiting_.clear();
+}
+
+void DispatchRecorder::TakeReport(const DispatchReport& report) {
+  for (const Extent& extent : report.made()) {
+    std::vector<BlockHash> blocks;
+    if (UnpackBlocks(extent.block_hashes(), &blocks)) {
+      parts_.attributions->RecordBlocks(SeedOf(extent), blocks);
+    }
+  }
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/dispatch_recorder.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/control/control_client.h"
+#include "posthatch/index/attribution_table.h"
+#include "posthatch/index/index.pb.h"
+#include "posthatch/index/trusted_prefix_locator.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+// The locator that the gateway routes by. Looks up in TrustedPrefixLocator, and on each dispatch
+// also remembers the chain's seed, tells the gateway that cares for the worker (DispatchReport),
+// and adds the store's entries, since workers put what they make into the store. Owned by
+// IndexNode; event loop thread only.
+class DispatchRecorder : public PrefixLocator {
+ public:
+  struct Options {
+    runtime::Duration report_period = std::chrono::milliseconds(20);
+    bool workers_put_to_store = true;
+  };
+  struct Parts {
+    const control::FleetView* fleet = nullptr;
+    const channels::ObjectTrust* trust = nullptr;
+    AttributionTable* attributions = nullptr;
+    TrustedPrefixLocator* locator = nullptr;
+    std::function<std::vector<std::string>()> gateways;  // internal endpoints of the others
+  };
+
+  DispatchRecorder(runtime::Runtime* runtime, Options options, Parts parts);
+
+  std::vector<PrefixHolder> Locate(const BlockSeed& seed,
+                                   const std::vector<BlockHash>& chain) override;
+  void RecordDispatch(const BlockSeed& seed, const std::vector<BlockHash>& chain,
+                      const std::string& worker_id, uint64_t worker_epoch) override;
+
+  // Where a gateway was last heard from; before that, reports for it go to all gateways.
+  void NoteGateway(const std::string& node_id, const std::string& endpoint);
+  // A report of another gateway.
+  void TakeReport(const DispatchReport& report);
+
+ private:
+  void Report(const BlockSeed& seed, const std::vector<BlockHash>& chain,
+              const std::string& worker_id);
+  void AddToStores(const BlockSeed& seed, const std::vector<BlockHash>& chain);
+  void Flush();
+
+  runtime::Runtime* const runtime_;
+  const Options options_;
+  const Parts parts_;
+  absl::flat_hash_map<std::string, std::string> endpoint_by_gateway_;
+  // Waiting reports by the node id of the lease holder.
+  absl::btree_map<std::string, DispatchReport> waiting_;
+  runtime::Timer report_timer_;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/index_node.cc
@@ -0,0 +1,157 @@
+#include "posthatch/index/index_node.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace posthatch::index {
+namespace {
+
+// One segment at most is compacted at each step.
+constexpr runtime::Duration kSweepInterval = std::chrono::milliseconds(20);
+
+channels::SubscriptionSetOptions SubscriptionOptionsOf(const IndexOptions& options) {
+  channels::SubscriptionSetOptions set_options;
+  set_options.subscription = options.subscription;
+  set_options.subscription.zone = options.zone;
+  set_options.subscription.relay = options.relay;
+  set_options.aggregate = options.aggregate_channel;
+  return set_options;
+}
+
+}  // namespace
+
+IndexNode::IndexNode(runtime::Runtime* runtime, IndexOptions options, control::FleetView* fleet,
+                     control::ControlClient* client, Endpoints gateways, Endpoints controllers)
+    : runtime_(runtime),
+      options_(std::move(options)),
+      fleet_(fleet),
+      gateways_(std::move(gateways)),
+      listener_(this),
+      subscriptions_(runtime, SubscriptionOptionsOf(options_), std::move(controllers)),
+      locator_({options_.index_budget_bytes, [fleet] { return fleet->LeaseValid(); }},
+               &subscriptions_),
+      attributions_(options_.max_attributions),
+      reporter_(runtime, client),
+      publisher_(runtime, options_.updates, [this] { return OtherGateways(); }),
+      receiver_(fleet, &locator_),
+      recorder_(
+          runtime, options_.dispatches,
+          {fleet, &subscriptions_, &attributions_, &locator_, [this] { return OtherGateways(); }}),
+      reader_(runtime, options_.events,
+              {fleet, &subscriptions_, &reporter_, &publisher_, &attributions_, &locator_}),
+      store_poller_(runtime, options_.store_poll_interval, fleet, &subscriptions_, &reporter_,
+                    [this] { return IsFirstGateway(); }),
+      sweep_timer_(runtime->timers) {
+  subscriptions_.AddListener(&listener_);
+  if (options_.relay) {
+    relay_ =
+        std::make_unique<channels::RelayPoint>(runtime, options_.relay_publisher, &subscriptions_);
+  }
+  locator_.SetEpochObserver([this](HolderKind kind, const std::string& holder, uint64_t epoch) {
+    reporter_.Report(HolderObject(kind, holder), epoch, /*lost=*/false, "answered");
+  });
+  runtime_->transport->SetReceiver(
+      runtime::SERVICE_INDEX, [this](const runtime::Envelope& envelope) { Receive(envelope); });
+}
+
+IndexNode::~IndexNode() {
+  runtime_->transport->SetReceiver(runtime::SERVICE_INDEX, [](const runtime::Envelope&) {});
+  relay_.reset();
+  subscriptions_.RemoveListener(&listener_);
+}
+
+void IndexNode::Start() {
+  fleet_->AddListener(
+      [this, alive = std::weak_ptr<bool>(alive_)](const control::FleetState& state) {
+        if (!alive.expired()) reader_.FollowFleet(state);
+      });
+  reader_.FollowFleet(fleet_->state());
+  subscriptions_.Start();
+  store_poller_.Start();
+  Sweep();
+}
+
+void IndexNode::Sweep() {
+  locator_.SweepStep();
+  sweep_timer_.Start(kSweepInterval, [this] { Sweep(); });
+}
+
+std::vector<std::string> IndexNode::OtherGateways() const {
+  std::vector<std::string> endpoints = gateways_();
+  endpoints.erase(std::remove(endpoints.begin(), endpoints.end(), runtime_->transport->endpoint()),
+                  endpoints.end());
+  return endpoints;
+}
+
+bool IndexNode::IsFirstGateway() const {
+  const std::vector<std::string> others = OtherGateways();
+  return std::all_of(others.begin(), others.end(), [this](const std::string& endpoint) {
+    return runtime_->transport->endpoint() < endpoint;
+  });
+}
+
+void IndexNode::Receive(const runtime::Envelope& envelope) {
+  IndexMessage message;
+  if (!message.ParseFromString(envelope.payload())) return;
+  recorder_.NoteGateway(envelope.from_node(), envelope.from_endpoint());
+  if (message.has_update()) {
+    receiver_.Receive(envelope, message.update());
+  } else if (message.has_dispatches()) {
+    recorder_.TakeReport(message.dispatches());
+  }
+}
+
+void IndexNode::ChannelListener::OnObjects(const std::string& /*channel*/,
+                                           const std::vector<std::string>& objects) {
+  for (const std::string& object : objects) node_->locator_.ObjectChanged(object);
+}
+
+void IndexNode::ChannelListener::OnSynchronised(const std::string& channel) {
+  const channels::ChannelSubscription* subscription = node_->subscriptions_.Find(channel);
+  for (const channels::RegisteredObject& object : subscription->Objects()) {
+    node_->locator_.ObjectChanged(object.object());
+  }
+}
+
+std::string IndexNode::stats_json() const {
+  const PrefixIndex::Stats index = locator_.index_stats();
+  const LocatorStats& lookups = locator_.stats();
+  const channels::SubscriptionStats channels = subscriptions_.TotalStats();
+  const IndexUpdateReceiverStats& updates = receiver_.stats();
+  const WorkerEventReaderStats& events = reader_.stats();
+  const boost::json::object document = {
+      {"blocks", index.blocks},
+      {"dropped_blocks", index.dropped_blocks},
+      {"evicted_blocks", index.evicted_blocks},
+      {"bytes", index.bytes},
+      {"generations", locator_.generation_count()},
+      {"lookups", lookups.lookups},
+      {"lookups_matched", lookups.lookups_matched},
+      {"untrusted_holders", lookups.untrusted_holders},
+      {"dispatches_recorded", lookups.dispatches_recorded},
+      {"dispatches_not_recorded", lookups.dispatches_not_recorded},
+      {"channels_live", subscriptions_.live_channels()},
+      {"channels", subscriptions_.Channels().size()},
+      {"channel_messages", channels.messages},
+      {"channel_gaps", channels.gaps},
+      {"channel_silences", channels.silences},
+      {"channel_epoch_changes", channels.epoch_changes},
+      {"registrations_refused", channels.refusals},
+      {"relay_subscribers", relay_ == nullptr ? 0 : relay_->registration_count()},
+      {"updates_applied", updates.updates_applied},
+      {"update_gaps", updates.gaps},
+      {"updates_fenced", updates.fenced},
+      {"updates_sent", publisher_.stats().updates_sent},
+      {"workers_read", reader_.feed_count()},
+      {"events_stored_blocks", events.stored_blocks},
+      {"events_removed_blocks", events.removed_blocks},
+      {"events_unattributed_blocks", events.unattributed_blocks},
+      {"events_losses", events.losses},
+      {"observations_accepted", reporter_.accepted()},
+      {"observations_waiting", reporter_.waiting()},
+  };
+  return boost::json::serialize(document);
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/index_node.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/channels/relay_point.h"
+#include "posthatch/channels/subscription_set.h"
+#include "posthatch/control/control_client.h"
+#include "posthatch/index/attribution_table.h"
+#include "posthatch/index/dispatch_recorder.h"
+#include "posthatch/index/index_update_publisher.h"
+#include "posthatch/index/index_update_receiver.h"
+#include "posthatch/index/observation_reporter.h"
+#include "posthatch/index/store_poller.h"
+#include "posthatch/index/trusted_prefix_locator.h"
+#include "posthatch/index/worker_event_reader.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+struct IndexOptions {
+  uint64_t index_budget_bytes = 64ull * 1024 * 1024;
+  std::string zone;
+  // Serve the channels to further gateways of the zone as a relay point.
+  bool relay = false;
+  // Register once, on the aggregate channel; for fleets with relay points.
+  bool aggregate_channel = false;
+  channels::SubscriptionOptions subscription;
+  channels::PublisherOptions relay_publisher;
+  WorkerEventFeed::Options events;
+  IndexUpdatePublisherOptions updates;
+  DispatchRecorder::Options dispatches;
+  runtime::Duration store_poll_interval = std::chrono::seconds(1);
+  // Blocks whose seed is remembered, to attribute workers' events.
+  size_t max_attributions = 256 * 1024;
+};
+
+// A gateway's prefix cache index with all that feeds it: channel subscriptions, events of the
+// workers it holds leases of, other gateways' updates. Takes the process's SERVICE_CHANNELS and
+// SERVICE_INDEX messages. Owned by the gateway's assembly; `fleet` and `client` must outlive it.
+// Event loop thread only.
+class IndexNode {
+ public:
+  // Both callbacks return internal endpoints ("ip:port") and are asked often: the other gateways,
+  // and the controllers.
+  using Endpoints = std::function<std::vector<std::string>()>;
+
+  IndexNode(runtime::Runtime* runtime, IndexOptions options, control::FleetView* fleet,
+            control::ControlClient* client, Endpoints gateways, Endpoints controllers);
+  ~IndexNode();
+  IndexNode(const IndexNode&) = delete;
+  IndexNode& operator=(const IndexNode&) = delete;
+
+  void Start();
+
+  // What routing asks. Valid as long as this node.
+  PrefixLocator* locator() { return &recorder_; }
+  const channels::ObjectTrust* trust() const { return &subscriptions_; }
+  // Tells under which seed an attempt (its nonce) was dispatched, for attributing events.
+  void RecordAttempt(const std::string& attempt, const BlockSeed& seed) {
+    attributions_.RecordAttempt(attempt, seed);
+  }
+  // Sizes and counters as a JSON object, for GET /admin/v1/index.
+  std::string stats_json() const;
+
+ private:
+  // Passes version changes on to the locator.
+  class ChannelListener : public channels::SubscriptionSet::Listener {
+   public:
+    explicit ChannelListener(IndexNode* node) : node_(node) {}
+    void OnObjects(const std::string& channel, const std::vector<std::string>& objects) override;
+    void OnSynchronised(const std::string& channel) override;
+    void OnRenewed(const std::string& /*channel*/) override {}
+    void OnLost(const std::string& /*channel*/) override {}
+
+   private:
+    IndexNode* const node_;
+  };
+
+  void Receive(const runtime::Envelope& envelope);
+  bool IsFirstGateway() const;
+  std::vector<std::string> OtherGateways() const;
+  void Sweep();
+
+  runtime::Runtime* const runtime_;
+  const IndexOptions options_;
+  control::FleetView* const fleet_;
+  const Endpoints gateways_;
+  ChannelListener listener_;
+  channels::SubscriptionSet subscriptions_;
+  std::unique_ptr<channels::RelayPoint> relay_;
+  TrustedPrefixLocator locator_;
+  AttributionTable attributions_;
+  ObservationReporter reporter_;
+  IndexUpdatePublisher publisher_;
+  IndexUpdateReceiver receiver_;
+  DispatchRecorder recorder_;
+  WorkerEventReader reader_;
+  StorePoller store_poller_;
+  runtime::Timer sweep_timer_;
+  // Guards the listener left with `fleet`, which can't be taken back.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/index_update_publisher.cc
@@ -0,0 +1,127 @@
+#include "posthatch/index/index_update_publisher.h"
+
+#include <algorithm>
+#include <bit>
+#include <cstring>
+#include <utility>
+
+namespace posthatch::index {
+
+static_assert(std::endian::native == std::endian::little);
+
+std::string PackBlocks(absl::Span<const BlockHash> blocks) {
+  std::string packed(blocks.size() * sizeof(BlockHash), '\0');
+  std::memcpy(packed.data(), blocks.data(), packed.size());
+  return packed;
+}
+
+bool UnpackBlocks(const std::string& packed, std::vector<BlockHash>* blocks) {
+  if (packed.size() % sizeof(BlockHash) != 0) return false;
+  blocks->resize(packed.size() / sizeof(BlockHash));
+  std::memcpy(blocks->data(), packed.data(), packed.size());
+  return true;
+}
+
+Extent MakeExtent(const std::string& holder, const channels::ObjectVersion& version,
+                  const BlockSeed& seed) {
+  Extent extent;
+  extent.set_holder(holder);
+  extent.set_holder_epoch(version.epoch());
+  extent.set_holder_sequence(version.sequence());
+  extent.set_model(seed.model);
+  extent.set_model_revision(seed.model_revision);
+  extent.set_isolation_tenant(seed.isolation_tenant);
+  extent.set_isolation_generation(seed.isolation_generation);
+  return extent;
+}
+
+BlockSeed SeedOf(const Extent& extent) {
+  return {extent.model(), extent.model_revision(), extent.isolation_tenant(),
+          extent.isolation_generation()};
+}
+
+IndexUpdatePublisher::IndexUpdatePublisher(runtime::Runtime* runtime,
+                                           IndexUpdatePublisherOptions options,
+                                           std::function<std::vector<std::string>()> gateways)
+    : runtime_(runtime),
+      options_(options),
+      gateways_(std::move(gateways)),
+      allowance_(options.burst_bytes),
+      refilled_at_(runtime->clock->Now()),
+      batch_timer_(runtime->timers) {}
+
+void IndexUpdatePublisher::Begin(const std::string& holder, uint64_t epoch,
+                                 uint64_t fencing_token) {
+  Holder& begun = holders_[holder];
+  begun = Holder();
+  begun.waiting.set_holder(holder);
+  begun.waiting.set_holder_epoch(epoch);
+  begun.waiting.set_fencing_token(fencing_token);
+}
+
+void IndexUpdatePublisher::Stored(const std::string& holder, const Extent& extent) {
+  const auto found = holders_.find(holder);
+  if (found == holders_.end()) return;
+  *found->second.waiting.add_stored() = extent;
+  StartBatch();
+}
+
+void IndexUpdatePublisher::Removed(const std::string& holder, absl::Span<const BlockHash> blocks) {
+  const auto found = holders_.find(holder);
+  if (found == holders_.end()) return;
+  found->second.waiting.mutable_removed()->append(PackBlocks(blocks));
+  // Stored before removed in one update; what is stored again later goes into the next one.
+  Flush();
+}
+
+void IndexUpdatePublisher::StartBatch() {
+  if (!batch_timer_.running()) batch_timer_.Start(options_.batch_period, [this] { Flush(); });
+}
+
+void IndexUpdatePublisher::Refill() {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  const double seconds = std::chrono::duration<double>(now - refilled_at_).count();
+  allowance_ = std::min(allowance_ + seconds * options_.bytes_per_second, options_.burst_bytes);
+  refilled_at_ = now;
+}
+
+void IndexUpdatePublisher::Flush() {
+  batch_timer_.Cancel();
+  Refill();
+  const std::vector<std::string> endpoints = gateways_();
+  for (auto& [name, holder] : holders_) {
+    if (holder.waiting.stored_size() > 0 || !holder.waiting.removed().empty()) {
+      FlushHolder(&holder, endpoints);
+    }
+  }
+}
+
+void IndexUpdatePublisher::FlushHolder(Holder* holder, const std::vector<std::string>& endpoints) {
+  IndexUpdate& update = holder->waiting;
+  if (static_cast<double>(update.ByteSizeLong()) > allowance_) {
+    for (const Extent& extent : update.stored()) {
+      stats_.stored_blocks_dropped += extent.block_hashes().size() / sizeof(BlockHash);
+    }
+    update.clear_stored();
+  }
+  if (static_cast<double>(update.ByteSizeLong()) > allowance_) {
+    ++stats_.updates_skipped;
+    ++holder->last_update;
+  } else if (update.stored_size() > 0 || !update.removed().empty()) {
+    update.set_update(++holder->last_update);
+    IndexMessage message;
+    *message.mutable_update() = update;
+    const std::string payload = message.SerializeAsString();
+    for (const std::string& endpoint : endpoints) {
+      runtime_->transport->Send(endpoint, runtime::SERVICE_INDEX, payload,
+                                runtime::Delivery::kStream);
+    }
+    allowance_ -= static_cast<double>(payload.size());
+    ++stats_.updates_sent;
+    stats_.bytes_sent += payload.size() * endpoints.size();
+  }
+  update.clear_stored();
+  update.clear_removed();
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/index_update_publisher.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/types/span.h"
+#include "posthatch/channels/channels.pb.h"
+#include "posthatch/index/block_hash.h"
+#include "posthatch/index/index.pb.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+// Eight bytes a block, little-endian.
+std::string PackBlocks(absl::Span<const BlockHash> blocks);
+// False if `packed` is not a whole number of blocks.
+bool UnpackBlocks(const std::string& packed, std::vector<BlockHash>* blocks);
+
+// An extent without blocks.
+Extent MakeExtent(const std::string& holder, const channels::ObjectVersion& version,
+                  const BlockSeed& seed);
+BlockSeed SeedOf(const Extent& extent);
+
+struct IndexUpdatePublisherOptions {
+  runtime::Duration batch_period = std::chrono::milliseconds(50);
+  // Bound of what is published, before it is multiplied by the number of gateways.
+  double bytes_per_second = 1024.0 * 1024;
+  double burst_bytes = 4.0 * 1024 * 1024;
+};
+
+struct IndexUpdatePublisherStats {
+  uint64_t updates_sent = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t stored_blocks_dropped = 0;  // beyond the rate: others know less
+  uint64_t updates_skipped = 0;        // removals beyond the rate: a gap at the receivers
+};
+
+// Tells the other gateways what this one reads of the workers it holds the leases of (IndexUpdate).
+// Beyond its rate, news of stored blocks is left out; if removals have to be left out, a number is
+// skipped, so that the receivers drop what they know of that worker. Owned by IndexNode; event loop
+// thread only.
+class IndexUpdatePublisher {
+ public:
+  IndexUpdatePublisher(runtime::Runtime* runtime, IndexUpdatePublisherOptions options,
+                       std::function<std::vector<std::string>()> gateways);
+
+  // A new holder epoch or a new lease: numbers start at 1.
+  void Begin(const std::string& holder, uint64_t epoch, uint64_t fencing_token);
+  void End(const std::string& holder) { holders_.erase(holder); }
+  // Ignored if `holder` has not begun.
+  void Stored(const std::string& holder, const Extent& extent);
+  void Removed(const std::string& holder, absl::Span<const BlockHash> blocks);
+
+  const IndexUpdatePublisherStats& stats() const { return stats_; }
+
+ private:
+  struct Holder {
+    uint64_t last_update = 0;
+    IndexUpdate waiting;
+  };
+
+  void StartBatch();
+  void Flush();
+  void FlushHolder(Holder* holder, const std::vector<std::string>& endpoints);
+  void Refill();
+
+  runtime::Runtime* const runtime_;
+  const IndexUpdatePublisherOptions options_;
+  const std::function<std::vector<std::string>()> gateways_;
+  absl::btree_map<std::string, Holder> holders_;
+  double allowance_;
+  runtime::MonotonicTime refilled_at_;
+  runtime::Timer batch_timer_;
+  IndexUpdatePublisherStats stats_;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/observation_reporter.cc
@@ -0,0 +1,81 @@
+#include "posthatch/index/observation_reporter.h"
+
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace posthatch::index {
+namespace {
+
+constexpr runtime::Duration kProposeTimeout = std::chrono::seconds(3);
+constexpr runtime::Duration kRetryDelay = std::chrono::milliseconds(300);
+
+}  // namespace
+
+ObservationReporter::ObservationReporter(runtime::Runtime* runtime, control::ControlClient* client)
+    : runtime_(runtime), client_(client) {}
+
+ObservationReporter::~ObservationReporter() = default;
+
+void ObservationReporter::Report(const std::string& object, uint64_t epoch, bool lost,
+                                 const std::string& reason) {
+  std::unique_ptr<State>& state = objects_[object];
+  if (state == nullptr) {
+    state = std::make_unique<State>(runtime_->timers);
+    state->sent = {epoch, lost, reason};
+    Send(object);
+    return;
+  }
+  Observation& next = state->next;
+  if (!state->has_next || epoch > next.epoch) {
+    next = {epoch, lost, reason};
+  } else if (epoch == next.epoch) {
+    next.lost = next.lost || lost;
+  }
+  state->has_next = true;
+}
+
+void ObservationReporter::Send(const std::string& object) {
+  State* state = objects_.find(object)->second.get();
+  if (state->request_id.empty()) {
+    state->request_id = absl::StrCat("observe/", runtime_->transport->node_id(), "/",
+                                     runtime_->transport->incarnation(), "/", ++last_number_);
+  }
+  control::Command command;
+  command.set_request_id(state->request_id);
+  control::ObserveObject* observation = command.mutable_observe_object();
+  observation->set_object(object);
+  observation->set_epoch(state->sent.epoch);
+  observation->set_lost(state->sent.lost);
+  observation->set_reason(state->sent.reason);
+  client_->Propose(
+      std::move(command), kProposeTimeout, /*until_in_force=*/false,
+      [this, object, request_id = state->request_id,
+       alive = std::weak_ptr<bool>(alive_)](absl::StatusOr<control::CommandResult> result) {
+        if (!alive.expired()) OnAnswer(object, request_id, result.ok());
+      });
+}
+
+void ObservationReporter::OnAnswer(const std::string& object, const std::string& request_id,
+                                   bool accepted) {
+  const auto found = objects_.find(object);
+  if (found == objects_.end() || found->second->request_id != request_id) return;
+  State* state = found->second.get();
+  if (!accepted) {
+    // It may have been applied: the same request id again.
+    state->retry_timer.Start(kRetryDelay, [this, object] { Send(object); });
+    return;
+  }
+  ++accepted_;
+  state->request_id.clear();
+  if (!state->has_next) {
+    objects_.erase(found);
+    return;
+  }
+  state->has_next = false;
+  state->sent = std::exchange(state->next, Observation());
+  Send(object);
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/observation_reporter.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "absl/container/btree_map.h"
+#include "posthatch/control/control_client.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+// Brings observations (ObserveObject) into the controllers' log: one at a time for each object,
+// sent again with the same request id until an answer comes; what is observed meanwhile is merged
+// into the next one. Owned by IndexNode; `client` must outlive it. Event loop thread only.
+class ObservationReporter {
+ public:
+  ObservationReporter(runtime::Runtime* runtime, control::ControlClient* client);
+  ~ObservationReporter();
+  ObservationReporter(const ObservationReporter&) = delete;
+  ObservationReporter& operator=(const ObservationReporter&) = delete;
+
+  // `epoch`: the holder's own, as seen; `lost`: entries made within it may be wrong.
+  void Report(const std::string& object, uint64_t epoch, bool lost, const std::string& reason);
+
+  uint64_t accepted() const { return accepted_; }
+  size_t waiting() const { return objects_.size(); }
+
+ private:
+  struct Observation {
+    uint64_t epoch = 0;
+    bool lost = false;
+    std::string reason;
+  };
+  struct State {
+    explicit State(runtime::TimerService* timers) : retry_timer(timers) {}
+    Observation sent;
+    std::string request_id;  // of `sent`
+    bool has_next = false;
+    Observation next;
+    runtime::Timer retry_timer;
+  };
+
+  void Send(const std::string& object);
+  void OnAnswer(const std::string& object, const std::string& request_id, bool accepted);
+
+  runtime::Runtime* const runtime_;
+  control::ControlClient* const client_;
+  absl::btree_map<std::string, std::unique_ptr<State>> objects_;
+  uint64_t last_number_ = 0;
+  uint64_t accepted_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/prefix_index.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <memory>
+#include <vector>
+
+#include "absl/container/inlined_vector.h"
+#include "absl/functional/function_ref.h"
+#include "absl/types/span.h"
+#include "posthatch/index/block_hash.h"
+
+namespace posthatch::index {
+
+// Which blocks are kept by whom: a hash table from block hashes to generations. A generation stands
+// for one holder in one state (epoch, object versions, seed); what it means is the owner's affair
+// (TrustedPrefixLocator). Memory is what counts here: a block costs one 12-byte slot.
+//
+// Layout: kSegments tables, chosen by the hash's top bits, each of 64-byte buckets with five slots,
+// linear probing from bucket to bucket. Segments grow one by one in small steps, so that the table
+// as a whole stays well filled and no single insertion moves more than one segment. When the byte
+// budget is used up, a segment evicts by the clock algorithm in place of growing.
+//
+// Dropping a generation is O(1): its slots count as free from then on and are reused or swept
+// later. Not thread-safe.
+class PrefixIndex {
+ public:
+  using GenerationId = uint32_t;
+  static constexpr GenerationId kNoGeneration = 0;
+  // More holders of one block than this aren't kept: routing needs a few, not all.
+  static constexpr size_t kMaxHoldersPerBlock = 16;
+
+  struct Match {
+    GenerationId generation = kNoGeneration;
+    uint32_t blocks = 0;  // leading blocks of the chain
+  };
+  using Matches = absl::InlinedVector<Match, 8>;
+  using GenerationFilter = absl::FunctionRef<bool(GenerationId)>;
+
+  struct Stats {
+    uint64_t blocks = 0;          // kept, of live generations
+    uint64_t dropped_blocks = 0;  // of dropped generations, still in memory
+    uint64_t evicted_blocks = 0;
+    uint64_t bytes = 0;  // of all segments
+  };
+
+  // `budget_bytes` bounds the segments; at least kSegments buckets are always there.
+  explicit PrefixIndex(uint64_t budget_bytes);
+  ~PrefixIndex();
+  PrefixIndex(const PrefixIndex&) = delete;
+  PrefixIndex& operator=(const PrefixIndex&) = delete;
+
+  GenerationId OpenGeneration();
+  // Its blocks are gone from now on.
+  void DropGeneration(GenerationId generation);
+
+  void Insert(GenerationId generation, absl::Span<const BlockHash> blocks);
+  // Removes `block` from all generations that `matches` holds for; returns how many.
+  size_t Remove(BlockHash block, GenerationFilter matches);
+
+  // For each generation that keeps the first block of `chain` and passes `filter`: how many leading
+  // blocks it keeps without a gap. Longest first.
+  Matches LongestPrefixes(absl::Span<const BlockHash> chain, GenerationFilter filter);
+
+  // Compacts one segment if dropped blocks take up much room; called from time to time.
+  void SweepStep();
+
+  Stats stats() const;
+  // Blocks of one live generation.
+  uint64_t CountBlocks(GenerationId generation) const { return generations_[generation].blocks; }
+
+ private:
+  static constexpr int kSegmentBits = 10;
+  static constexpr size_t kSegments = size_t{1} << kSegmentBits;
+  static constexpr size_t kSlotsPerBucket = 5;
+
+  struct alignas(64) Bucket {
+    BlockHash hashes[kSlotsPerBucket];
+    GenerationId generations[kSlotsPerBucket];
+    uint16_t recency;   // two bits a slot
+    uint16_t overflow;  // 1: entries that belong here or before went on to the next bucket
+  };
+  static_assert(sizeof(Bucket) == 64);
+
+  struct FreeDeleter {
+    void operator()(Bucket* buckets) const { std::free(buckets); }
+  };
+  struct Segment {
+    std::unique_ptr<Bucket[], FreeDeleter> buckets;
+    uint32_t bucket_count = 0;
+    uint32_t used_slots = 0;  // with those of dropped generations
+  };
+  struct Generation {
+    uint64_t blocks = 0;
+    bool live = false;
+  };
+  struct Slot {
+    BlockHash hash;
+    GenerationId generation;
+    uint8_t recency;
+  };
+
+  Segment& SegmentOf(BlockHash hash) { return segments_[hash >> (64 - kSegmentBits)]; }
+  static size_t HomeOf(const Segment& segment, BlockHash hash) {
+    return ((hash & 0xFFFFFFFF) * segment.bucket_count) >> 32;
+  }
+  static uint8_t Recency(const Bucket& bucket, size_t slot) {
+    return (bucket.recency >> (2 * slot)) & 3;
+  }
+  static void SetRecency(Bucket* bucket, size_t slot, uint8_t recency) {
+    const auto cleared = static_cast<unsigned>(bucket->recency) & ~(3u << (2 * slot));
+    bucket->recency =
+        static_cast<uint16_t>(cleared | (static_cast<unsigned>(recency) << (2 * slot)));
+  }
+  bool IsFree(const Bucket& bucket, size_t slot) const {
+    const GenerationId generation = bucket.generations[slot];
+    return generation == kNoGeneration || !generations_[generation].live;
+  }
+
+  void InsertOne(GenerationId generation, BlockHash hash);
+  void Fill(Segment* segment, Bucket* bucket, size_t slot, GenerationId generation, BlockHash hash);
+  // Gives a slot's generation one block less; a dropped one without blocks may be used again.
+  void Release(GenerationId generation);
+  // Makes room in a segment that is filled to the limit: grows it, or evicts.
+  void MakeRoom(Segment* segment);
+  void Rebuild(Segment* segment, uint32_t bucket_count, std::vector<Slot> slots);
+  // The live slots of a segment; those of dropped generations are released.
+  std::vector<Slot> TakeSlots(Segment* segment);
+  void EvictDownTo(std::vector<Slot>* slots, size_t limit);
+  static void PlaceUnique(Segment* segment, const Slot& slot);
+  void AddHolders(BlockHash hash, GenerationFilter filter, Matches* matches);
+
+  const uint64_t budget_bytes_;
+  std::vector<Segment> segments_;
+  std::vector<Generation> generations_;
+  std::vector<GenerationId> free_generations_;
+  uint64_t bytes_ = 0;
+  uint64_t blocks_ = 0;
+  uint64_t dropped_blocks_ = 0;
+  uint64_t evicted_blocks_ = 0;
+  size_t sweep_position_ = 0;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/store_poller.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/container/node_hash_map.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/control/control_client.h"
+#include "posthatch/index/observation_reporter.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+// Learns the epoch of each store of kept KV blocks from GET /status and reports new ones: a store
+// forgets everything when it restarts, and tells nobody. One gateway polls a store: the holder of
+// its lease, or, as stores need not be leased, the first gateway by endpoint. Owned by IndexNode;
+// event loop thread only.
+class StorePoller {
+ public:
+  // `is_first_gateway`: whether this gateway polls the stores that nobody holds the lease of.
+  StorePoller(runtime::Runtime* runtime, runtime::Duration interval,
+              const control::FleetView* fleet, const channels::ObjectTrust* trust,
+              ObservationReporter* reporter, std::function<bool()> is_first_gateway);
+
+  void Start();
+  uint64_t polls() const { return polls_; }
+
+ private:
+  struct Poll {
+    std::unique_ptr<http::Call> call;
+    int status = 0;
+    std::string body;
+    bool running = false;
+  };
+
+  void Tick();
+  bool IsResponsible(const std::string& store) const;
+  void PollStore(const std::string& store, const std::string& endpoint);
+  void OnEnd(const std::string& store);
+
+  runtime::Runtime* const runtime_;
+  const runtime::Duration interval_;
+  const control::FleetView* const fleet_;
+  const channels::ObjectTrust* const trust_;
+  ObservationReporter* const reporter_;
+  const std::function<bool()> is_first_gateway_;
+  // By store id; its values stay where they are.
+  absl::node_hash_map<std::string, Poll> polls_by_store_;
+  uint64_t polls_ = 0;
+  runtime::Timer timer_;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/trusted_prefix_locator.cc
@@ -0,0 +1,165 @@
+#include "posthatch/index/trusted_prefix_locator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/channels/channel_names.h"
+
+namespace posthatch::index {
+namespace {
+
+std::string ModelObject(const BlockSeed& seed) { return absl::StrCat("model/", seed.model); }
+
+// The domain that tenants share is the object of the tenant without a name.
+std::string TenantObject(const BlockSeed& seed) {
+  return absl::StrCat("tenant/", seed.isolation_tenant);
+}
+
+bool SameSeed(const BlockSeed& left, const BlockSeed& right) {
+  return left.model_revision == right.model_revision &&
+         left.isolation_generation == right.isolation_generation && left.model == right.model &&
+         left.isolation_tenant == right.isolation_tenant;
+}
+
+}  // namespace
+
+std::string HolderObject(HolderKind kind, const std::string& holder) {
+  return absl::StrCat(kind == HolderKind::kWorker ? "worker/" : "store/", holder);
+}
+
+TrustedPrefixLocator::TrustedPrefixLocator(Options options, const channels::ObjectTrust* trust)
+    : options_(std::move(options)), trust_(trust), index_(options_.budget_bytes) {}
+
+bool TrustedPrefixLocator::IsSeedFresh(const BlockSeed& seed) const {
+  return trust_->IsFresh(ModelObject(seed), channels::MakeVersion(seed.model_revision, 0)) &&
+         trust_->IsFresh(TenantObject(seed), channels::MakeVersion(seed.isolation_generation, 0));
+}
+
+std::vector<PrefixHolder> TrustedPrefixLocator::Locate(const BlockSeed& seed,
+                                                       const std::vector<BlockHash>& chain) {
+  ++stats_.lookups;
+  std::vector<PrefixHolder> holders;
+  if (chain.empty() || !MayDecide() || !IsSeedFresh(seed)) return holders;
+  const auto trusted = [this, &seed](GenerationId id) {
+    const Generation& generation = generations_.find(id)->second;
+    if (!SameSeed(generation.seed, seed)) return false;
+    if (trust_->IsFresh(generation.holder_object, generation.version)) return true;
+    ++stats_.untrusted_holders;
+    return false;
+  };
+  const PrefixIndex::Matches matches = index_.LongestPrefixes(chain, trusted);
+  holders.reserve(matches.size());
+  for (const PrefixIndex::Match& match : matches) {
+    const Generation& generation = generations_.find(match.generation)->second;
+    holders.push_back({generation.holder, generation.version.epoch(), match.blocks});
+  }
+  if (!holders.empty()) ++stats_.lookups_matched;
+  return holders;
+}
+
+void TrustedPrefixLocator::RecordDispatch(const BlockSeed& seed,
+                                          const std::vector<BlockHash>& chain,
+                                          const std::string& worker_id, uint64_t worker_epoch) {
+  const std::string object = HolderObject(HolderKind::kWorker, worker_id);
+  channels::ObjectVersion version;
+  const bool known = trust_->CurrentVersion(object, &version);
+  if (!known || version.epoch() != worker_epoch) {
+    ++stats_.dispatches_not_recorded;
+    if (known && worker_epoch > version.epoch() && epoch_observer_) {
+      epoch_observer_(HolderKind::kWorker, worker_id, worker_epoch);
+    }
+    return;
+  }
+  if (Add(HolderKind::kWorker, worker_id, version, seed, chain)) {
+    ++stats_.dispatches_recorded;
+  } else {
+    ++stats_.dispatches_not_recorded;
+  }
+}
+
+bool TrustedPrefixLocator::Add(HolderKind kind, const std::string& holder,
+                               const channels::ObjectVersion& version, const BlockSeed& seed,
+                               absl::Span<const BlockHash> blocks) {
+  // Without an epoch the holder's state has never been seen.
+  if (version.epoch() == 0 || !trust_->IsFresh(HolderObject(kind, holder), version) ||
+      !IsSeedFresh(seed)) {
+    return false;
+  }
+  index_.Insert(OpenGeneration(kind, holder, version, seed), blocks);
+  return true;
+}
+
+TrustedPrefixLocator::Key TrustedPrefixLocator::KeyOf(const Generation& generation) {
+  return Key(generation.holder_object, generation.version.epoch(), generation.version.sequence(),
+             generation.seed.model, generation.seed.model_revision,
+             generation.seed.isolation_tenant, generation.seed.isolation_generation);
+}
+
+TrustedPrefixLocator::GenerationId TrustedPrefixLocator::OpenGeneration(
+    HolderKind kind, const std::string& holder, const channels::ObjectVersion& version,
+    const BlockSeed& seed) {
+  Generation generation{kind, holder, HolderObject(kind, holder), version, seed};
+  const Key key = KeyOf(generation);
+  const auto found = by_key_.find(key);
+  if (found != by_key_.end()) return found->second;
+  const GenerationId id = index_.OpenGeneration();
+  by_key_[key] = id;
+  by_object_[generation.holder_object].push_back(id);
+  by_object_[ModelObject(seed)].push_back(id);
+  by_object_[TenantObject(seed)].push_back(id);
+  generations_[id] = std::move(generation);
+  return id;
+}
+
+void TrustedPrefixLocator::Drop(GenerationId id) {
+  const auto found = generations_.find(id);
+  const Generation& generation = found->second;
+  for (const std::string& object :
+       {generation.holder_object, ModelObject(generation.seed), TenantObject(generation.seed)}) {
+    const auto resting = by_object_.find(object);
+    auto& ids = resting->second;
+    ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
+    if (ids.empty()) by_object_.erase(resting);
+  }
+  by_key_.erase(KeyOf(generation));
+  generations_.erase(found);
+  index_.DropGeneration(id);
+}
+
+void TrustedPrefixLocator::Remove(HolderKind kind, const std::string& holder,
+                                  absl::Span<const BlockHash> blocks) {
+  const auto resting = by_object_.find(HolderObject(kind, holder));
+  if (resting == by_object_.end()) return;
+  const std::vector<GenerationId>& ids = resting->second;
+  const auto of_holder = [&ids](GenerationId id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+  };
+  for (const BlockHash block : blocks) index_.Remove(block, of_holder);
+}
+
+void TrustedPrefixLocator::DropHolder(HolderKind kind, const std::string& holder) {
+  const auto resting = by_object_.find(HolderObject(kind, holder));
+  if (resting == by_object_.end()) return;
+  const std::vector<GenerationId> ids = resting->second;
+  for (const GenerationId id : ids) Drop(id);
+}
+
+void TrustedPrefixLocator::ObjectChanged(const std::string& object) {
+  channels::ObjectVersion newest;
+  const auto resting = by_object_.find(object);
+  if (resting == by_object_.end() || !trust_->CurrentVersion(object, &newest)) return;
+  const std::vector<GenerationId> ids = resting->second;
+  for (const GenerationId id : ids) {
+    const Generation& generation = generations_.find(id)->second;
+    channels::ObjectVersion rested_on = generation.version;
+    if (object == ModelObject(generation.seed)) {
+      rested_on = channels::MakeVersion(generation.seed.model_revision, 0);
+    } else if (object == TenantObject(generation.seed)) {
+      rested_on = channels::MakeVersion(generation.seed.isolation_generation, 0);
+    }
+    if (channels::CompareVersions(rested_on, newest) < 0) Drop(id);
+  }
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/trusted_prefix_locator.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/index/prefix_index.h"
+#include "posthatch/index/prefix_locator.h"
+
+namespace posthatch::index {
+
+enum class HolderKind { kWorker, kStore };
+
+// "worker/<id>" or "store/<id>": the object that a holder's entries rest on.
+std::string HolderObject(HolderKind kind, const std::string& holder);
+
+struct LocatorStats {
+  uint64_t lookups = 0;
+  uint64_t lookups_matched = 0;  // at least one trusted holder
+  uint64_t dispatches_recorded = 0;
+  uint64_t dispatches_not_recorded = 0;  // versions unknown, or not those of the dispatch
+  uint64_t untrusted_holders = 0;        // left out of an answer because their trust had run out
+};
+
+// The prefix cache index as routing sees it: PrefixIndex, whose generations each rest on the
+// versions of three objects (holder, model, isolation domain; DESIGN.md "Index trust"). A
+// generation is believed only while `trust` says that all three are fresh at these versions, by the
+// clock at the moment of the look-up. Owned by IndexNode. Event loop thread only.
+class TrustedPrefixLocator : public PrefixLocator {
+ public:
+  // Tells that a holder answered with another epoch than the newest known one.
+  using EpochObserver =
+      std::function<void(HolderKind kind, const std::string& holder, uint64_t epoch)>;
+
+  struct Options {
+    uint64_t budget_bytes = 64ull * 1024 * 1024;
+    // Whether this gateway may decide at all (its session lease); asked at each look-up.
+    std::function<bool()> may_decide;
+  };
+
+  TrustedPrefixLocator(Options options, const channels::ObjectTrust* trust);
+  TrustedPrefixLocator(const TrustedPrefixLocator&) = delete;
+  TrustedPrefixLocator& operator=(const TrustedPrefixLocator&) = delete;
+
+  std::vector<PrefixHolder> Locate(const BlockSeed& seed,
+                                   const std::vector<BlockHash>& chain) override;
+  void RecordDispatch(const BlockSeed& seed, const std::vector<BlockHash>& chain,
+                      const std::string& worker_id, uint64_t worker_epoch) override;
+
+  void SetEpochObserver(EpochObserver observer) { epoch_observer_ = std::move(observer); }
+
+  // Adds blocks that `holder` kept at `version` of its object. False, and nothing is added, unless
+  // that is the newest version and `seed` names the newest revision and isolation generation.
+  bool Add(HolderKind kind, const std::string& holder, const channels::ObjectVersion& version,
+           const BlockSeed& seed, absl::Span<const BlockHash> blocks);
+  // `holder` keeps these blocks no more, whatever their seed.
+  void Remove(HolderKind kind, const std::string& holder, absl::Span<const BlockHash> blocks);
+  // Drops every entry of the holder: something about it was missed.
+  void DropHolder(HolderKind kind, const std::string& holder);
+  // The newest version of an object has risen: drops what rests on an older one.
+  void ObjectChanged(const std::string& object);
+  // Frees the memory of dropped entries, a little at a time.
+  void SweepStep() { index_.SweepStep(); }
+
+  PrefixIndex::Stats index_stats() const { return index_.stats(); }
+  const LocatorStats& stats() const { return stats_; }
+  size_t generation_count() const { return generations_.size(); }
+
+ private:
+  using GenerationId = PrefixIndex::GenerationId;
+
+  struct Generation {
+    HolderKind kind = HolderKind::kWorker;
+    std::string holder;
+    std::string holder_object;
+    channels::ObjectVersion version;
+    BlockSeed seed;
+  };
+  // Holder object, its version, model, revision, isolation tenant and generation.
+  using Key =
+      std::tuple<std::string, uint64_t, uint64_t, std::string, uint64_t, std::string, uint64_t>;
+
+  bool MayDecide() const { return !options_.may_decide || options_.may_decide(); }
+  // The seed's revision and isolation generation are the newest, and known to be so now.
+  bool IsSeedFresh(const BlockSeed& seed) const;
+  GenerationId OpenGeneration(HolderKind kind, const std::string& holder,
+                              const channels::ObjectVersion& version, const BlockSeed& seed);
+  void Drop(GenerationId id);
+  static Key KeyOf(const Generation& generation);
+
+  const Options options_;
+  const channels::ObjectTrust* const trust_;
+  EpochObserver epoch_observer_;
+  PrefixIndex index_;
+  absl::flat_hash_map<GenerationId, Generation> generations_;
+  absl::flat_hash_map<Key, GenerationId> by_key_;
+  // Generations that rest on an object.
+  absl::flat_hash_map<std::string, std::vector<GenerationId>> by_object_;
+  LocatorStats stats_;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/worker_event_feed.cc
@@ -0,0 +1,176 @@
+#include "posthatch/index/worker_event_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/index/trusted_prefix_locator.h"
+
+namespace posthatch::index {
+namespace {
+
+// More missing numbers than this are not waited for one by one.
+constexpr uint64_t kMaxMissing = 1000;
+// While the newest version known here is not of the worker's epoch, events can't be used, so a poll
+// must not be held for long.
+constexpr runtime::Duration kWaitWithoutVersion = std::chrono::milliseconds(100);
+// On top of the time that the worker may hold a poll.
+constexpr runtime::Duration kAnswerMargin = std::chrono::milliseconds(1500);
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+WorkerEventFeed::WorkerEventFeed(runtime::Runtime* runtime, Options options, std::string worker_id,
+                                 std::string endpoint, const channels::ObjectTrust* trust,
+                                 std::function<bool()> may_read, Observer observer)
+    : runtime_(runtime),
+      options_(options),
+      worker_id_(std::move(worker_id)),
+      endpoint_(std::move(endpoint)),
+      trust_(trust),
+      may_read_(std::move(may_read)),
+      observer_(std::move(observer)),
+      poll_timer_(runtime->timers),
+      missing_timer_(runtime->timers) {}
+
+void WorkerEventFeed::Start() {
+  last_answer_ = runtime_->clock->Now();
+  Poll();
+}
+
+void WorkerEventFeed::Poll() {
+  CheckSilence();
+  if (!may_read_()) {
+    poll_timer_.Start(options_.retry_delay, [this] { Poll(); });
+    return;
+  }
+  if (!unsaid_loss_.empty()) Lost(std::string(unsaid_loss_));
+  version_at_poll_.Clear();
+  const bool version_known =
+      trust_->CurrentVersion(HolderObject(HolderKind::kWorker, worker_id_), &version_at_poll_);
+  const bool usable = version_known && version_at_poll_.epoch() == epoch_;
+  const runtime::Duration wait =
+      usable ? options_.wait : std::min(options_.wait, kWaitWithoutVersion);
+  const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  http::Request request;
+  request.method = "GET";
+  request.target =
+      absl::StrCat("/kv_events?epoch=", epoch_, "&after=", read_up_to_, "&wait_ms=", wait_ms);
+  http::CallOptions call_options;
+  call_options.head_timeout = wait + kAnswerMargin;
+  call_options.piece_timeout = kAnswerMargin;
+  call_options.max_body_bytes = options_.max_body_bytes;
+  status_ = 0;
+  body_.clear();
+  http::CallObserver observer;
+  observer.on_head = [this](const http::Response& head) { status_ = head.status; };
+  observer.on_piece = [this](std::string piece) { body_ += piece; };
+  observer.on_end = [this] { OnEnd(); };
+  observer.on_error = [this](const http::CallError&) { OnFailure(); };
+  call_ = runtime_->http_client->Start(endpoint_, std::move(request), call_options,
+                                       std::move(observer));
+}
+
+void WorkerEventFeed::OnFailure() {
+  CheckSilence();
+  poll_timer_.Start(options_.retry_delay, [this] { Poll(); });
+}
+
+void WorkerEventFeed::OnEnd() {
+  // After a freeze the lease may have gone to another gateway: then nothing of this is used.
+  if (!may_read_() || status_ != kStatusOk) {
+    OnFailure();
+    return;
+  }
+  absl::StatusOr<KvEventBatch> batch = ParseKvEvents(body_);
+  if (!batch.ok()) {
+    runtime_->trace->Event(runtime::Severity::kWarning, "KvEventsMalformed",
+                           {{"worker", worker_id_}});
+    OnFailure();
+    return;
+  }
+  last_answer_ = runtime_->clock->Now();
+  silence_reported_ = false;
+  TakeBatch(*std::move(batch));
+  // Not from within the call's own callback, which must not destroy the call.
+  poll_timer_.Start(runtime::Duration::zero(), [this] { Poll(); });
+}
+
+void WorkerEventFeed::TakeBatch(KvEventBatch batch) {
+  if (batch.epoch != epoch_) {
+    epoch_ = batch.epoch;
+    read_up_to_ = 0;
+    missing_.clear();
+    observer_.on_epoch(epoch_);
+  }
+  std::stable_sort(batch.events.begin(), batch.events.end(),
+                   [](const KvEvent& left, const KvEvent& right) { return left.seq < right.seq; });
+  for (KvEvent& event : batch.events) TakeEvent(std::move(event));
+  if (batch.next > read_up_to_) {
+    NoteMissing(read_up_to_ + 1, batch.next);
+    read_up_to_ = batch.next;
+  }
+  CheckMissing();
+}
+
+void WorkerEventFeed::TakeEvent(KvEvent event) {
+  ++events_read_;
+  const uint64_t seq = event.seq;
+  if (event.type == KvEvent::Type::kLost) {
+    // Everything up to here is accounted for by this one loss.
+    read_up_to_ = std::max(read_up_to_, seq);
+    missing_.erase(missing_.begin(), missing_.upper_bound(seq));
+    Lost("lost mark");
+    return;
+  }
+  if (seq > read_up_to_) {
+    if (seq > read_up_to_ + 1) NoteMissing(read_up_to_ + 1, seq - 1);
+    read_up_to_ = seq;
+    observer_.on_event(version_at_poll_, std::move(event));
+    return;
+  }
+  if (missing_.erase(seq) == 0) return;  // a double
+  // Late: what it stored may have been removed by an event that was read before.
+  if (event.type == KvEvent::Type::kRemoved) observer_.on_event(version_at_poll_, std::move(event));
+}
+
+void WorkerEventFeed::NoteMissing(uint64_t from, uint64_t to) {
+  if (to - from >= kMaxMissing) {
+    Lost("gap");
+    return;
+  }
+  const runtime::MonotonicTime lost_at = runtime_->clock->Now() + options_.reorder_window;
+  for (uint64_t seq = from; seq <= to; ++seq) missing_.emplace(seq, lost_at);
+}
+
+void WorkerEventFeed::CheckMissing() {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  bool lost = false;
+  while (!missing_.empty() && missing_.begin()->second <= now) {
+    missing_.erase(missing_.begin());
+    lost = true;
+  }
+  if (lost) Lost("gap");
+  if (missing_.empty()) return;
+  missing_timer_.Start(missing_.begin()->second - now, [this] { CheckMissing(); });
+}
+
+void WorkerEventFeed::CheckSilence() {
+  if (silence_reported_ || epoch_ == 0) return;
+  if (runtime_->clock->Now() - last_answer_ <= options_.silence_limit) return;
+  silence_reported_ = true;
+  Lost("silent");
+}
+
+void WorkerEventFeed::Lost(const std::string& reason) {
+  // Only the lease holder may say so: after a freeze another one may read this worker. If the lease
+  // comes back to this feed, the loss is still said.
+  if (may_read_()) {
+    unsaid_loss_.clear();
+    observer_.on_lost(epoch_, reason);
+  } else {
+    unsaid_loss_ = reason;
+  }
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/worker_event_feed.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/index/kv_events.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+// Long-polls one worker's events, puts them in order of `seq`, and finds out when some are missing:
+// the change detection that WCIP 4.2 leaves to the origin. Owned by WorkerEventReader; event loop
+// thread only.
+class WorkerEventFeed {
+ public:
+  struct Observer {
+    // The worker's cache has begun a new epoch (also the first one seen).
+    std::function<void(uint64_t epoch)> on_epoch;
+    // Events of `epoch` are missing for good, or the worker can't be read.
+    std::function<void(uint64_t epoch, const std::string& reason)> on_lost;
+    // `version` is the newest version of the worker's object known when the poll was sent.
+    std::function<void(const channels::ObjectVersion& version, KvEvent event)> on_event;
+  };
+  struct Options {
+    runtime::Duration wait = std::chrono::seconds(2);
+    // How long a missing `seq` may still come late before it counts as lost.
+    runtime::Duration reorder_window = std::chrono::milliseconds(500);
+    // Without an answer for this long, the worker's entries lose their trust.
+    runtime::Duration silence_limit = std::chrono::seconds(6);
+    runtime::Duration retry_delay = std::chrono::milliseconds(250);
+    size_t max_body_bytes = 8 * 1024 * 1024;
+  };
+
+  // `may_read`: whether this gateway still holds the worker's lease; asked before each poll and
+  // before each answer is used.
+  WorkerEventFeed(runtime::Runtime* runtime, Options options, std::string worker_id,
+                  std::string endpoint, const channels::ObjectTrust* trust,
+                  std::function<bool()> may_read, Observer observer);
+  WorkerEventFeed(const WorkerEventFeed&) = delete;
+  WorkerEventFeed& operator=(const WorkerEventFeed&) = delete;
+
+  void Start();
+  const std::string& endpoint() const { return endpoint_; }
+  uint64_t epoch() const { return epoch_; }
+  uint64_t events_read() const { return events_read_; }
+
+ private:
+  void Poll();
+  void OnEnd();
+  void OnFailure();
+  void TakeBatch(KvEventBatch batch);
+  void TakeEvent(KvEvent event);
+  void NoteMissing(uint64_t from, uint64_t to);
+  void CheckMissing();
+  void CheckSilence();
+  void Lost(const std::string& reason);
+
+  runtime::Runtime* const runtime_;
+  const Options options_;
+  const std::string worker_id_;
+  const std::string endpoint_;
+  const channels::ObjectTrust* const trust_;
+  const std::function<bool()> may_read_;
+  const Observer observer_;
+
+  uint64_t epoch_ = 0;
+  uint64_t read_up_to_ = 0;  // `after` of the next poll
+  uint64_t events_read_ = 0;
+  // Missing sequence numbers, and when each counts as lost.
+  absl::btree_map<uint64_t, runtime::MonotonicTime> missing_;
+  channels::ObjectVersion version_at_poll_;
+  std::unique_ptr<http::Call> call_;
+  int status_ = 0;
+  std::string body_;
+  runtime::MonotonicTime last_answer_;
+  bool silence_reported_ = false;
+  std::string unsaid_loss_;  // its reason; found while the lease was not held
+  runtime::Timer poll_timer_;
+  runtime::Timer missing_timer_;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/worker_event_reader.cc
@@ -0,0 +1,191 @@
+#include "posthatch/index/worker_event_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace posthatch::index {
+namespace {
+
+// An event may come before the dispatching gateway's report: it waits this long for it.
+constexpr runtime::Duration kAttributionWait = std::chrono::seconds(3);
+constexpr runtime::Duration kAttributionRetry = std::chrono::milliseconds(100);
+constexpr size_t kMaxUnattributedEvents = 4096;
+
+}  // namespace
+
+WorkerEventReader::WorkerEventReader(runtime::Runtime* runtime, WorkerEventFeed::Options options,
+                                     Parts parts)
+    : runtime_(runtime), options_(options), parts_(parts), retry_timer_(runtime->timers) {}
+
+bool WorkerEventReader::HoldsLease(const std::string& worker, uint64_t fencing_token) const {
+  if (!parts_.fleet->LeaseValid()) return false;
+  for (const control::WorkerLease& lease : parts_.fleet->state().leases()) {
+    if (lease.worker_id() != worker) continue;
+    return lease.holder() == runtime_->transport->node_id() &&
+           lease.holder_incarnation() == runtime_->transport->incarnation() &&
+           lease.fencing_token() == fencing_token;
+  }
+  return false;
+}
+
+void WorkerEventReader::FollowFleet(const control::FleetState& state) {
+  absl::btree_map<std::string, std::string> endpoints;
+  for (const control::Backend& backend : state.inventory().backends()) {
+    if (backend.kind() == control::BACKEND_KIND_WORKER) {
+      endpoints[backend.id()] = backend.endpoint();
+    }
+  }
+  absl::btree_map<std::string, uint64_t> held;
+  for (const control::WorkerLease& lease : state.leases()) {
+    if (lease.holder() == runtime_->transport->node_id() &&
+        lease.holder_incarnation() == runtime_->transport->incarnation() &&
+        endpoints.contains(lease.worker_id())) {
+      held[lease.worker_id()] = lease.fencing_token();
+    }
+  }
+  for (auto it = feeds_.begin(); it != feeds_.end();) {
+    const auto lease = held.find(it->first);
+    if (lease == held.end() || lease->second != it->second.fencing_token ||
+        endpoints[it->first] != it->second.feed->endpoint()) {
+      parts_.publisher->End(it->first);
+      it = feeds_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const auto& [worker, token] : held) {
+    if (!feeds_.contains(worker)) StartFeed(worker, endpoints[worker], token);
+  }
+}
+
+void WorkerEventReader::StartFeed(const std::string& worker, const std::string& endpoint,
+                                  uint64_t fencing_token) {
+  WorkerEventFeed::Observer observer;
+  observer.on_epoch = [this, worker, fencing_token](uint64_t epoch) {
+    OnEpoch(worker, fencing_token, epoch);
+  };
+  observer.on_lost = [this, worker](uint64_t epoch, const std::string& reason) {
+    OnLost(worker, epoch, reason);
+  };
+  observer.on_event = [this, worker](const channels::ObjectVersion& version, KvEvent event) {
+    OnEvent(worker, version, std::move(event));
+  };
+  Feed& feed = feeds_[worker];
+  feed.fencing_token = fencing_token;
+  feed.feed = std::make_unique<WorkerEventFeed>(
+      runtime_, options_, worker, endpoint, parts_.trust,
+      [this, worker, fencing_token] { return HoldsLease(worker, fencing_token); },
+      std::move(observer));
+  feed.feed->Start();
+}
+
+void WorkerEventReader::OnEpoch(const std::string& worker, uint64_t fencing_token, uint64_t epoch) {
+  ++stats_.epochs;
+  const std::string object = HolderObject(HolderKind::kWorker, worker);
+  channels::ObjectVersion version;
+  const bool known = parts_.trust->CurrentVersion(object, &version) && version.epoch() == epoch;
+  if (!known) {
+    parts_.locator->DropHolder(HolderKind::kWorker, worker);
+    parts_.reporter->Report(object, epoch, /*lost=*/false, "new epoch");
+  }
+  parts_.publisher->Begin(worker, epoch, fencing_token);
+}
+
+void WorkerEventReader::OnLost(const std::string& worker, uint64_t epoch,
+                               const std::string& reason) {
+  ++stats_.losses;
+  parts_.locator->DropHolder(HolderKind::kWorker, worker);
+  parts_.reporter->Report(HolderObject(HolderKind::kWorker, worker), epoch, /*lost=*/true, reason);
+  runtime_->trace->Event(runtime::Severity::kInfo, "KvEventsLost",
+                         {{"worker", worker}, {"epoch", epoch}, {"reason", reason}});
+}
+
+void WorkerEventReader::OnEvent(const std::string& worker, const channels::ObjectVersion& version,
+                                KvEvent event) {
+  if (event.type == KvEvent::Type::kRemoved) {
+    stats_.removed_blocks += event.blocks.size();
+    parts_.locator->Remove(HolderKind::kWorker, worker, event.blocks);
+    parts_.publisher->Removed(worker, event.blocks);
+    ForgetUnattributed(worker, event.blocks);
+    return;
+  }
+  stats_.stored_blocks += event.blocks.size();
+  if (TakeStored(worker, version, event)) return;
+  if (unattributed_.size() >= kMaxUnattributedEvents) {
+    stats_.unattributed_blocks += unattributed_.front().event.blocks.size();
+    unattributed_.pop_front();
+  }
+  unattributed_.push_back(
+      {worker, version, std::move(event), runtime_->clock->Now() + kAttributionWait});
+  if (!retry_timer_.running()) {
+    retry_timer_.Start(kAttributionRetry, [this] { RetryUnattributed(); });
+  }
+}
+
+void WorkerEventReader::ForgetUnattributed(const std::string& worker,
+                                           const std::vector<BlockHash>& removed) {
+  const absl::flat_hash_set<BlockHash> gone(removed.begin(), removed.end());
+  for (Unattributed& waiting : unattributed_) {
+    if (waiting.worker != worker) continue;
+    std::vector<BlockHash>& blocks = waiting.event.blocks;
+    blocks.erase(std::remove_if(blocks.begin(), blocks.end(),
+                                [&gone](BlockHash block) { return gone.contains(block); }),
+                 blocks.end());
+  }
+}
+
+std::vector<BlockHash> WorkerEventReader::Attribute(const KvEvent& event, BlockSeed* seed) const {
+  if (!event.attempt.empty()) {
+    const BlockSeed* of_attempt = parts_.attributions->FindAttempt(event.attempt);
+    if (of_attempt != nullptr) {
+      *seed = *of_attempt;
+      return event.blocks;
+    }
+  }
+  std::vector<BlockHash> attributed;
+  const BlockSeed* first = nullptr;
+  for (const BlockHash block : event.blocks) {
+    const BlockSeed* of_block = parts_.attributions->FindBlock(block);
+    if (of_block == nullptr) continue;
+    if (first == nullptr) first = of_block;
+    if (of_block == first) attributed.push_back(block);
+  }
+  if (first != nullptr) *seed = *first;
+  return attributed;
+}
+
+bool WorkerEventReader::TakeStored(const std::string& worker,
+                                   const channels::ObjectVersion& version, const KvEvent& event) {
+  if (event.blocks.empty()) return true;
+  BlockSeed seed;
+  const std::vector<BlockHash> blocks = Attribute(event, &seed);
+  if (blocks.empty()) return false;
+  if (!parts_.locator->Add(HolderKind::kWorker, worker, version, seed, blocks)) {
+    return true;  // of a version that is not the newest: of no use any more
+  }
+  Extent extent = MakeExtent(worker, version, seed);
+  extent.set_block_hashes(PackBlocks(blocks));
+  extent.set_first_block(event.first);
+  parts_.publisher->Stored(worker, extent);
+  return true;
+}
+
+void WorkerEventReader::RetryUnattributed() {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  std::deque<Unattributed> still_waiting;
+  for (Unattributed& waiting : unattributed_) {
+    if (now >= waiting.given_up_at) {
+      stats_.unattributed_blocks += waiting.event.blocks.size();
+    } else if (!TakeStored(waiting.worker, waiting.version, waiting.event)) {
+      still_waiting.push_back(std::move(waiting));
+    }
+  }
+  unattributed_ = std::move(still_waiting);
+  if (!unattributed_.empty()) {
+    retry_timer_.Start(kAttributionRetry, [this] { RetryUnattributed(); });
+  }
+}
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/worker_event_reader.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/control/control_client.h"
+#include "posthatch/index/attribution_table.h"
+#include "posthatch/index/index_update_publisher.h"
+#include "posthatch/index/observation_reporter.h"
+#include "posthatch/index/trusted_prefix_locator.h"
+#include "posthatch/index/worker_event_feed.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::index {
+
+struct WorkerEventReaderStats {
+  uint64_t stored_blocks = 0;
+  uint64_t removed_blocks = 0;
+  uint64_t unattributed_blocks = 0;  // given up: never trusted
+  uint64_t losses = 0;
+  uint64_t epochs = 0;
+};
+
+// Reads the events of every worker whose lease this gateway holds, reports epochs and losses to the
+// controllers, and adds and publishes what can be attributed to a dispatch. Events name neither
+// model revision nor tenant: a block whose seed is not known from a dispatch is never added. Owned
+// by IndexNode, which outlives it. Event loop thread only.
+class WorkerEventReader {
+ public:
+  struct Parts {
+    control::FleetView* fleet = nullptr;
+    const channels::ObjectTrust* trust = nullptr;
+    ObservationReporter* reporter = nullptr;
+    IndexUpdatePublisher* publisher = nullptr;
+    AttributionTable* attributions = nullptr;
+    TrustedPrefixLocator* locator = nullptr;
+  };
+
+  WorkerEventReader(runtime::Runtime* runtime, WorkerEventFeed::Options options, Parts parts);
+  WorkerEventReader(const WorkerEventReader&) = delete;
+  WorkerEventReader& operator=(const WorkerEventReader&) = delete;
+
+  // Follows the leases and addresses of `state`.
+  void FollowFleet(const control::FleetState& state);
+  // New attributions have come: looks at the events that wait for one.
+  void RetryUnattributed();
+
+  size_t feed_count() const { return feeds_.size(); }
+  const WorkerEventReaderStats& stats() const { return stats_; }
+
+ private:
+  struct Feed {
+    uint64_t fencing_token = 0;
+    std::unique_ptr<WorkerEventFeed> feed;
+  };
+  struct Unattributed {
+    std::string worker;
+    channels::ObjectVersion version;
+    KvEvent event;
+    runtime::MonotonicTime given_up_at;
+  };
+
+  bool HoldsLease(const std::string& worker, uint64_t fencing_token) const;
+  void StartFeed(const std::string& worker, const std::string& endpoint, uint64_t fencing_token);
+  void OnEpoch(const std::string& worker, uint64_t fencing_token, uint64_t epoch);
+  void OnLost(const std::string& worker, uint64_t epoch, const std::string& reason);
+  void OnEvent(const std::string& worker, const channels::ObjectVersion& version, KvEvent event);
+  // What `worker` has removed must not be added when its attribution comes.
+  void ForgetUnattributed(const std::string& worker, const std::vector<BlockHash>& removed);
+  // The blocks of `event` whose seed is known, and the seed.
+  std::vector<BlockHash> Attribute(const KvEvent& event, BlockSeed* seed) const;
+  // False if the event's seed is not known yet.
+  bool TakeStored(const std::string& worker, const channels::ObjectVersion& version,
+                  const KvEvent& event);
+
+  runtime::Runtime* const runtime_;
+  const WorkerEventFeed::Options options_;
+  const Parts parts_;
+  absl::btree_map<std::string, Feed> feeds_;
+  std::deque<Unattributed> unattributed_;
+  runtime::Timer retry_timer_;
+  WorkerEventReaderStats stats_;
+};
+
+}  // namespace posthatch::index
