Declare the stand-ins and record histories

The rehearsal's checks and fleets need the constructors, settings and recorders of the stand-ins before these work. Histories are appended line by line and handed to the system before the effect they record, so a killed stand-in loses none; buffering them was ruled out for that reason.

--- /dev/null
+++ b/src/posthatch/rehearse/history/recorders.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "posthatch/rehearse/history/history.pb.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::rehearse {
+
+// Appends each event as one line of protobuf JSON. The line is handed to the operating system
+// before Record returns, so that what a process recorded outlives its kill; nothing is kept in
+// memory. Used by one thread.
+class JsonlHistoryRecorder : public HistoryRecorder {
+ public:
+  // Opens `path` for appending. Errors: Unavailable with the system's reason.
+  static absl::StatusOr<std::unique_ptr<JsonlHistoryRecorder>> Open(const runtime::Clock* clock,
+                                                                    std::string recorder_name,
+                                                                    const std::string& path);
+  ~JsonlHistoryRecorder() override;
+  JsonlHistoryRecorder(const JsonlHistoryRecorder&) = delete;
+  JsonlHistoryRecorder& operator=(const JsonlHistoryRecorder&) = delete;
+
+  void Record(HistoryEvent event) override;
+  // Events that could not be written (disk full); a rehearsal with such a loss proves nothing.
+  uint64_t lost_events() const { return lost_events_; }
+
+ private:
+  JsonlHistoryRecorder(const runtime::Clock* clock, std::string recorder_name, std::FILE* file);
+
+  const runtime::Clock* const clock_;
+  const std::string recorder_name_;
+  std::FILE* const file_;
+  uint64_t lost_events_ = 0;
+};
+
+// Keeps the events in a list that many recorders may share; for the simulator and tests. The list
+// outlives the recorder, so a simulated crash loses nothing of it.
+class MemoryHistoryRecorder : public HistoryRecorder {
+ public:
+  MemoryHistoryRecorder(const runtime::Clock* clock, std::string recorder_name,
+                        std::vector<HistoryEvent>* events);
+
+  void Record(HistoryEvent event) override;
+
+ private:
+  const runtime::Clock* const clock_;
+  const std::string recorder_name_;
+  std::vector<HistoryEvent>* const events_;
+};
+
+// What LoadHistory found in one file.
+struct LoadedHistory {
+  std::vector<HistoryEvent> events;  // in file order
+  // A last line without its end, as a killed process may leave; it is not among the events.
+  bool truncated_end = false;
+};
+
+// Reads a file written by JsonlHistoryRecorder. Errors: NotFound, DataLoss (a malformed line that
+// isn't the last one, with its number).
+absl::StatusOr<LoadedHistory> LoadHistory(const std::string& path);
+
+// Orders events of several recorders by time; those of one recorder keep their order.
+void SortByTime(std::vector<HistoryEvent>* events);
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/standins/caller_load.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+#include "posthatch/standins/traffic_mix.h"
+
+namespace posthatch::standins {
+
+struct CallerLoadOptions {
+  TrafficMix mix;
+  std::vector<std::string> gateways;  // HTTP endpoints "ip:port"; each call goes to a random one
+  std::string name = "callers";       // prefix of nonces and keys: unique among loads of one run
+  runtime::Duration head_timeout = std::chrono::seconds(20);
+  runtime::Duration piece_timeout = std::chrono::seconds(10);
+  // Before a lost answer's request is sent again, to another gateway; Retry-After lengthens it.
+  runtime::Duration resend_delay = std::chrono::milliseconds(300);
+  uint32_t max_in_flight = 2000;  // beyond, arrivals are skipped and counted
+};
+
+// Counts of the calls so far, for progress lines; checks use the history.
+struct CallerLoadCounts {
+  uint64_t sent = 0;
+  uint64_t completed = 0;
+  uint64_t refused = 0;
+  uint64_t unknown = 0;  // no answer, cut, or left by the caller
+  uint64_t skipped = 0;  // over max_in_flight
+  uint64_t in_flight = 0;
+};
+
+// Callers: an open loop with Poisson arrivals. Requests that may not be repeated are sent again
+// with the same key after a lost answer, to another gateway. Records CallSent and CallEnded. Event
+// loop thread only; owned by the rehearsal.
+class CallerLoad {
+ public:
+  // `runtime` and `recorder` outlive the load.
+  CallerLoad(runtime::Runtime* runtime, CallerLoadOptions options,
+             rehearse::HistoryRecorder* recorder);
+  ~CallerLoad();
+  CallerLoad(const CallerLoad&) = delete;
+  CallerLoad& operator=(const CallerLoad&) = delete;
+
+  void Start();
+  // No new requests; `done` runs when those in flight have ended, with their resends.
+  void Stop(std::function<void()> done);
+  // Gateways that moved or were replaced.
+  void SetGateways(std::vector<std::string> gateways);
+  CallerLoadCounts counts() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/key_probe.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::standins {
+
+struct KeyProbeOptions {
+  std::vector<std::string> gateways;  // HTTP endpoints; each is asked in every round
+  std::string name = "probe";
+  std::string tenant = "key-probe";
+  std::string model = "race-7b";  // asked for one token
+  runtime::Duration interval = std::chrono::milliseconds(500);
+  runtime::Duration head_timeout = std::chrono::seconds(5);
+  // Newest generation that an operator has sent (OperatorStandIn::newest_generation).
+  std::function<uint64_t()> newest_generation;
+};
+
+// Callers that ask every gateway with the newest key of the probe tenant and with the one before
+// it: status 401 tells which configuration a gateway decides by. Records CallSent (with `probe` and
+// the key's id) and CallEnded. Event loop thread only.
+class KeyProbe {
+ public:
+  KeyProbe(runtime::Runtime* runtime, KeyProbeOptions options, rehearse::HistoryRecorder* recorder);
+  ~KeyProbe();
+  KeyProbe(const KeyProbe&) = delete;
+  KeyProbe& operator=(const KeyProbe&) = delete;
+
+  void Start();
+  // No new rounds; calls in flight are recorded as left.
+  void Stop();
+  void SetGateways(std::vector<std::string> gateways);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/operator_standin.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/control/configuration.pb.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::standins {
+
+struct OperatorOptions {
+  std::vector<std::string> nodes;  // HTTP endpoints of gateways and controllers
+  std::string name = "operator";   // prefix of request ids: unique among operators of one run
+  std::string admin_token;         // bearer token; empty: none is sent
+  runtime::Duration answer_timeout = std::chrono::seconds(12);
+  runtime::Duration resend_delay = std::chrono::milliseconds(500);
+  uint32_t max_sends = 30;  // of one change
+  // Every so often the probe tenant's key is changed by a configuration patch; zero: never.
+  runtime::Duration rotation_interval = std::chrono::seconds(3);
+  std::string probe_tenant = "key-probe";
+  // Rotations that a second operator races for the same version, at another node.
+  double racing_share = 0.25;
+  // Answered changes sent once more with their request id, as if the answer had been lost.
+  double repeated_share = 0.25;
+  runtime::Duration read_interval = std::chrono::seconds(5);  // of StateRead; zero: never
+};
+
+// How a change ended for the operator.
+struct ChangeOutcome {
+  bool acknowledged = false;
+  bool refused = false;  // neither: no answer after all sends
+  std::string code;      // of the refusal
+  uint64_t version = 0;  // configuration version or model revision
+};
+
+// Operators: send changes to any node, again with the same request id to another one after a lost
+// answer, race for versions, read the state back, and rotate a probe tenant's key so that the
+// configuration in force can be seen from outside. Records ChangeSent (each send), ChangeAnswered
+// (each answer) and StateRead. Event loop thread only.
+class OperatorStandIn {
+ public:
+  using ChangeDone = std::function<void(const ChangeOutcome&)>;
+
+  // `runtime` and `recorder` outlive the stand-in.
+  OperatorStandIn(runtime::Runtime* runtime, OperatorOptions options,
+                  rehearse::HistoryRecorder* recorder);
+  ~OperatorStandIn();
+  OperatorStandIn(const OperatorStandIn&) = delete;
+  OperatorStandIn& operator=(const OperatorStandIn&) = delete;
+
+  // Begins key rotations and reads.
+  void Start();
+  // No new changes; `done` runs when those under way have ended.
+  void Stop(std::function<void()> done);
+
+  // Whole configuration; `expected_version` 0: whatever is newest.
+  void SetConfiguration(const control::Configuration& configuration, uint64_t expected_version,
+                        ChangeDone done);
+  void PatchConfiguration(const control::ConfigurationPatch& patch, uint64_t expected_version,
+                          std::string detail, ChangeDone done);
+  // Keeps new work away from `zone`, or lets it return.
+  void Evacuate(const std::string& name, const std::string& zone, bool lifted, ChangeDone done);
+  void SetModelRevision(const std::string& model, const std::string& weights, ChangeDone done);
+  // Reads configuration history, evacuations and revisions of one node; `done` says whether all
+  // answered.
+  void ReadState(const std::string& node, std::function<void(bool)> done);
+
+  void SetNodes(std::vector<std::string> nodes);
+  // Newest generation of the probe tenant's key that was sent; 0 before the first rotation.
+  uint64_t newest_generation() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// Key of the probe tenant in one generation, and its name in histories ("<tenant>/<generation>").
+std::string ProbeKey(const std::string& tenant, uint64_t generation);
+std::string ProbeKeyId(const std::string& tenant, uint64_t generation);
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/service_standin.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::standins {
+
+struct ServiceSettings {
+  std::string id;
+  std::string zone;
+  std::string service = "lobby";
+  std::string listen = "127.0.0.1:0";  // "ip:port"; port 0: chosen by the system
+  runtime::Duration execution = std::chrono::milliseconds(15);
+  uint32_t max_running = 256;  // beyond: 429 overloaded, proved not executed
+};
+
+// What the service does wrong, changed by PUT /debug/behaviour (fields of the same names). Shares
+// are chances from 0 to 1 for each operation.
+struct ServiceBehaviour {
+  uint32_t answers_late_ms = 0;  // after the execution
+  double answers_late_share = 0;
+  // The operation begins this late, also when the caller has gone by then.
+  uint32_t start_late_ms = 0;
+  double start_late_share = 0;
+  double answers_lost_share = 0;     // connection broken after the execution
+  double requests_lost_share = 0;    // connection broken before any execution
+  double answers_twice_share = 0;    // the answer comes again, in place of the next request's own
+  double answers_crossed_share = 0;  // head and body of another request's answer
+  double answers_crossed_body_share = 0;  // only the body; the head echoes this attempt
+  double answers_cut_share = 0;           // broken after half of the body
+  double slow_factor = 1;                 // of `execution`
+};
+
+// Stand-in for an application service (docs/BACKENDS.md): records each start (RunStarted) and
+// removes no doubles. An execution goes on when its caller leaves. Event loop thread only.
+class ServiceStandIn {
+ public:
+  ServiceStandIn(runtime::Runtime* runtime, ServiceSettings settings,
+                 rehearse::HistoryRecorder* recorder);
+  ~ServiceStandIn();
+  ServiceStandIn(const ServiceStandIn&) = delete;
+  ServiceStandIn& operator=(const ServiceStandIn&) = delete;
+
+  // Listens and serves. Errors: those of HttpServerFactory::Listen.
+  absl::Status Start();
+  const std::string& endpoint() const;
+  void SetBehaviour(const ServiceBehaviour& behaviour);
+  const ServiceBehaviour& behaviour() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/store_standin.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::standins {
+
+struct StoreSettings {
+  std::string id;
+  std::string zone;
+  std::string listen = "127.0.0.1:0";  // "ip:port"; port 0: chosen by the system
+  uint64_t capacity_blocks = 200000;   // the least recently used block goes first
+  uint64_t kv_bytes_per_block = 2 * 1024 * 1024;
+  uint64_t link_bytes_per_second = 1024ull * 1024 * 1024;
+};
+
+// Stand-in for the store of kept KV blocks (docs/BACKENDS.md). It forgets everything when it is
+// destroyed and begins a new epoch at each start. Checks neither tenant nor version. Event loop
+// thread only.
+class StoreStandIn {
+ public:
+  StoreStandIn(runtime::Runtime* runtime, StoreSettings settings,
+               rehearse::HistoryRecorder* recorder);
+  ~StoreStandIn();
+  StoreStandIn(const StoreStandIn&) = delete;
+  StoreStandIn& operator=(const StoreStandIn&) = delete;
+
+  // Listens and serves. Errors: those of HttpServerFactory::Listen.
+  absl::Status Start();
+  const std::string& endpoint() const;
+  // Forgets all blocks and begins a new epoch, as a restart would.
+  void GoCold();
+  uint64_t epoch() const;
+  uint64_t kept_blocks() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/traffic_mix.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "posthatch/control/configuration.pb.h"
+#include "posthatch/runtime/clock.h"
+
+// What callers send. A mix is plain data: the scenario file changes its fields, the presets are the
+// two deployments of the brief.
+namespace posthatch::standins {
+
+// A tenant, its key and its pool of long shared prefixes.
+struct TenantTraffic {
+  std::string name;
+  std::string key;
+  std::string key_id;  // names the key in histories, where keys never stand
+  double share = 1;    // of the requests, relative to other tenants
+  bool isolated = false;
+  uint32_t histories = 8;      // long prefixes that its requests begin with
+  double zipf_exponent = 1.1;  // of the choice among them
+  uint32_t first_prompt_bytes = 4096;
+  uint32_t turn_bytes = 256;              // added to a history by each request
+  uint32_t longest_prompt_bytes = 16384;  // then the history starts anew
+};
+
+enum class OperationKind { kCompletions, kChat, kService };
+
+struct OperationTraffic {
+  OperationKind kind = OperationKind::kCompletions;
+  double share = 1;  // relative to other operations
+  bool stream = false;
+  std::string model;  // completions and chat
+  uint32_t max_tokens = 16;
+  std::string service;  // kService
+  std::string operation;
+  bool non_repeatable = false;
+};
+
+struct TrafficMix {
+  std::string name;
+  double requests_per_second = 50;
+  std::vector<TenantTraffic> tenants;
+  std::vector<OperationTraffic> operations;
+  double kept_connection_share = 0.7;  // others ask for a fresh connection
+  double leaving_share = 0.01;         // callers that give up in the middle
+  double slow_reader_share = 0.02;     // streams read with pauses
+  // Keyed operations also sent to a second gateway at once, as an impatient client would.
+  double racing_share = 0.02;
+  // Answered keyed operations sent once more, as if the answer had been lost on the way.
+  double repeated_share = 0.02;
+  uint32_t max_sends = 4;  // of one logical request, with resends after lost answers
+};
+
+// Nilestone: verdicts over long race histories, rival suggestions, chat moderation, and lobby
+// placements that may not be repeated (a fifth); 50 requests/s, 8 tenants.
+TrafficMix NilestoneMix();
+// Kovinar: licence diagnoses, renewal quotes, seat questions (nearly half), and checkout
+// heartbeats that may not be repeated; 55 requests/s, 8 tenants.
+TrafficMix KovinarMix();
+// "nilestone" or "kovinar". Errors: NotFound.
+absl::StatusOr<TrafficMix> FindMix(std::string_view name);
+
+// Lower-case hexadecimal SHA-256, the form in which a configuration names keys.
+std::string KeySha256(std::string_view key);
+// The configuration under which every request of the mix is allowed: tenants with their keys,
+// isolation of the isolated ones, service routes, models (blocks of `block_tokens`).
+control::Configuration ConfigurationFor(const TrafficMix& mix, uint32_t block_tokens);
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/worker_standin.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+#include "posthatch/standins/worker_settings.h"
+
+namespace posthatch::standins {
+
+// Stand-in for a language-model worker (docs/BACKENDS.md, "Worker"): a prefix cache in blocks,
+// prefill and decoding by a stated timing model, KV events, weight loading under fencing tokens.
+// Records RunStarted, RunEnded, OrderSeen and RevisionServed. Owned by its process; event loop
+// thread only. Destroying it ends every run and connection at once.
+class WorkerStandIn {
+ public:
+  // `runtime` and `recorder` outlive the stand-in.
+  WorkerStandIn(runtime::Runtime* runtime, WorkerSettings settings,
+                rehearse::HistoryRecorder* recorder);
+  ~WorkerStandIn();
+  WorkerStandIn(const WorkerStandIn&) = delete;
+  WorkerStandIn& operator=(const WorkerStandIn&) = delete;
+
+  // Listens and serves. Errors: those of HttpServerFactory::Listen.
+  absl::Status Start();
+  // "ip:port" in use; valid after Start.
+  const std::string& endpoint() const;
+
+  // For tests and the simulator: the same as PUT /debug/behaviour.
+  void SetBehaviour(const WorkerBehaviour& behaviour);
+  const WorkerBehaviour& behaviour() const;
+  // Drops the whole cache and begins a new epoch, as a restart would.
+  void GoCold();
+  uint64_t epoch() const;
+  uint64_t model_revision() const;
+  uint64_t kept_blocks() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace posthatch::standins
