--- /dev/null
+++ b/src/posthatch/standins/inventory_standin.cc
@@ -0,0 +1,255 @@
+#include "posthatch/standins/inventory_standin.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/routed_server.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+using WriterPointer = std::shared_ptr<http::ResponseWriter>;
+
+namespace {
+
+json::object ToJson(const InventoryBackend& backend) {
+  json::object labels;
+  for (const auto& [key, value] : backend.labels) labels[key] = value;
+  return {{"id", backend.id},
+          {"kind", backend.kind},
+          {"endpoint", backend.endpoint},
+          {"zone", backend.zone},
+          {"model", backend.model},
+          {"service", backend.service},
+          {"labels", std::move(labels)},
+          {"draining", backend.draining}};
+}
+
+InventoryBackend FromJson(const json::object& fields) {
+  InventoryBackend backend;
+  backend.id = TextField(fields, "id");
+  backend.kind = TextField(fields, "kind");
+  backend.endpoint = TextField(fields, "endpoint");
+  backend.zone = TextField(fields, "zone");
+  backend.model = TextField(fields, "model");
+  backend.service = TextField(fields, "service");
+  backend.draining = FlagField(fields, "draining");
+  if (const json::object* labels = ObjectField(fields, "labels")) {
+    for (const auto& entry : *labels) {
+      const std::string key(entry.key().data(), entry.key().size());
+      backend.labels[key] = TextField(*labels, key);
+    }
+  }
+  return backend;
+}
+
+}  // namespace
+
+class InventoryStandIn::Impl {
+ public:
+  Impl(runtime::Runtime* runtime, InventorySettings settings, rehearse::HistoryRecorder* recorder)
+      : runtime_(runtime),
+        settings_(std::move(settings)),
+        recorder_(recorder),
+        lateness_(settings_.lateness),
+        reads_per_second_(settings_.reads_per_second),
+        newest_(settings_.backends),
+        publish_timer_(runtime->timers),
+        server_(runtime) {}
+
+  absl::Status Start();
+  const std::string& endpoint() const { return server_.endpoint(); }
+  void SetBackends(std::vector<InventoryBackend> backends);
+  absl::Status SetDraining(const std::string& id, bool draining);
+  void SetLateness(runtime::Duration lateness) { lateness_ = lateness; }
+
+ private:
+  struct Pending {
+    runtime::MonotonicTime visible_at;
+    std::vector<InventoryBackend> backends;
+  };
+
+  void Read(const WriterPointer& writer);
+  void TakeBackends(const RoutedRequest& routed, const WriterPointer& writer);
+  void TakeDraining(const RoutedRequest& routed, const WriterPointer& writer);
+  void TakeBehaviour(const RoutedRequest& routed, const WriterPointer& writer);
+  void QueueNewest();
+  void PublishDue();
+  void Publish(std::vector<InventoryBackend> backends);
+  void RecordDraining(const std::string& id, bool draining);
+
+  runtime::Runtime* const runtime_;
+  const InventorySettings settings_;
+  rehearse::HistoryRecorder* const recorder_;
+  runtime::Duration lateness_;
+  double reads_per_second_;
+  double read_tokens_ = 1;
+  runtime::MonotonicTime tokens_as_of_;
+  std::vector<InventoryBackend> newest_;
+  std::deque<Pending> pending_;
+  runtime::Timer publish_timer_;
+  uint64_t version_ = 0;
+  std::vector<InventoryBackend> visible_;
+  RoutedServer server_;
+};
+
+absl::Status InventoryStandIn::Impl::Start() {
+  tokens_as_of_ = runtime_->clock->Now();
+  server_.Route("GET", "/v1/inventory",
+                [this](const RoutedRequest&, const WriterPointer& writer) { Read(writer); });
+  server_.Route("PUT", "/debug/backends",
+                [this](const RoutedRequest& routed, const WriterPointer& writer) {
+                  TakeBackends(routed, writer);
+                });
+  server_.Route("PUT", "/debug/draining",
+                [this](const RoutedRequest& routed, const WriterPointer& writer) {
+                  TakeDraining(routed, writer);
+                });
+  server_.Route("PUT", "/debug/behaviour",
+                [this](const RoutedRequest& routed, const WriterPointer& writer) {
+                  TakeBehaviour(routed, writer);
+                });
+  Publish(newest_);
+  return server_.Listen(settings_.listen);
+}
+
+// A token bucket that holds at most one second's worth.
+void InventoryStandIn::Impl::Read(const WriterPointer& writer) {
+  PublishDue();
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  const double seconds = std::chrono::duration<double>(now - tokens_as_of_).count();
+  read_tokens_ =
+      std::min(std::max(1.0, reads_per_second_), read_tokens_ + seconds * reads_per_second_);
+  tokens_as_of_ = now;
+  if (read_tokens_ < 1) {
+    const double wait_ms = (1 - read_tokens_) / std::max(reads_per_second_, 0.001) * 1000;
+    http::Response response = NotExecuted(429, "rate_limited", "the list is read too often");
+    response.headers.Add("Retry-After-Ms",
+                         std::to_string(static_cast<uint64_t>(std::ceil(wait_ms))));
+    writer->SendWhole(std::move(response));
+    return;
+  }
+  read_tokens_ -= 1;
+  json::array backends;
+  for (const InventoryBackend& backend : visible_) backends.push_back(ToJson(backend));
+  writer->SendWhole(
+      JsonResponse(200, json::object{{"version", version_}, {"backends", std::move(backends)}}));
+}
+
+void InventoryStandIn::Impl::TakeBackends(const RoutedRequest& routed,
+                                          const WriterPointer& writer) {
+  const absl::StatusOr<json::object> body = ParseObject(routed.request.body);
+  const json::array* list = body.ok() ? ArrayField(*body, "backends") : nullptr;
+  if (list == nullptr) {
+    writer->SendWhole(NotExecuted(400, "bad_request", "needs backends"));
+    return;
+  }
+  std::vector<InventoryBackend> backends;
+  for (const json::value& entry : *list) {
+    if (const json::object* fields = entry.if_object()) backends.push_back(FromJson(*fields));
+  }
+  SetBackends(std::move(backends));
+  writer->SendWhole(JsonResponse(200, json::object{{"backends", newest_.size()}}));
+}
+
+void InventoryStandIn::Impl::TakeDraining(const RoutedRequest& routed,
+                                          const WriterPointer& writer) {
+  const absl::StatusOr<json::object> body = ParseObject(routed.request.body);
+  const absl::Status set =
+      body.ok() ? SetDraining(TextField(*body, "id"), FlagField(*body, "draining")) : body.status();
+  if (set.ok()) {
+    writer->SendWhole(JsonResponse(200, json::object{{"ok", true}}));
+  } else {
+    writer->SendWhole(NotExecuted(400, "bad_request", util::ToStd(set.message())));
+  }
+}
+
+void InventoryStandIn::Impl::TakeBehaviour(const RoutedRequest& routed,
+                                           const WriterPointer& writer) {
+  const absl::StatusOr<json::object> body = ParseObject(routed.request.body);
+  if (!body.ok()) {
+    writer->SendWhole(NotExecuted(400, "bad_request", util::ToStd(body.status().message())));
+    return;
+  }
+  const auto old_ms = std::chrono::duration_cast<std::chrono::milliseconds>(lateness_).count();
+  lateness_ =
+      std::chrono::milliseconds(NumberField(*body, "lateness_ms", static_cast<uint64_t>(old_ms)));
+  if (body->contains("reads_per_second")) {
+    reads_per_second_ = static_cast<double>(NumberField(*body, "reads_per_second", 10));
+  }
+  writer->SendWhole(JsonResponse(200, json::object{{"ok", true}}));
+}
+
+void InventoryStandIn::Impl::SetBackends(std::vector<InventoryBackend> backends) {
+  newest_ = std::move(backends);
+  QueueNewest();
+}
+
+absl::Status InventoryStandIn::Impl::SetDraining(const std::string& id, bool draining) {
+  const auto entry =
+      std::find_if(newest_.begin(), newest_.end(),
+                   [&id](const InventoryBackend& backend) { return backend.id == id; });
+  if (entry == newest_.end()) return absl::NotFoundError(absl::StrCat("no back end ", id));
+  entry->draining = draining;
+  QueueNewest();
+  return absl::OkStatus();
+}
+
+void InventoryStandIn::Impl::QueueNewest() {
+  const runtime::Duration delay = runtime_->random->Between(lateness_ / 2, lateness_);
+  runtime::MonotonicTime visible_at = runtime_->clock->Now() + delay;
+  if (!pending_.empty()) visible_at = std::max(visible_at, pending_.back().visible_at);
+  pending_.push_back({visible_at, newest_});
+  PublishDue();
+}
+
+void InventoryStandIn::Impl::PublishDue() {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  while (!pending_.empty() && pending_.front().visible_at <= now) {
+    Publish(std::move(pending_.front().backends));
+    pending_.pop_front();
+  }
+  if (pending_.empty()) return;
+  publish_timer_.Start(pending_.front().visible_at - now, [this] { PublishDue(); });
+}
+
+void InventoryStandIn::Impl::Publish(std::vector<InventoryBackend> backends) {
+  std::map<std::string, bool> before;
+  for (const InventoryBackend& backend : visible_) before[backend.id] = backend.draining;
+  visible_ = std::move(backends);
+  ++version_;
+  for (const InventoryBackend& backend : visible_) {
+    if (before[backend.id] != backend.draining) RecordDraining(backend.id, backend.draining);
+  }
+}
+
+void InventoryStandIn::Impl::RecordDraining(const std::string& id, bool draining) {
+  rehearse::HistoryEvent event;
+  event.mutable_draining_shown()->set_backend(id);
+  event.mutable_draining_shown()->set_draining(draining);
+  recorder_->Record(std::move(event));
+}
+
+InventoryStandIn::InventoryStandIn(runtime::Runtime* runtime, InventorySettings settings,
+                                   rehearse::HistoryRecorder* recorder)
+    : impl_(std::make_unique<Impl>(runtime, std::move(settings), recorder)) {}
+
+InventoryStandIn::~InventoryStandIn() = default;
+
+absl::Status InventoryStandIn::Start() { return impl_->Start(); }
+const std::string& InventoryStandIn::endpoint() const { return impl_->endpoint(); }
+void InventoryStandIn::SetBackends(std::vector<InventoryBackend> backends) {
+  impl_->SetBackends(std::move(backends));
+}
+absl::Status InventoryStandIn::SetDraining(const std::string& id, bool draining) {
+  return impl_->SetDraining(id, draining);
+}
+void InventoryStandIn::SetLateness(runtime::Duration lateness) { impl_->SetLateness(lateness); }
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/kv_event_log.cc
@@ -0,0 +1,141 @@
+#include "posthatch/standins/kv_event_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/standins/json_body.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr uint64_t kLongestWaitMs = 30000;
+
+json::array HexArray(const std::vector<index::BlockHash>& blocks) {
+  json::array array;
+  array.reserve(blocks.size());
+  for (const index::BlockHash block : blocks) array.emplace_back(ToHex(block));
+  return array;
+}
+
+}  // namespace
+
+KvEventLog::KvEventLog(runtime::Runtime* runtime, uint64_t kept_events)
+    : runtime_(runtime), kept_events_(kept_events), visible_timer_(runtime->timers) {}
+
+void KvEventLog::Stored(const std::vector<index::BlockHash>& blocks, uint32_t first,
+                        const std::string& attempt, const WorkerBehaviour& behaviour) {
+  if (blocks.empty()) return;
+  json::object event = {{"type", "stored"}, {"blocks", HexArray(blocks)}, {"first", first}};
+  if (!attempt.empty()) event["attempt"] = attempt;
+  Append(std::move(event), behaviour);
+}
+
+void KvEventLog::Removed(const std::vector<index::BlockHash>& blocks,
+                         const WorkerBehaviour& behaviour) {
+  if (blocks.empty()) return;
+  Append({{"type", "removed"}, {"blocks", HexArray(blocks)}}, behaviour);
+}
+
+void KvEventLog::Append(json::object event, const WorkerBehaviour& behaviour) {
+  runtime::Random* random = runtime_->random;
+  if (random->Chance(behaviour.events_silent_share)) return;
+  event["seq"] = ++last_seq_;
+  Slot slot;
+  slot.seq = last_seq_;
+  slot.visible_at = runtime_->clock->Now() + std::chrono::milliseconds(behaviour.events_late_ms);
+  if (!slots_.empty()) slot.visible_at = std::max(slot.visible_at, slots_.back().visible_at);
+
+  if (random->Chance(behaviour.events_lost_mark_share)) {
+    slot.events.push_back({{"seq", last_seq_}, {"type", "lost"}});
+  } else if (random->Chance(behaviour.events_reordered_share)) {
+    held_back_.push_back(std::move(event));
+  } else if (!random->Chance(behaviour.events_lost_share)) {
+    if (random->Chance(behaviour.events_doubled_share)) slot.events.push_back(event);
+    slot.events.push_back(std::move(event));
+  }
+  if (!slot.events.empty()) {
+    std::move(held_back_.begin(), held_back_.end(), std::back_inserter(slot.events));
+    held_back_.clear();
+  }
+  slots_.push_back(std::move(slot));
+  while (slots_.size() > kept_events_) slots_.pop_front();
+  AnswerWaiting(/*all=*/false);
+  WakeWhenVisible();
+}
+
+void KvEventLog::StartEpoch(uint64_t epoch) {
+  epoch_ = epoch;
+  last_seq_ = 0;
+  slots_.clear();
+  held_back_.clear();
+  AnswerWaiting(/*all=*/true);
+}
+
+void KvEventLog::Poll(const RoutedRequest& request, std::shared_ptr<http::ResponseWriter> writer) {
+  const bool same_epoch = request.QueryNumber("epoch", 0) == epoch_;
+  const uint64_t after = same_epoch ? request.QueryNumber("after", 0) : 0;
+  const uint64_t wait_ms = std::min(request.QueryNumber("wait_ms", 0), kLongestWaitMs);
+  if (!same_epoch || wait_ms == 0 || VisibleUpTo() > after) {
+    Answer(after, writer.get());
+    return;
+  }
+  waiting_.emplace_front(runtime_->timers, after, writer);
+  const auto entry = waiting_.begin();
+  entry->timeout.Start(std::chrono::milliseconds(wait_ms), [this, entry] {
+    Answer(entry->after, entry->writer.get());
+    waiting_.erase(entry);
+  });
+  WakeWhenVisible();
+}
+
+uint64_t KvEventLog::VisibleUpTo() const {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  const auto hidden = std::partition_point(
+      slots_.begin(), slots_.end(), [now](const Slot& slot) { return slot.visible_at <= now; });
+  return hidden == slots_.begin() ? 0 : std::prev(hidden)->seq;
+}
+
+void KvEventLog::Answer(uint64_t after, http::ResponseWriter* writer) const {
+  json::array events;
+  const uint64_t up_to = VisibleUpTo();
+  const uint64_t first_kept = slots_.empty() ? last_seq_ + 1 : slots_.front().seq;
+  if (after + 1 < first_kept) {
+    events.push_back(json::object{{"seq", first_kept - 1}, {"type", "lost"}});
+  }
+  for (const Slot& slot : slots_) {
+    if (slot.seq <= after || slot.seq > up_to) continue;
+    for (const json::object& event : slot.events) events.push_back(event);
+  }
+  const json::object body = {
+      {"epoch", epoch_}, {"next", std::max(after, up_to)}, {"events", std::move(events)}};
+  writer->SendWhole(JsonResponse(200, body));
+}
+
+void KvEventLog::AnswerWaiting(bool all) {
+  const uint64_t up_to = VisibleUpTo();
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    if (all || up_to > entry->after) {
+      Answer(all ? 0 : entry->after, entry->writer.get());
+      entry = waiting_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+void KvEventLog::WakeWhenVisible() {
+  if (waiting_.empty()) return;
+  const uint64_t up_to = VisibleUpTo();
+  const auto next = std::find_if(slots_.begin(), slots_.end(),
+                                 [up_to](const Slot& slot) { return slot.seq > up_to; });
+  if (next == slots_.end()) return;
+  visible_timer_.Start(next->visible_at - runtime_->clock->Now(), [this] {
+    AnswerWaiting(/*all=*/false);
+    WakeWhenVisible();
+  });
+}
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/kv_event_log.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <boost/json/array.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/index/block_hash.h"
+#include "posthatch/runtime/runtime.h"
+#include "posthatch/standins/routed_server.h"
+#include "posthatch/standins/worker_settings.h"
+
+namespace posthatch::standins {
+
+// A worker's KV events in order of `seq`, with the defects of WorkerBehaviour, and the long polls
+// that wait for them (GET /kv_events). `next` of an answer is the `seq` read up to; it is sent as
+// `after` of the next poll. Event loop thread only.
+class KvEventLog {
+ public:
+  KvEventLog(runtime::Runtime* runtime, uint64_t kept_events);
+
+  void Stored(const std::vector<index::BlockHash>& blocks, uint32_t first,
+              const std::string& attempt, const WorkerBehaviour& behaviour);
+  void Removed(const std::vector<index::BlockHash>& blocks, const WorkerBehaviour& behaviour);
+  // A new epoch: all events are forgotten and `seq` starts again; waiting polls are answered.
+  void StartEpoch(uint64_t epoch);
+  void Poll(const RoutedRequest& request, std::shared_ptr<http::ResponseWriter> writer);
+
+ private:
+  // All that shows up at one `seq`: usually one event, none if it got lost.
+  struct Slot {
+    uint64_t seq = 0;
+    runtime::MonotonicTime visible_at;
+    std::vector<boost::json::object> events;
+  };
+  struct Waiting {
+    Waiting(runtime::TimerService* timers, uint64_t after_seq,
+            std::shared_ptr<http::ResponseWriter> response_writer)
+        : after(after_seq), writer(std::move(response_writer)), timeout(timers) {}
+    uint64_t after;
+    std::shared_ptr<http::ResponseWriter> writer;
+    runtime::Timer timeout;
+  };
+
+  void Append(boost::json::object event, const WorkerBehaviour& behaviour);
+  uint64_t VisibleUpTo() const;
+  void Answer(uint64_t after, http::ResponseWriter* writer) const;
+  void AnswerWaiting(bool all);
+  void WakeWhenVisible();
+
+  runtime::Runtime* const runtime_;
+  const uint64_t kept_events_;
+  uint64_t epoch_ = 0;
+  uint64_t last_seq_ = 0;
+  std::deque<Slot> slots_;
+  std::vector<boost::json::object> held_back_;  // shown with the next event (reordered)
+  std::list<Waiting> waiting_;
+  runtime::Timer visible_timer_;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/store_standin.cc
@@ -0,0 +1,112 @@
+#include "posthatch/standins/store_standin.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "posthatch/standins/block_cache.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/kv_transfer.h"
+#include "posthatch/standins/routed_server.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+using WriterPointer = std::shared_ptr<http::ResponseWriter>;
+
+class StoreStandIn::Impl {
+ public:
+  Impl(runtime::Runtime* runtime, StoreSettings settings)
+      : runtime_(runtime),
+        settings_(std::move(settings)),
+        cache_(settings_.capacity_blocks),
+        server_(runtime) {}
+
+  absl::Status Start();
+  void GoCold();
+  const std::string& endpoint() const { return server_.endpoint(); }
+  uint64_t epoch() const { return epoch_; }
+  uint64_t kept_blocks() const { return cache_.size(); }
+
+ private:
+  void Put(const RoutedRequest& routed, const WriterPointer& writer);
+  void Fetch(const RoutedRequest& routed, const WriterPointer& writer);
+
+  runtime::Runtime* const runtime_;
+  const StoreSettings settings_;
+  uint64_t epoch_ = 0;
+  BlockCache cache_;
+  RoutedServer server_;
+};
+
+absl::Status StoreStandIn::Impl::Start() {
+  GoCold();
+  server_.Route(
+      "POST", "/kv/put",
+      [this](const RoutedRequest& routed, const WriterPointer& writer) { Put(routed, writer); });
+  server_.Route(
+      "POST", "/kv/fetch",
+      [this](const RoutedRequest& routed, const WriterPointer& writer) { Fetch(routed, writer); });
+  server_.Route("GET", "/status", [this](const RoutedRequest&, const WriterPointer& writer) {
+    writer->SendWhole(JsonResponse(
+        200, json::object{{"id", settings_.id}, {"epoch", epoch_}, {"blocks", cache_.size()}}));
+  });
+  server_.Route("PUT", "/debug/behaviour",
+                [this](const RoutedRequest& routed, const WriterPointer& writer) {
+                  const absl::StatusOr<json::object> body = ParseObject(routed.request.body);
+                  if (body.ok() && FlagField(*body, "cold")) GoCold();
+                  writer->SendWhole(JsonResponse(200, json::object{{"epoch", epoch_}}));
+                });
+  return server_.Listen(settings_.listen);
+}
+
+void StoreStandIn::Impl::GoCold() {
+  cache_.Clear();
+  const auto now_us = static_cast<uint64_t>(runtime::ToNanoseconds(runtime_->clock->Now()) / 1000);
+  epoch_ = std::max(epoch_ + 1, now_us);
+}
+
+void StoreStandIn::Impl::Put(const RoutedRequest& routed, const WriterPointer& writer) {
+  const absl::StatusOr<json::object> body = ParseObject(routed.request.body);
+  if (!body.ok()) {
+    writer->SendWhole(NotExecuted(400, "bad_request", util::ToStd(body.status().message())));
+    return;
+  }
+  const std::vector<index::BlockHash> blocks = ReadBlocks(*body);
+  const std::vector<BlockMaker> makers = MakersFromJson(ArrayField(*body, "made_by"));
+  for (size_t i = 0; i < blocks.size(); ++i) {
+    cache_.Insert(blocks[i], i < makers.size() ? makers[i] : BlockMaker{});
+  }
+  writer->SendWhole(JsonResponse(200, json::object{{"epoch", epoch_}, {"blocks", blocks.size()}}));
+}
+
+void StoreStandIn::Impl::Fetch(const RoutedRequest& routed, const WriterPointer& writer) {
+  const absl::StatusOr<json::object> body = ParseObject(routed.request.body);
+  if (!body.ok()) {
+    writer->SendWhole(NotExecuted(400, "bad_request", util::ToStd(body.status().message())));
+    return;
+  }
+  const std::vector<BlockMaker> makers = cache_.Lookup(ReadBlocks(*body));
+  const runtime::Duration transfer =
+      TransferTime(makers.size(), settings_.kv_bytes_per_block, settings_.link_bytes_per_second);
+  runtime_->timers->Schedule(transfer,
+                             [writer, answer = FetchAnswer(settings_.id, epoch_, makers)] {
+                               writer->SendWhole(JsonResponse(200, answer));
+                             });
+}
+
+StoreStandIn::StoreStandIn(runtime::Runtime* runtime, StoreSettings settings,
+                           rehearse::HistoryRecorder* /*recorder*/)
+    : impl_(std::make_unique<Impl>(runtime, std::move(settings))) {}
+
+StoreStandIn::~StoreStandIn() = default;
+
+absl::Status StoreStandIn::Start() { return impl_->Start(); }
+const std::string& StoreStandIn::endpoint() const { return impl_->endpoint(); }
+void StoreStandIn::GoCold() { impl_->GoCold(); }
+uint64_t StoreStandIn::epoch() const { return impl_->epoch(); }
+uint64_t StoreStandIn::kept_blocks() const { return impl_->kept_blocks(); }
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/worker_run.cc
@@ -0,0 +1,299 @@
+#include "posthatch/standins/worker_run.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/kv_transfer.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr size_t kMostPushesInFlight = 32;
+constexpr runtime::Duration kFetchTimeout = std::chrono::seconds(5);
+
+}  // namespace
+
+WorkerRun::WorkerRun(WorkerState* state, std::string run_id, RunRequest request,
+                     runtime::MonotonicTime arrived, std::shared_ptr<http::ResponseWriter> writer,
+                     std::function<void()> ended)
+    : state_(state),
+      run_id_(std::move(run_id)),
+      request_(std::move(request)),
+      arrived_(arrived),
+      writer_(std::move(writer)),
+      ended_(std::move(ended)),
+      timer_(state->runtime->timers),
+      fetch_client_(state->runtime) {}
+
+void WorkerRun::Start() {
+  ++state_->running;
+  const std::string salt = state_->behaviour.ignore_salt ? std::string() : request_.cache_salt;
+  chain_ = index::HashBlocks(salt, request_.prompt,
+                             state_->settings.block_tokens * index::kBytesPerToken);
+  makers_ = state_->cache.Lookup(chain_);
+  own_blocks_ = static_cast<uint32_t>(makers_.size());
+  if (!request_.kv_source.empty() &&
+      own_blocks_ < std::min<size_t>(request_.kv_blocks, chain_.size())) {
+    Fetch();
+  } else {
+    Prefill();
+  }
+}
+
+void WorkerRun::Fetch() {
+  const size_t wanted = std::min<size_t>(request_.kv_blocks, chain_.size());
+  const std::vector<index::BlockHash> missing(chain_.begin() + own_blocks_,
+                                              chain_.begin() + static_cast<int64_t>(wanted));
+  http::CallOptions options;
+  options.head_timeout = kFetchTimeout;
+  fetch_client_.Send(request_.kv_source,
+                     JsonRequest("POST", "/kv/fetch", FetchBody(request_.cache_salt, missing)),
+                     options, [this](const absl::StatusOr<http::Response>& answer) {
+                       if (over_) return;
+                       TakeFetched(answer);
+                       Prefill();
+                     });
+}
+
+void WorkerRun::TakeFetched(const absl::StatusOr<http::Response>& answer) {
+  if (!answer.ok() || answer->status != 200) return;  // prefilled instead
+  const absl::StatusOr<json::object> body = ParseObject(answer->body);
+  if (!body.ok()) return;
+  std::vector<BlockMaker> fetched = MakersFromJson(ArrayField(*body, "made_by"));
+  fetched.resize(std::min(fetched.size(), chain_.size() - own_blocks_));
+  fetched_blocks_ = static_cast<uint32_t>(fetched.size());
+  fetched_from_ = TextField(*body, "holder", request_.kv_source);
+  makers_.insert(makers_.end(), fetched.begin(), fetched.end());
+}
+
+void WorkerRun::Prefill() {
+  RecordStart();
+  const size_t block_bytes = state_->settings.block_tokens * index::kBytesPerToken;
+  const size_t rest = request_.prompt.size() - reused_blocks() * block_bytes;
+  const auto blocks = static_cast<int64_t>((rest + block_bytes - 1) / block_bytes);
+  timer_.Start(state_->Slowed(blocks * state_->settings.timing.prefill_per_block), [this] {
+    KeepBlocks();
+    BeginAnswer();
+  });
+}
+
+void WorkerRun::RecordStart() {
+  rehearse::HistoryEvent event;
+  rehearse::RunStarted* started = event.mutable_run_started();
+  started->set_backend(state_->settings.id);
+  started->set_run(run_id_);
+  started->set_tenant(request_.tenant);
+  started->set_operation(request_.operation);
+  started->set_idempotency_key(request_.idempotency_key);
+  started->set_nonce(request_.nonce);
+  started->set_attempt(request_.attempt);
+  started->set_attempt_number(request_.attempt_number);
+  started->set_gateway(request_.gateway);
+  started->set_zone(state_->settings.zone);
+  started->set_model(state_->settings.model);
+  started->set_model_revision(state_->model_revision);
+  started->set_expected_revision(request_.expected_revision.value_or(0));
+  started->set_backend_epoch(state_->epoch);
+  started->set_prompt_blocks(static_cast<uint32_t>(chain_.size()));
+  started->set_running(state_->running);
+  started->set_up_since_ns(runtime::ToNanoseconds(state_->up_since));
+  started->set_arrived_ns(runtime::ToNanoseconds(arrived_));
+  for (size_t i = 0; i < makers_.size(); ++i) {
+    const bool first_fetched = i == own_blocks_;
+    if (i == 0 || first_fetched || !(makers_[i] == makers_[i - 1])) {
+      rehearse::ReusedBlocks* reused = started->add_reused();
+      reused->set_made_by_tenant(makers_[i].tenant);
+      reused->set_made_under_revision(makers_[i].model_revision);
+      if (i >= own_blocks_) reused->set_fetched_from(fetched_from_);
+    }
+    rehearse::ReusedBlocks* last = started->mutable_reused(started->reused_size() - 1);
+    last->set_blocks(last->blocks() + 1);
+  }
+  state_->recorder->Record(std::move(event));
+  started_ = true;
+}
+
+void WorkerRun::KeepBlocks() {
+  const BlockMaker self{request_.tenant, state_->model_revision};
+  std::vector<index::BlockHash> stored;
+  std::vector<index::BlockHash> removed;
+  for (size_t i = own_blocks_; i < chain_.size(); ++i) {
+    const BlockMaker& maker = i < makers_.size() ? makers_[i] : self;
+    for (const index::BlockHash hash : state_->cache.Insert(chain_[i], maker)) {
+      removed.push_back(hash);
+    }
+    stored.push_back(chain_[i]);
+  }
+  state_->events.Stored(stored, own_blocks_, request_.attempt, state_->behaviour);
+  state_->events.Removed(removed, state_->behaviour);
+  if (!state_->settings.store_endpoint.empty()) PushToStore();
+}
+
+void WorkerRun::PushToStore() {
+  if (reused_blocks() >= chain_.size()) return;
+  if (state_->client.in_flight() >= kMostPushesInFlight) return;
+  const std::vector<BlockMaker> makers(chain_.size() - reused_blocks(),
+                                       {request_.tenant, state_->model_revision});
+  json::array hashes;
+  for (size_t i = reused_blocks(); i < chain_.size(); ++i) hashes.emplace_back(ToHex(chain_[i]));
+  const json::object body = {{"salt", request_.cache_salt},
+                             {"blocks", std::move(hashes)},
+                             {"first", reused_blocks()},
+                             {"made_by", MakersToJson(makers)}};
+  // Whether the store took them is nobody's concern: it may forget everything at any time.
+  state_->client.Send(state_->settings.store_endpoint,
+                      JsonRequest("POST", "/kv/put", json::serialize(body)), {},
+                      [](const absl::StatusOr<http::Response>&) {});
+}
+
+void WorkerRun::BeginAnswer() {
+  const AnswerIdentity own{run_id_,
+                           request_.nonce,
+                           request_.attempt,
+                           request_.operation,
+                           request_.tokens,
+                           static_cast<uint32_t>(request_.prompt.size() / index::kBytesPerToken),
+                           reused_blocks() * state_->settings.block_tokens};
+  const WorkerBehaviour& behaviour = state_->behaviour;
+  runtime::Random* random = state_->runtime->random;
+  answer_ =
+      state_->mixer.Choose(own, {behaviour.answers_twice_share, behaviour.answers_crossed_share,
+                                 behaviour.answers_crossed_body_share});
+  if (random->Chance(behaviour.cut_share)) cut_at_ = behaviour.cut_at_piece;
+  if (random->Chance(behaviour.cut_clean_share)) {
+    cut_at_ = behaviour.cut_at_piece;
+    cut_clean_ = true;
+  }
+  if (random->Chance(behaviour.repeated_piece_share)) {
+    repeated_piece_ = static_cast<uint32_t>(random->Uniform(answer_.tokens));
+  }
+  if (random->Chance(behaviour.skipped_piece_share)) {
+    skipped_piece_ = static_cast<uint32_t>(random->Uniform(answer_.tokens));
+  }
+  const bool late = random->Chance(behaviour.answers_late_share);
+  timer_.Start(std::chrono::milliseconds(late ? behaviour.answers_late_ms : 0), [this] {
+    if (request_.stream) writer_->StartStream(Head());
+    ScheduleToken();
+  });
+}
+
+void WorkerRun::ScheduleToken() {
+  const double others = state_->running > 0 ? state_->running - 1 : 0;
+  const double batching = 1 + state_->settings.timing.batching_slowdown * others;
+  const auto step = static_cast<double>(state_->settings.timing.decode_per_token.count());
+  const runtime::Duration decode(static_cast<int64_t>(step * batching));
+  timer_.Start(state_->Slowed(decode), [this] { MakeToken(); });
+}
+
+void WorkerRun::MakeToken() {
+  if (request_.stream) {
+    if (next_piece_ >= cut_at_ && !cut_clean_) {
+      writer_->Abort();
+      End(false, "cut");
+      return;
+    }
+    if (next_piece_ >= cut_at_) {
+      writer_->FinishStream();
+      End(false, "cut");
+      return;
+    }
+    WritePiece(next_piece_);
+  }
+  ++next_piece_;
+  if (next_piece_ >= answer_.tokens) {
+    FinishAnswer();
+  } else {
+    ScheduleToken();
+  }
+}
+
+void WorkerRun::WritePiece(uint32_t piece) {
+  if (piece == skipped_piece_) return;
+  const json::object choice = {{"index", 0}, {"text", PieceText(answer_.run, piece)}};
+  const json::object event = {{"id", answer_.run},
+                              {"request_id", answer_.request_id},
+                              {"piece", piece},
+                              {"choices", json::array{choice}}};
+  const std::string text = absl::StrCat("data: ", json::serialize(event), "\n\n");
+  writer_->WritePiece(text);
+  if (piece == repeated_piece_) writer_->WritePiece(text);
+}
+
+void WorkerRun::FinishAnswer() {
+  if (request_.stream) {
+    writer_->WritePiece("data: [DONE]\n\n");
+    writer_->FinishStream();
+    End(true, "");
+  } else {
+    SendWholeAnswer();
+  }
+}
+
+void WorkerRun::SendWholeAnswer() {
+  http::Response response = Head();
+  const std::string body = WholeBody();
+  if (cut_at_ != UINT32_MAX && !cut_clean_) {
+    writer_->StartStream(std::move(response));
+    writer_->WritePiece(body.substr(0, body.size() / 2));
+    writer_->Abort();
+    End(false, "cut");
+    return;
+  }
+  response.body = body;
+  writer_->SendWhole(std::move(response));
+  End(true, "");
+}
+
+http::Response WorkerRun::Head() const {
+  http::Response head;
+  head.headers.Add("Content-Type", request_.stream ? "text/event-stream" : "application/json");
+  head.headers.Add("X-Posthatch-Attempt", answer_.attempt);
+  head.headers.Add("X-Worker-Epoch", std::to_string(state_->epoch));
+  head.headers.Add("X-Worker-Cached-Blocks", std::to_string(reused_blocks()));
+  return head;
+}
+
+std::string WorkerRun::WholeBody() const {
+  const std::string text = AnswerText(answer_.run, answer_.tokens);
+  const json::object choice = {{"index", 0}, {"text", text}, {"finish_reason", "length"}};
+  const json::object usage = {{"prompt_tokens", answer_.prompt_tokens},
+                              {"completion_tokens", answer_.tokens},
+                              {"cached_tokens", answer_.cached_tokens}};
+  return json::serialize(json::object{{"id", answer_.run},
+                                      {"object", "text_completion"},
+                                      {"model", state_->settings.model},
+                                      {"request_id", answer_.request_id},
+                                      {"choices", json::array{choice}},
+                                      {"usage", usage},
+                                      {"checksum", Checksum(text)}});
+}
+
+void WorkerRun::Cancel(const std::string& reason, bool abort) {
+  if (over_) return;
+  timer_.Cancel();
+  if (abort) writer_->Abort();
+  End(false, reason);
+}
+
+void WorkerRun::End(bool completed, const std::string& reason) {
+  if (over_) return;
+  over_ = true;
+  --state_->running;
+  if (started_) {
+    rehearse::HistoryEvent event;
+    event.mutable_run_ended()->set_run(run_id_);
+    event.mutable_run_ended()->set_backend(state_->settings.id);
+    event.mutable_run_ended()->set_completed(completed);
+    event.mutable_run_ended()->set_reason(reason);
+    state_->recorder->Record(std::move(event));
+  }
+  ended_();
+}
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/worker_run.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/http/http.h"
+#include "posthatch/index/block_hash.h"
+#include "posthatch/standins/run_request.h"
+#include "posthatch/standins/worker_state.h"
+
+namespace posthatch::standins {
+
+// One run at a worker stand-in, from its place among the running to its end: looks up kept blocks,
+// fetches what a peer or the store is said to have, prefills the rest, decodes and answers. Owned
+// by WorkerStandIn; destroyed, it does nothing more. Event loop thread only.
+class WorkerRun {
+ public:
+  // `ended` runs once, as the last thing; the owner may destroy the run later, not within it.
+  WorkerRun(WorkerState* state, std::string run_id, RunRequest request,
+            runtime::MonotonicTime arrived, std::shared_ptr<http::ResponseWriter> writer,
+            std::function<void()> ended);
+
+  void Start();
+  // Ends the run before its time; `reason` as in RunEnded. With `abort` the connection is broken.
+  void Cancel(const std::string& reason, bool abort);
+
+ private:
+  void Fetch();
+  void TakeFetched(const absl::StatusOr<http::Response>& answer);
+  void Prefill();
+  void RecordStart();
+  void KeepBlocks();
+  void PushToStore();
+  void BeginAnswer();
+  void ScheduleToken();
+  void MakeToken();
+  void WritePiece(uint32_t piece);
+  void FinishAnswer();
+  void SendWholeAnswer();
+  http::Response Head() const;
+  std::string WholeBody() const;
+  uint32_t reused_blocks() const { return own_blocks_ + fetched_blocks_; }
+  void End(bool completed, const std::string& reason);
+
+  WorkerState* const state_;
+  const std::string run_id_;
+  const RunRequest request_;
+  const runtime::MonotonicTime arrived_;
+  const std::shared_ptr<http::ResponseWriter> writer_;
+  const std::function<void()> ended_;
+  runtime::Timer timer_;
+
+  std::vector<index::BlockHash> chain_;
+  std::vector<BlockMaker> makers_;  // of the reused blocks: own ones, then fetched ones
+  uint32_t own_blocks_ = 0;
+  uint32_t fetched_blocks_ = 0;
+  std::string fetched_from_;
+  JsonClient fetch_client_;
+
+  AnswerIdentity answer_;
+  uint32_t next_piece_ = 0;
+  uint32_t cut_at_ = UINT32_MAX;
+  bool cut_clean_ = false;
+  uint32_t repeated_piece_ = UINT32_MAX;
+  uint32_t skipped_piece_ = UINT32_MAX;
+  bool started_ = false;  // RunStarted was recorded
+  bool over_ = false;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/worker_state.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+#include "posthatch/standins/answer_mixer.h"
+#include "posthatch/standins/block_cache.h"
+#include "posthatch/standins/json_client.h"
+#include "posthatch/standins/kv_event_log.h"
+#include "posthatch/standins/worker_settings.h"
+
+namespace posthatch::standins {
+
+// What the runs of one worker stand-in share. Owned by WorkerStandIn, outlives its runs.
+struct WorkerState {
+  WorkerState(runtime::Runtime* owner_runtime, WorkerSettings worker_settings,
+              rehearse::HistoryRecorder* history_recorder)
+      : runtime(owner_runtime),
+        settings(std::move(worker_settings)),
+        recorder(history_recorder),
+        cache(settings.cache_blocks),
+        events(owner_runtime, settings.kept_events),
+        mixer(owner_runtime->random),
+        client(owner_runtime) {}
+
+  // A time of the timing model, as slow as the worker is made.
+  runtime::Duration Slowed(runtime::Duration duration) const {
+    return runtime::Duration(
+        static_cast<int64_t>(static_cast<double>(duration.count()) * behaviour.slow_factor));
+  }
+
+  runtime::Runtime* const runtime;
+  const WorkerSettings settings;
+  rehearse::HistoryRecorder* const recorder;
+  WorkerBehaviour behaviour;
+  BlockCache cache;
+  KvEventLog events;
+  AnswerMixer mixer;
+  JsonClient client;
+  uint64_t epoch = 0;
+  uint64_t model_revision = 0;
+  runtime::MonotonicTime up_since;
+  uint32_t running = 0;  // runs in progress
+};
+
+}  // namespace posthatch::standins
