Add callers, operators and key probes

Callers read answers byte by byte and name what is wrong with their form; operators rotate a probe tenant's key one acknowledged generation at a time, so that only the newest two can be in force.

--- /dev/null
+++ b/src/posthatch/standins/answer_reader.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace posthatch::standins {
+
+// What a caller makes of an answer's body, byte by byte. Strict: anything that docs/API.md and
+// docs/BACKENDS.md don't allow is named in `fault` (the first one).
+struct AnswerFindings {
+  std::vector<uint32_t> pieces;         // numbers as they came
+  std::vector<std::string> piece_runs;  // distinct runs
+  std::string run;
+  std::string echoed_nonce;  // the first that differs from the request's, else the request's
+  bool done = false;         // streams: [DONE] came
+  bool intact = false;       // every byte is what the run must have said
+  std::string code;          // of an error
+  std::string executed;
+  std::string fault;
+};
+
+// Reads a stream of server-sent events as it arrives.
+class StreamReader {
+ public:
+  StreamReader(std::string nonce, uint32_t expected_pieces);
+
+  // Takes the next bytes; returns how many pieces became complete.
+  uint32_t Take(std::string_view bytes);
+  // The body has ended (properly or not): nothing may be left over, and it must be whole.
+  void End();
+  const AnswerFindings& findings() const { return findings_; }
+
+ private:
+  void TakeEvent(std::string_view event);
+  void TakePiece(const boost::json::object& piece);
+  void Fault(std::string text);
+
+  const std::string nonce_;
+  const uint32_t expected_pieces_;
+  std::string pending_;
+  uint32_t complete_pieces_ = 0;
+  bool text_intact_ = true;
+  AnswerFindings findings_;
+};
+
+// Reads a whole answer of a worker (`expected_pieces` > 0) or a service, or a refusal.
+AnswerFindings ReadWholeAnswer(int status, std::string_view body, const std::string& nonce,
+                               uint32_t expected_pieces);
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/caller_load.cc
@@ -0,0 +1,308 @@
+#include "posthatch/standins/caller_load.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <random>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/json_client.h"
+#include "posthatch/standins/prompt_pool.h"
+#include "posthatch/standins/recorded_call.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr runtime::Duration kSoonestLeave = std::chrono::milliseconds(2);
+constexpr runtime::Duration kLatestLeave = std::chrono::milliseconds(300);
+constexpr runtime::Duration kReadingPause = std::chrono::milliseconds(150);
+constexpr runtime::Duration kLatestRepeat = std::chrono::seconds(2);
+// Retry-After is followed up to this.
+constexpr uint32_t kLongestRetryAfterS = 5;
+
+// One logical request: all its sends carry the same nonce and key.
+struct LogicalRequest {
+  CallPlan plan;
+  uint32_t sends = 0;
+  bool repeated = false;
+};
+using RequestPointer = std::shared_ptr<LogicalRequest>;
+
+std::string InferenceBody(const OperationTraffic& operation, const std::string& prompt,
+                          const std::string& question) {
+  json::object body = {{"model", operation.model}, {"max_tokens", operation.max_tokens}};
+  if (operation.stream) body["stream"] = true;
+  if (operation.kind == OperationKind::kCompletions) {
+    body["prompt"] = prompt + question;
+  } else {
+    body["messages"] = json::array{json::object{{"role", "system"}, {"content", prompt}},
+                                   json::object{{"role", "user"}, {"content", question}}};
+  }
+  return json::serialize(body);
+}
+
+// Whether the caller must take the answer as lost: the operation may or may not have run.
+bool AnswerLost(const rehearse::CallEnded& ended) {
+  if (ended.status() == 0 || !ended.complete()) return true;
+  return ended.status() != 200 && ended.executed() != "no";
+}
+
+}  // namespace
+
+class CallerLoad::Impl {
+ public:
+  Impl(runtime::Runtime* runtime, CallerLoadOptions options, rehearse::HistoryRecorder* recorder);
+
+  void Start();
+  void Stop(std::function<void()> done);
+  void SetGateways(std::vector<std::string> gateways) { options_.gateways = std::move(gateways); }
+  CallerLoadCounts counts() const;
+
+ private:
+  void ScheduleArrival();
+  void Arrive();
+  RequestPointer Plan();
+  void PlanInference(const OperationTraffic& operation, size_t tenant, CallPlan* plan);
+  void PlanService(const OperationTraffic& operation, CallPlan* plan);
+  void PlanManners(CallPlan* plan);
+  std::string OtherGateway(const std::string& last);
+  void Send(const RequestPointer& request, const std::string& gateway);
+  void SendLater(const RequestPointer& request, runtime::Duration delay, const std::string& last);
+  void TakeEnd(const RequestPointer& request, uint64_t call, const rehearse::CallEnded& ended);
+  void Count(const rehearse::CallEnded& ended);
+  void FinishStop();
+
+  runtime::Runtime* const runtime_;
+  CallerLoadOptions options_;
+  rehearse::HistoryRecorder* const recorder_;
+  std::vector<PromptPool> pools_;  // one for each tenant
+  std::discrete_distribution<size_t> tenant_choice_;
+  std::discrete_distribution<size_t> operation_choice_;
+  runtime::Timer arrival_timer_;
+  runtime::MonotonicTime next_arrival_;
+  bool stopping_ = false;
+  std::function<void()> stopped_;
+  uint64_t next_call_ = 1;
+  uint64_t next_request_ = 1;
+  uint64_t start_nonce_ = 0;  // keeps nonces of two lives of one load apart
+  uint64_t resends_waiting_ = 0;
+  CallerLoadCounts counts_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  absl::flat_hash_map<uint64_t, std::unique_ptr<RecordedCall>> calls_;
+};
+
+CallerLoad::Impl::Impl(runtime::Runtime* runtime, CallerLoadOptions options,
+                       rehearse::HistoryRecorder* recorder)
+    : runtime_(runtime),
+      options_(std::move(options)),
+      recorder_(recorder),
+      arrival_timer_(runtime->timers) {
+  std::vector<double> tenant_weights;
+  for (const TenantTraffic& tenant : options_.mix.tenants) {
+    pools_.emplace_back(tenant);
+    tenant_weights.push_back(tenant.share);
+  }
+  tenant_choice_ = {tenant_weights.begin(), tenant_weights.end()};
+  std::vector<double> operation_weights;
+  for (const OperationTraffic& operation : options_.mix.operations) {
+    operation_weights.push_back(operation.share);
+  }
+  operation_choice_ = {operation_weights.begin(), operation_weights.end()};
+}
+
+void CallerLoad::Impl::Start() {
+  start_nonce_ = runtime_->random->Uniform(UINT64_C(1) << 32);
+  next_arrival_ = runtime_->clock->Now();
+  ScheduleArrival();
+}
+
+void CallerLoad::Impl::Stop(std::function<void()> done) {
+  stopping_ = true;
+  stopped_ = std::move(done);
+  arrival_timer_.Cancel();
+  FinishStop();
+}
+
+void CallerLoad::Impl::FinishStop() {
+  if (!stopping_ || !calls_.empty() || resends_waiting_ > 0 || stopped_ == nullptr) return;
+  runtime_->timers->Schedule(runtime::Duration::zero(), std::exchange(stopped_, nullptr));
+}
+
+CallerLoadCounts CallerLoad::Impl::counts() const {
+  CallerLoadCounts counts = counts_;
+  counts.in_flight = calls_.size();
+  return counts;
+}
+
+// Arrivals keep to their own schedule, whatever the answers do.
+void CallerLoad::Impl::ScheduleArrival() {
+  const double rate = options_.mix.requests_per_second;
+  if (rate <= 0 || stopping_) return;
+  std::exponential_distribution<double> gap_seconds(rate);
+  next_arrival_ += runtime::Duration(static_cast<int64_t>(gap_seconds(*runtime_->random) * 1e9));
+  const runtime::Duration delay = next_arrival_ - runtime_->clock->Now();
+  arrival_timer_.Start(std::max(delay, runtime::Duration::zero()), [this] {
+    Arrive();
+    ScheduleArrival();
+  });
+}
+
+void CallerLoad::Impl::Arrive() {
+  if (options_.gateways.empty() || options_.mix.operations.empty() || pools_.empty()) return;
+  if (calls_.size() >= options_.max_in_flight) {
+    ++counts_.skipped;
+    return;
+  }
+  const RequestPointer request = Plan();
+  const std::string gateway = OtherGateway("");
+  Send(request, gateway);
+  const bool keyed = !request->plan.sent.idempotency_key().empty();
+  if (keyed && runtime_->random->Chance(options_.mix.racing_share)) {
+    Send(request, OtherGateway(gateway));
+  }
+}
+
+RequestPointer CallerLoad::Impl::Plan() {
+  runtime::Random* random = runtime_->random;
+  const size_t tenant_number = tenant_choice_(*random);
+  const TenantTraffic& tenant = options_.mix.tenants[tenant_number];
+  const OperationTraffic& operation = options_.mix.operations[operation_choice_(*random)];
+  auto request = std::make_shared<LogicalRequest>();
+  CallPlan& plan = request->plan;
+  plan.key = tenant.key;
+  plan.sent.set_tenant(tenant.name);
+  plan.sent.set_key_id(tenant.key_id);
+  plan.sent.set_nonce(absl::StrCat(options_.name, "-", start_nonce_, "-", next_request_++));
+  if (operation.non_repeatable) {
+    plan.sent.set_idempotency_key("key-" + plan.sent.nonce());
+  }
+  plan.options.head_timeout = options_.head_timeout;
+  plan.options.piece_timeout = options_.piece_timeout;
+  if (operation.kind == OperationKind::kService) {
+    PlanService(operation, &plan);
+  } else {
+    PlanInference(operation, tenant_number, &plan);
+  }
+  PlanManners(&plan);
+  return request;
+}
+
+void CallerLoad::Impl::PlanInference(const OperationTraffic& operation, size_t tenant,
+                                     CallPlan* plan) {
+  const bool chat = operation.kind == OperationKind::kChat;
+  const PromptPool::Choice choice = pools_[tenant].Next(runtime_->random);
+  const std::string question = absl::StrCat("question ", plan->sent.nonce());
+  plan->target = chat ? "/v1/chat/completions" : "/v1/completions";
+  plan->body = InferenceBody(operation, choice.prompt, question);
+  plan->sent.set_operation(chat ? "chat" : "completions");
+  plan->sent.set_model(operation.model);
+  plan->sent.set_stream(operation.stream);
+  plan->sent.set_expected_pieces(operation.max_tokens);
+  plan->sent.set_history(absl::StrCat(choice.history, chat ? "/chat" : "/completions"));
+  plan->sent.set_prompt_bytes(static_cast<uint32_t>(choice.prompt.size() + question.size()));
+}
+
+void CallerLoad::Impl::PlanService(const OperationTraffic& operation, CallPlan* plan) {
+  plan->target = absl::StrCat("/v1/services/", operation.service, "/", operation.operation);
+  plan->body = json::serialize(json::object{{"subject", plan->sent.nonce()}});
+  plan->sent.set_operation(absl::StrCat(operation.service, "/", operation.operation));
+}
+
+// Kept or fresh connection, slow reading, leaving early.
+void CallerLoad::Impl::PlanManners(CallPlan* plan) {
+  runtime::Random* random = runtime_->random;
+  plan->options.fresh_connection = !random->Chance(options_.mix.kept_connection_share);
+  if (random->Chance(options_.mix.leaving_share)) {
+    plan->leave_after = random->Between(kSoonestLeave, kLatestLeave);
+  }
+  if (plan->sent.stream() && random->Chance(options_.mix.slow_reader_share)) {
+    plan->reading_pause = kReadingPause;
+  }
+}
+
+std::string CallerLoad::Impl::OtherGateway(const std::string& last) {
+  std::vector<std::string> others;
+  for (const std::string& gateway : options_.gateways) {
+    if (gateway != last) others.push_back(gateway);
+  }
+  if (others.empty()) return last;
+  return others[runtime_->random->Uniform(others.size())];
+}
+
+void CallerLoad::Impl::Send(const RequestPointer& request, const std::string& gateway) {
+  const uint64_t call = next_call_++;
+  CallPlan plan = request->plan;
+  plan.sent.set_call(call);
+  plan.sent.set_gateway(gateway);
+  plan.sent.set_send(++request->sends);
+  if (request->sends > 1) plan.leave_after = runtime::Duration::zero();
+  ++counts_.sent;
+  auto recorded = std::make_unique<RecordedCall>(
+      runtime_, recorder_, std::move(plan),
+      [this, request, call](const rehearse::CallEnded& ended) { TakeEnd(request, call, ended); });
+  RecordedCall* started = recorded.get();
+  calls_[call] = std::move(recorded);
+  started->Start();
+}
+
+void CallerLoad::Impl::SendLater(const RequestPointer& request, runtime::Duration delay,
+                                 const std::string& last) {
+  ++resends_waiting_;
+  std::weak_ptr<bool> alive = alive_;
+  runtime_->timers->Schedule(delay, [this, alive, request, last] {
+    if (alive.expired()) return;
+    --resends_waiting_;
+    Send(request, OtherGateway(last));
+  });
+}
+
+void CallerLoad::Impl::TakeEnd(const RequestPointer& request, uint64_t call,
+                               const rehearse::CallEnded& ended) {
+  const auto entry = calls_.find(call);
+  ReleaseLater(runtime_, std::move(entry->second));
+  calls_.erase(entry);
+  Count(ended);
+  const bool keyed = !ended.idempotency_key().empty();
+  if (keyed && request->sends < options_.mix.max_sends) {
+    if (AnswerLost(ended)) {
+      const runtime::Duration asked =
+          std::chrono::seconds(std::min(ended.retry_after_s(), kLongestRetryAfterS));
+      SendLater(request, std::max(asked, options_.resend_delay), ended.gateway());
+    } else if (!request->repeated && runtime_->random->Chance(options_.mix.repeated_share)) {
+      request->repeated = true;
+      SendLater(request, runtime_->random->Between(options_.resend_delay, kLatestRepeat),
+                ended.gateway());
+    }
+  }
+  FinishStop();
+}
+
+void CallerLoad::Impl::Count(const rehearse::CallEnded& ended) {
+  if (ended.status() == 200 && ended.complete()) {
+    ++counts_.completed;
+  } else if (ended.executed() == "no") {
+    ++counts_.refused;
+  } else {
+    ++counts_.unknown;
+  }
+}
+
+CallerLoad::CallerLoad(runtime::Runtime* runtime, CallerLoadOptions options,
+                       rehearse::HistoryRecorder* recorder)
+    : impl_(std::make_unique<Impl>(runtime, std::move(options), recorder)) {}
+
+CallerLoad::~CallerLoad() = default;
+
+void CallerLoad::Start() { impl_->Start(); }
+void CallerLoad::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
+void CallerLoad::SetGateways(std::vector<std::string> gateways) {
+  impl_->SetGateways(std::move(gateways));
+}
+CallerLoadCounts CallerLoad::counts() const { return impl_->counts(); }
+
+}  // namespace posthatch::standins
--- a/src/posthatch/standins/json_body.cc
+++ b/src/posthatch/standins/json_body.cc
@@ -34,6 +34,8 @@
   if (value->is_int64() && value->get_int64() >= 0) {
     return static_cast<uint64_t>(value->get_int64());
   }
+  uint64_t number = 0;  // protobuf's JSON writes 64-bit numbers as text
+  if (value->is_string() && absl::SimpleAtoi(TextField(object, key), &number)) return number;
   return fallback;
 }
 
--- /dev/null
+++ b/src/posthatch/standins/key_probe.cc
@@ -0,0 +1,105 @@
+#include "posthatch/standins/key_probe.h"
+
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/json_client.h"
+#include "posthatch/standins/operator_standin.h"
+#include "posthatch/standins/recorded_call.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+class KeyProbe::Impl {
+ public:
+  Impl(runtime::Runtime* runtime, KeyProbeOptions probe_options,
+       rehearse::HistoryRecorder* recorder)
+      : options(std::move(probe_options)),
+        runtime_(runtime),
+        recorder_(recorder),
+        round_timer_(runtime->timers) {}
+
+  void Start() {
+    start_nonce_ = runtime_->random->Uniform(UINT64_C(1) << 32);
+    Round();
+  }
+  void Stop();
+
+  KeyProbeOptions options;
+
+ private:
+  void Round();
+  void Ask(const std::string& gateway, uint64_t generation);
+
+  runtime::Runtime* const runtime_;
+  rehearse::HistoryRecorder* const recorder_;
+  uint64_t start_nonce_ = 0;
+  uint64_t next_call_ = 1;
+  runtime::Timer round_timer_;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<RecordedCall>> calls_;
+};
+
+void KeyProbe::Impl::Stop() {
+  round_timer_.Cancel();
+  std::vector<RecordedCall*> open;
+  for (const auto& [number, call] : calls_) open.push_back(call.get());
+  for (RecordedCall* call : open) call->Leave();
+}
+
+void KeyProbe::Impl::Round() {
+  const uint64_t newest = options.newest_generation ? options.newest_generation() : 0;
+  for (const std::string& gateway : options.gateways) {
+    if (newest >= 1) Ask(gateway, newest);
+    if (newest >= 2) Ask(gateway, newest - 1);
+  }
+  round_timer_.Start(options.interval, [this] { Round(); });
+}
+
+void KeyProbe::Impl::Ask(const std::string& gateway, uint64_t generation) {
+  const uint64_t number = next_call_++;
+  CallPlan plan;
+  plan.key = ProbeKey(options.tenant, generation);
+  plan.target = "/v1/completions";
+  plan.options.head_timeout = options.head_timeout;
+  plan.sent.set_call(number);
+  plan.sent.set_tenant(options.tenant);
+  plan.sent.set_gateway(gateway);
+  plan.sent.set_operation("completions");
+  plan.sent.set_model(options.model);
+  plan.sent.set_nonce(absl::StrCat(options.name, "-", start_nonce_, "-", number));
+  plan.sent.set_key_id(ProbeKeyId(options.tenant, generation));
+  plan.sent.set_expected_pieces(1);
+  plan.sent.set_send(1);
+  plan.sent.set_probe(true);
+  const std::string prompt = "probe " + plan.sent.nonce();
+  plan.sent.set_prompt_bytes(static_cast<uint32_t>(prompt.size()));
+  plan.body = json::serialize(
+      json::object{{"model", options.model}, {"max_tokens", 1}, {"prompt", prompt}});
+  auto call = std::make_unique<RecordedCall>(runtime_, recorder_, std::move(plan),
+                                             [this, number](const rehearse::CallEnded&) {
+                                               const auto entry = calls_.find(number);
+                                               ReleaseLater(runtime_, std::move(entry->second));
+                                               calls_.erase(entry);
+                                             });
+  RecordedCall* started = call.get();
+  calls_[number] = std::move(call);
+  started->Start();
+}
+
+KeyProbe::KeyProbe(runtime::Runtime* runtime, KeyProbeOptions options,
+                   rehearse::HistoryRecorder* recorder)
+    : impl_(std::make_unique<Impl>(runtime, std::move(options), recorder)) {}
+
+KeyProbe::~KeyProbe() = default;
+
+void KeyProbe::Start() { impl_->Start(); }
+void KeyProbe::Stop() { impl_->Stop(); }
+void KeyProbe::SetGateways(std::vector<std::string> gateways) {
+  impl_->options.gateways = std::move(gateways);
+}
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/operator_standin.cc
@@ -0,0 +1,356 @@
+#include "posthatch/standins/operator_standin.h"
+
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/json_client.h"
+#include "posthatch/standins/state_reader.h"
+#include "posthatch/standins/traffic_mix.h"
+
+namespace posthatch::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+
+std::string ProtoJson(const google::protobuf::Message& message) {
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  std::string text;
+  // Configurations hold no Any and no invalid enums: printing them can't fail.
+  if (!google::protobuf::util::MessageToJsonString(message, &text, options).ok()) text = "{}";
+  return text;
+}
+
+// One change, with all its sends under one request id.
+struct Change {
+  std::string request_id;
+  std::string kind;
+  std::string path;
+  std::string body;
+  std::string detail;
+  uint64_t expected_version = 0;
+  uint32_t sends = 0;
+  bool repeating = false;  // it was answered; this send asks once more
+  OperatorStandIn::ChangeDone done;
+};
+using ChangePointer = std::shared_ptr<Change>;
+
+ChangeOutcome ReadOutcome(const absl::StatusOr<http::Response>& answer) {
+  ChangeOutcome outcome;
+  if (!answer.ok()) return outcome;
+  const absl::StatusOr<json::object> body = ParseObject(answer->body);
+  if (!body.ok()) return outcome;
+  outcome.version = NumberField(*body, "version", NumberField(*body, "revision"));
+  outcome.acknowledged = answer->status == kOk && FlagField(*body, "acknowledged");
+  if (outcome.acknowledged) return outcome;
+  const json::object* error = ObjectField(*body, "error");
+  const json::object& fields = error == nullptr ? *body : *error;
+  outcome.code = TextField(fields, "code");
+  if (outcome.version == 0) outcome.version = NumberField(fields, "version");
+  outcome.refused = answer->status >= 400 && answer->status < 500;
+  return outcome;
+}
+
+}  // namespace
+
+class OperatorStandIn::Impl {
+ public:
+  Impl(runtime::Runtime* runtime, OperatorOptions operator_options,
+       rehearse::HistoryRecorder* recorder)
+      : options(std::move(operator_options)),
+        runtime_(runtime),
+        recorder_(recorder),
+        rotation_timer_(runtime->timers),
+        read_timer_(runtime->timers),
+        client_(runtime),
+        reader_(runtime, recorder, options.admin_token, options.answer_timeout) {}
+
+  void Start();
+  void Stop(std::function<void()> done);
+  // `fields` is the rest of the body's object, as JSON text without its braces.
+  void Submit(std::string kind, std::string path, const std::string& fields, std::string detail,
+              uint64_t expected_version, const std::string& node, ChangeDone done);
+  std::string RandomNode(const std::string& except);
+  void ReadState(const std::string& node, std::function<void(bool)> done) {
+    reader_.Read(node, std::move(done));
+  }
+
+  OperatorOptions options;
+  uint64_t newest_generation = 0;
+
+ private:
+  void Send(const ChangePointer& change, const std::string& node);
+  void SendLater(const ChangePointer& change, const std::string& last);
+  void TakeAnswer(const ChangePointer& change, const std::string& node,
+                  const absl::StatusOr<http::Response>& answer);
+  void RecordAnswer(const Change& change, const ChangeOutcome& outcome);
+  void Conclude(const ChangePointer& change, const ChangeOutcome& outcome);
+  void ScheduleRotation();
+  void ScheduleRead();
+  void Rotate();
+  void SendRotation(uint64_t version);
+  void FinishStop();
+
+  runtime::Runtime* const runtime_;
+  rehearse::HistoryRecorder* const recorder_;
+  uint64_t start_nonce_ = 0;
+  uint64_t next_change_ = 1;
+  bool generation_acknowledged_ = true;
+  uint64_t open_changes_ = 0;
+  std::function<void()> stopped_;
+  bool stopping_ = false;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  runtime::Timer rotation_timer_;
+  runtime::Timer read_timer_;
+  JsonClient client_;
+  StateReader reader_;
+};
+
+void OperatorStandIn::Impl::Start() {
+  ScheduleRotation();
+  ScheduleRead();
+}
+
+void OperatorStandIn::Impl::Stop(std::function<void()> done) {
+  stopping_ = true;
+  stopped_ = std::move(done);
+  rotation_timer_.Cancel();
+  read_timer_.Cancel();
+  FinishStop();
+}
+
+void OperatorStandIn::Impl::FinishStop() {
+  if (!stopping_ || open_changes_ > 0 || stopped_ == nullptr) return;
+  runtime_->timers->Schedule(runtime::Duration::zero(), std::exchange(stopped_, nullptr));
+}
+
+std::string OperatorStandIn::Impl::RandomNode(const std::string& except) {
+  std::vector<std::string> others;
+  for (const std::string& node : options.nodes) {
+    if (node != except) others.push_back(node);
+  }
+  if (others.empty()) return except;
+  return others[runtime_->random->Uniform(others.size())];
+}
+
+// ---------------------------------------------------------------- changes
+
+void OperatorStandIn::Impl::Submit(std::string kind, std::string path, const std::string& fields,
+                                   std::string detail, uint64_t expected_version,
+                                   const std::string& node, ChangeDone done) {
+  if (start_nonce_ == 0) start_nonce_ = 1 + runtime_->random->Uniform(UINT64_C(1) << 32);
+  auto change = std::make_shared<Change>();
+  change->request_id = absl::StrCat(options.name, "-", start_nonce_, "-", next_change_++);
+  change->kind = std::move(kind);
+  change->path = std::move(path);
+  change->body = absl::StrCat("{\"request_id\":\"", change->request_id, "\",", fields, "}");
+  change->detail = std::move(detail);
+  change->expected_version = expected_version;
+  change->done = std::move(done);
+  ++open_changes_;
+  Send(change, node);
+}
+
+void OperatorStandIn::Impl::Send(const ChangePointer& change, const std::string& node) {
+  ++change->sends;
+  rehearse::HistoryEvent event;
+  rehearse::ChangeSent* sent = event.mutable_change_sent();
+  sent->set_request_id(change->request_id);
+  sent->set_kind(change->kind);
+  sent->set_expected_version(change->expected_version);
+  sent->set_detail(change->detail);
+  sent->set_target(node);
+  recorder_->Record(std::move(event));
+  http::Request request = JsonRequest("POST", change->path, change->body);
+  if (!options.admin_token.empty()) {
+    request.headers.Add("Authorization", "Bearer " + options.admin_token);
+  }
+  http::CallOptions call_options;
+  call_options.head_timeout = options.answer_timeout;
+  client_.Send(node, std::move(request), call_options,
+               [this, change, node](const absl::StatusOr<http::Response>& answer) {
+                 TakeAnswer(change, node, answer);
+               });
+}
+
+void OperatorStandIn::Impl::SendLater(const ChangePointer& change, const std::string& last) {
+  std::weak_ptr<bool> alive = alive_;
+  runtime_->timers->Schedule(options.resend_delay, [this, alive, change, last] {
+    if (!alive.expired()) Send(change, RandomNode(last));
+  });
+}
+
+void OperatorStandIn::Impl::TakeAnswer(const ChangePointer& change, const std::string& node,
+                                       const absl::StatusOr<http::Response>& answer) {
+  const ChangeOutcome outcome = ReadOutcome(answer);
+  const bool final_answer = outcome.acknowledged || outcome.refused;
+  if (final_answer || (answer.ok() && answer->status == kServiceUnavailable)) {
+    RecordAnswer(*change, outcome);
+  }
+  const bool may_send = change->sends < options.max_sends;
+  if (!final_answer && may_send) {
+    SendLater(change, node);
+  } else if (final_answer && may_send && !change->repeating &&
+             runtime_->random->Chance(options.repeated_share)) {
+    change->repeating = true;
+    SendLater(change, node);
+  } else {
+    Conclude(change, outcome);
+  }
+}
+
+void OperatorStandIn::Impl::RecordAnswer(const Change& change, const ChangeOutcome& outcome) {
+  rehearse::HistoryEvent event;
+  rehearse::ChangeAnswered* answered = event.mutable_change_answered();
+  answered->set_request_id(change.request_id);
+  answered->set_acknowledged(outcome.acknowledged);
+  answered->set_refused(outcome.refused);
+  answered->set_code(outcome.code);
+  answered->set_version(outcome.version);
+  recorder_->Record(std::move(event));
+}
+
+void OperatorStandIn::Impl::Conclude(const ChangePointer& change, const ChangeOutcome& outcome) {
+  --open_changes_;
+  if (change->done != nullptr) change->done(outcome);
+  FinishStop();
+}
+
+// ---------------------------------------------------------------- rotations and reads
+
+void OperatorStandIn::Impl::ScheduleRotation() {
+  if (options.rotation_interval <= runtime::Duration::zero() || stopping_) return;
+  rotation_timer_.Start(options.rotation_interval, [this] { Rotate(); });
+}
+
+void OperatorStandIn::Impl::ScheduleRead() {
+  if (options.read_interval <= runtime::Duration::zero() || stopping_) return;
+  read_timer_.Start(options.read_interval,
+                    [this] { reader_.Read(RandomNode(""), [this](bool) { ScheduleRead(); }); });
+}
+
+// The next generation follows only once the one before is acknowledged, so that the newest two are
+// the only ones that can be in force.
+void OperatorStandIn::Impl::Rotate() {
+  http::Request request = JsonRequest("GET", "/admin/v1/configuration", "");
+  if (!options.admin_token.empty()) {
+    request.headers.Add("Authorization", "Bearer " + options.admin_token);
+  }
+  http::CallOptions call_options;
+  call_options.head_timeout = options.answer_timeout;
+  client_.Send(RandomNode(""), std::move(request), call_options,
+               [this](const absl::StatusOr<http::Response>& answer) {
+                 if (!answer.ok() || answer->status != kOk) {
+                   ScheduleRotation();
+                   return;
+                 }
+                 const absl::StatusOr<json::object> body = ParseObject(answer->body);
+                 SendRotation(body.ok() ? NumberField(*body, "version") : 0);
+               });
+}
+
+void OperatorStandIn::Impl::SendRotation(uint64_t version) {
+  if (stopping_) return;
+  if (generation_acknowledged_) ++newest_generation;
+  generation_acknowledged_ = false;
+  control::ConfigurationPatch patch;
+  control::Tenant* tenant = patch.mutable_upsert()->add_tenants();
+  tenant->set_name(options.probe_tenant);
+  tenant->add_key_sha256(KeySha256(ProbeKey(options.probe_tenant, newest_generation)));
+  const std::string version_field = absl::StrCat("\"expected_version\":", version);
+  const std::string node = RandomNode("");
+  Submit("configuration", "/admin/v1/configuration",
+         absl::StrCat(version_field, ",\"patch\":", ProtoJson(patch)),
+         ProbeKeyId(options.probe_tenant, newest_generation), version, node,
+         [this](const ChangeOutcome& outcome) {
+           generation_acknowledged_ = outcome.acknowledged;
+           ScheduleRotation();
+         });
+  if (version == 0 || !runtime_->random->Chance(options.racing_share)) return;
+  control::ConfigurationPatch rival;
+  rival.mutable_upsert()->add_tenants()->set_name(options.probe_tenant + "-rival");
+  Submit("configuration", "/admin/v1/configuration",
+         absl::StrCat(version_field, ",\"patch\":", ProtoJson(rival)), "rival", version,
+         RandomNode(node), nullptr);
+}
+
+// ---------------------------------------------------------------- surface
+
+OperatorStandIn::OperatorStandIn(runtime::Runtime* runtime, OperatorOptions options,
+                                 rehearse::HistoryRecorder* recorder)
+    : impl_(std::make_unique<Impl>(runtime, std::move(options), recorder)) {}
+
+OperatorStandIn::~OperatorStandIn() = default;
+
+void OperatorStandIn::Start() { impl_->Start(); }
+void OperatorStandIn::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
+
+void OperatorStandIn::SetConfiguration(const control::Configuration& configuration,
+                                       uint64_t expected_version, ChangeDone done) {
+  impl_->Submit("configuration", "/admin/v1/configuration",
+                absl::StrCat("\"expected_version\":", expected_version,
+                             ",\"configuration\":", ProtoJson(configuration)),
+                "whole", expected_version, impl_->RandomNode(""), std::move(done));
+}
+
+void OperatorStandIn::PatchConfiguration(const control::ConfigurationPatch& patch,
+                                         uint64_t expected_version, std::string detail,
+                                         ChangeDone done) {
+  impl_->Submit(
+      "configuration", "/admin/v1/configuration",
+      absl::StrCat("\"expected_version\":", expected_version, ",\"patch\":", ProtoJson(patch)),
+      std::move(detail), expected_version, impl_->RandomNode(""), std::move(done));
+}
+
+void OperatorStandIn::Evacuate(const std::string& name, const std::string& zone, bool lifted,
+                               ChangeDone done) {
+  control::Selector selector;
+  control::Requirement* requirement = selector.add_requirements();
+  requirement->set_key("zone");
+  requirement->set_operator_(control::Requirement::IN);
+  requirement->add_values(zone);
+  const json::value name_text(name);
+  impl_->Submit(lifted ? "lift" : "evacuate", "/admin/v1/evacuations",
+                absl::StrCat("\"name\":", json::serialize(name_text), ",\"selector\":",
+                             ProtoJson(selector), ",\"lifted\":", lifted ? "true" : "false"),
+                zone, 0, impl_->RandomNode(""), std::move(done));
+}
+
+void OperatorStandIn::SetModelRevision(const std::string& model, const std::string& weights,
+                                       ChangeDone done) {
+  const json::value model_text(model);
+  const json::value weights_text(weights);
+  impl_->Submit("model_revision", "/admin/v1/model-revisions",
+                absl::StrCat("\"model\":", json::serialize(model_text), ",\"weights\":",
+                             json::serialize(weights_text), ",\"expected_revision\":0"),
+                model, 0, impl_->RandomNode(""), std::move(done));
+}
+
+void OperatorStandIn::ReadState(const std::string& node, std::function<void(bool)> done) {
+  impl_->ReadState(node, std::move(done));
+}
+
+void OperatorStandIn::SetNodes(std::vector<std::string> nodes) {
+  impl_->options.nodes = std::move(nodes);
+}
+
+uint64_t OperatorStandIn::newest_generation() const { return impl_->newest_generation; }
+
+std::string ProbeKey(const std::string& tenant, uint64_t generation) {
+  return absl::StrCat("key-of-", tenant, "-", generation);
+}
+
+std::string ProbeKeyId(const std::string& tenant, uint64_t generation) {
+  return absl::StrCat(tenant, "/", generation);
+}
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/recorded_call.cc
@@ -0,0 +1,146 @@
+#include "posthatch/standins/recorded_call.h"
+
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "posthatch/standins/json_client.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::standins {
+
+RecordedCall::RecordedCall(runtime::Runtime* runtime, rehearse::HistoryRecorder* recorder,
+                           CallPlan plan, Done done)
+    : runtime_(runtime),
+      recorder_(recorder),
+      plan_(std::move(plan)),
+      done_(std::move(done)),
+      stream_reader_(plan_.sent.nonce(), plan_.sent.expected_pieces()),
+      leave_timer_(runtime->timers),
+      reading_timer_(runtime->timers) {
+  ended_.set_call(plan_.sent.call());
+  ended_.set_nonce(plan_.sent.nonce());
+  ended_.set_idempotency_key(plan_.sent.idempotency_key());
+  ended_.set_tenant(plan_.sent.tenant());
+  ended_.set_gateway(plan_.sent.gateway());
+}
+
+void RecordedCall::Start() {
+  rehearse::HistoryEvent event;
+  *event.mutable_call_sent() = plan_.sent;
+  recorder_->Record(std::move(event));
+  sent_at_ = runtime_->clock->Now();
+  http::CallObserver observer;
+  observer.on_head = [this](const http::Response& head) { TakeHead(head); };
+  observer.on_piece = [this](const std::string& bytes) { TakeBytes(bytes); };
+  observer.on_end = [this] { EndProperly(); };
+  observer.on_error = [this](const http::CallError& error) { EndBroken(error); };
+  call_ = runtime_->http_client->Start(plan_.sent.gateway(), BuildRequest(), plan_.options,
+                                       std::move(observer));
+  if (plan_.leave_after > runtime::Duration::zero()) {
+    leave_timer_.Start(plan_.leave_after, [this] { Leave(); });
+  }
+}
+
+http::Request RecordedCall::BuildRequest() const {
+  http::Request request = JsonRequest("POST", plan_.target, plan_.body);
+  request.headers.Add("Authorization", "Bearer " + plan_.key);
+  request.headers.Add("X-Request-Id", plan_.sent.nonce());
+  if (!plan_.sent.idempotency_key().empty()) {
+    request.headers.Add("Idempotency-Key", plan_.sent.idempotency_key());
+  }
+  return request;
+}
+
+void RecordedCall::TakeHead(const http::Response& head) {
+  ended_.set_status(static_cast<uint32_t>(head.status));
+  ended_.set_attempt(std::string(head.headers.Get("X-Posthatch-Attempt")));
+  uint32_t retry_after_s = 0;
+  if (absl::SimpleAtoi(util::ToAbsl(head.headers.Get("Retry-After")), &retry_after_s)) {
+    ended_.set_retry_after_s(retry_after_s);
+  }
+  streamed_ = absl::StartsWith(util::ToAbsl(head.headers.Get("Content-Type")), "text/event-stream");
+}
+
+void RecordedCall::TakeBytes(const std::string& bytes) {
+  if (!streamed_) {
+    whole_body_ += bytes;
+    return;
+  }
+  NoteTokens(stream_reader_.Take(bytes));
+  if (plan_.reading_pause > runtime::Duration::zero()) PauseReading();
+}
+
+void RecordedCall::NoteTokens(uint32_t pieces) {
+  if (pieces == 0) return;
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  for (uint32_t i = 0; i < pieces; ++i) {
+    if (ended_.first_token_ns() == 0) {
+      ended_.set_first_token_ns((now - sent_at_).count());
+    } else {
+      ended_.add_token_gaps_ns((now - last_token_at_).count());
+    }
+    last_token_at_ = now;
+  }
+}
+
+void RecordedCall::PauseReading() {
+  if (reading_timer_.running() || call_ == nullptr) return;
+  call_->PauseReading();
+  reading_timer_.Start(plan_.reading_pause, [this] { call_->ResumeReading(); });
+}
+
+void RecordedCall::EndProperly() {
+  if (streamed_) {
+    stream_reader_.End();
+    ended_.set_complete(stream_reader_.findings().done);
+  } else {
+    ended_.set_complete(true);
+  }
+  Finish();
+}
+
+void RecordedCall::EndBroken(const http::CallError& error) {
+  if (streamed_) stream_reader_.End();
+  if (ended_.status() == 0 && error.progress == http::CallProgress::kNotSent) {
+    ended_.set_fault("not sent: " + std::string(util::ToStd(error.status.message())));
+  }
+  Finish();
+}
+
+void RecordedCall::Leave() {
+  if (finished_) return;
+  ended_.set_caller_left(true);
+  call_.reset();
+  Finish();
+}
+
+void RecordedCall::TakeFindings(const AnswerFindings& findings) {
+  ended_.set_echoed_nonce(findings.echoed_nonce);
+  ended_.set_run(findings.run);
+  ended_.set_body_intact(findings.intact);
+  ended_.set_code(findings.code);
+  ended_.set_executed(findings.executed);
+  if (!findings.fault.empty()) ended_.set_fault(findings.fault);
+  for (const uint32_t piece : findings.pieces) ended_.add_pieces(piece);
+  for (const std::string& run : findings.piece_runs) ended_.add_piece_runs(run);
+}
+
+void RecordedCall::Finish() {
+  if (finished_) return;
+  finished_ = true;
+  leave_timer_.Cancel();
+  reading_timer_.Cancel();
+  if (streamed_) {
+    TakeFindings(stream_reader_.findings());
+  } else if (ended_.complete()) {
+    TakeFindings(ReadWholeAnswer(static_cast<int>(ended_.status()), whole_body_, plan_.sent.nonce(),
+                                 plan_.sent.expected_pieces()));
+  }
+  rehearse::HistoryEvent event;
+  *event.mutable_call_ended() = ended_;
+  recorder_->Record(std::move(event));
+  done_(ended_);
+}
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/recorded_call.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/http/http.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+#include "posthatch/standins/answer_reader.h"
+
+namespace posthatch::standins {
+
+// One call as a caller plans it.
+struct CallPlan {
+  rehearse::CallSent sent;  // what is recorded; names gateway, tenant, operation, nonce, key ...
+  std::string key;          // bearer key: goes into the request only
+  std::string target;
+  std::string body;
+  http::CallOptions options;
+  // The caller gives up this long after sending; zero: it stays.
+  runtime::Duration leave_after = runtime::Duration::zero();
+  // Pause after each piece, as a slow reader makes; zero: none.
+  runtime::Duration reading_pause = runtime::Duration::zero();
+};
+
+// Sends one call, reads its answer strictly, records CallSent and CallEnded. Owned by its load;
+// `done` runs once, from the event loop, after CallEnded was recorded; the owner may release the
+// call then with ReleaseLater.
+class RecordedCall {
+ public:
+  using Done = std::function<void(const rehearse::CallEnded&)>;
+
+  RecordedCall(runtime::Runtime* runtime, rehearse::HistoryRecorder* recorder, CallPlan plan,
+               Done done);
+
+  void Start();
+  // The caller gives up: the connection is closed, CallEnded says `caller_left`.
+  void Leave();
+
+ private:
+  http::Request BuildRequest() const;
+  void TakeHead(const http::Response& head);
+  void TakeBytes(const std::string& bytes);
+  void NoteTokens(uint32_t pieces);
+  void PauseReading();
+  void EndProperly();
+  void EndBroken(const http::CallError& error);
+  void TakeFindings(const AnswerFindings& findings);
+  void Finish();
+
+  runtime::Runtime* const runtime_;
+  rehearse::HistoryRecorder* const recorder_;
+  const CallPlan plan_;
+  const Done done_;
+  StreamReader stream_reader_;
+  std::string whole_body_;
+  bool streamed_ = false;
+  rehearse::CallEnded ended_;
+  runtime::MonotonicTime sent_at_;
+  runtime::MonotonicTime last_token_at_;
+  runtime::Timer leave_timer_;
+  runtime::Timer reading_timer_;
+  bool finished_ = false;
+  std::unique_ptr<http::Call> call_;
+};
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/state_reader.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/runtime/runtime.h"
+#include "posthatch/standins/json_client.h"
+
+namespace posthatch::standins {
+
+// Reads the operators' state back from one node (configuration history, evacuations, model
+// revisions) and records it as StateRead, if all three reads were answered. Event loop thread only.
+class StateReader {
+ public:
+  StateReader(runtime::Runtime* runtime, rehearse::HistoryRecorder* recorder,
+              std::string admin_token, runtime::Duration answer_timeout);
+
+  // `done` says whether a StateRead was recorded.
+  void Read(const std::string& node, std::function<void(bool)> done);
+
+ private:
+  struct Reading;
+  using ReadingPointer = std::shared_ptr<Reading>;
+
+  void Step(const ReadingPointer& reading);
+  static bool Take(Reading* reading, const http::Response& answer);
+
+  const runtime::Clock* const clock_;
+  rehearse::HistoryRecorder* const recorder_;
+  const std::string admin_token_;
+  const runtime::Duration answer_timeout_;
+  JsonClient client_;
+};
+
+}  // namespace posthatch::standins
