--- /dev/null
+++ b/src/posthatch/rehearse/scenario_loader.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "posthatch/rehearse/scenario.h"
+
+namespace posthatch::rehearse {
+
+// Either a scenario or all that is wrong with its file.
+struct LoadedScenario {
+  Scenario scenario;
+  // "FILE:LINE: KEY: what is wrong (allowed: ...)", in the order of the file's sections.
+  std::vector<std::string> errors;
+  bool ok() const { return errors.empty(); }
+};
+
+// Reads and checks a whole scenario: unknown keys, wrong types, values out of range, targets that
+// can't exist at the given sizes, and times beyond the end are errors, all reported at once.
+LoadedScenario ParseScenario(std::string_view toml_text, const std::string& file_name);
+LoadedScenario LoadScenarioFile(const std::string& path);
+
+}  // namespace posthatch::rehearse
