Check N1 to N11 over recorded histories

One class per invariant, pure functions over the joined history, each with violating histories of several kinds that it must see. StateRead gains asked_ns, so that a read under way while a change is acknowledged proves nothing.

--- /dev/null
+++ b/src/posthatch/rehearse/checks/answer_check.cc
@@ -0,0 +1,43 @@
+#include "posthatch/rehearse/checks/answer_check.h"
+
+#include <fmt/format.h>
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr std::string_view kId = "N3";
+constexpr std::string_view kTitle = "an answer is the request's own, and whole";
+
+}  // namespace
+
+CheckResult AnswerCheck::Run(const RecordedHistory& history) const {
+  CheckResult result(kId, kTitle);
+  for (const CallRecord& call : history.calls()) {
+    if (!call.answered_well()) continue;
+    const CallEnded& ended = *call.ended;
+    const std::string& nonce = call.sent->nonce();
+    const bool echoed = !ended.echoed_nonce().empty();
+    if (!ended.complete() && !echoed) continue;
+    result.Examine();
+    if (echoed ? ended.echoed_nonce() != nonce : !call.sent->probe()) {
+      result.Violate(
+          fmt::format("request {} got the answer of \"{}\"", nonce, ended.echoed_nonce()));
+      continue;
+    }
+    if (ended.complete() && !ended.body_intact()) {
+      result.Violate(
+          fmt::format("request {}: the answer looks complete, bytes are missing or changed {}",
+                      nonce, ended.fault()));
+      continue;
+    }
+    const RunRecord* run = ended.run().empty() ? nullptr : history.FindRun(ended.run());
+    if (run != nullptr && run->run->nonce() != nonce) {
+      result.Violate(fmt::format("request {} got run {} of request {}", nonce, ended.run(),
+                                 run->run->nonce()));
+    }
+  }
+  return result;
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/answer_check.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "posthatch/rehearse/checks/check.h"
+
+namespace posthatch::rehearse {
+
+// N3: An answer carries its request's own nonce, and if it ends as complete no byte is missing or
+// changed.
+class AnswerCheck : public Check {
+ public:
+  CheckResult Run(const RecordedHistory& history) const override;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/bounds.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "posthatch/rehearse/checks/recorded_history.h"
+
+// The bounds that the users gave (brief, "What must never happen").
+namespace posthatch::rehearse {
+
+inline constexpr int64_t kConfigurationBoundNs = 2 * kSecondNs;
+inline constexpr int64_t kDrainBoundNs = 3 * kSecondNs;
+inline constexpr int64_t kEvacuationBoundNs = 5 * kSecondNs;
+inline constexpr int64_t kRevisionBoundNs = 12 * kSecondNs;
+
+inline double Seconds(int64_t nanoseconds) {
+  return static_cast<double>(nanoseconds) / static_cast<double>(kSecondNs);
+}
+
+// The longest time that an operator waits for an answer: how old a read without a time may be.
+inline constexpr int64_t kLongestReadNs = 12 * kSecondNs;
+
+// A read shows at least what was acknowledged before this.
+inline int64_t AskedAt(const HistoryEvent& event) {
+  const int64_t asked_ns = event.state_read().asked_ns();
+  return asked_ns > 0 ? asked_ns : event.time_ns() - kLongestReadNs;
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/configuration_check.cc
@@ -0,0 +1,184 @@
+#include "posthatch/rehearse/checks/configuration_check.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "posthatch/rehearse/checks/bounds.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr std::string_view kId = "N8";
+constexpr std::string_view kTitle =
+    "the acknowledged configuration is in force, and never an older one";
+
+constexpr uint32_t kUnauthorized = 401;
+
+enum class KeyAnswer { kNothing, kAccepted, kRefused };
+
+// What a gateway's answer shows of the configuration it decides by; refusals for other reasons
+// (no lease, overload) show nothing.
+KeyAnswer AnswerOf(const RecordedHistory& history, const CallRecord& call) {
+  if (call.ended != nullptr && call.ended->status() == kUnauthorized) return KeyAnswer::kRefused;
+  if (call.answered_well()) return KeyAnswer::kAccepted;
+  if (!history.RunsOf(call.sent->nonce()).empty()) return KeyAnswer::kAccepted;
+  return KeyAnswer::kNothing;
+}
+
+struct KeyProbeCall {
+  const CallRecord* call;
+  KeyAnswer answer;
+};
+using CallsByKey = std::map<std::string, std::vector<KeyProbeCall>>;
+
+CallsByKey GroupByKey(const RecordedHistory& history) {
+  CallsByKey calls;
+  for (const CallRecord& call : history.calls()) {
+    if (call.sent->key_id().empty()) continue;
+    const KeyAnswer answer = AnswerOf(history, call);
+    if (answer != KeyAnswer::kNothing) calls[call.sent->key_id()].push_back({&call, answer});
+  }
+  return calls;
+}
+
+// More than 2 s after the acknowledgement a gateway must answer by the change.
+void CheckInForce(const RecordedHistory& history, const CallsByKey& calls, std::string_view on,
+                  std::string_view off, KeyAnswer expected, CheckResult* result) {
+  for (const auto& [key, probes] : calls) {
+    for (const Period& period : history.CertainPeriods(on, off, key, kConfigurationBoundNs)) {
+      for (const KeyProbeCall& probe : probes) {
+        const CallRecord& call = *probe.call;
+        // The answer may already show a change that undoes this one.
+        if (!period.Contains(call.sent_ns) || call.ended_ns >= period.until_ns) continue;
+        result->Examine();
+        if (probe.answer == expected) continue;
+        result->Violate(fmt::format(
+            "{} {} key {} {:.1f} s past the bound after the acknowledgement", call.sent->gateway(),
+            expected == KeyAnswer::kRefused ? "accepted revoked" : "refused new", key,
+            Seconds(call.sent_ns - period.from_ns)));
+      }
+    }
+  }
+}
+
+// When the change acknowledged at `acknowledged_ns` was first sent.
+int64_t FirstSentOf(const RecordedHistory& history, std::string_view on, const std::string& key,
+                    int64_t acknowledged_ns) {
+  for (const ChangeRecord& change : history.changes()) {
+    if (change.HasDetail(on, key) && change.acknowledged_ns() == acknowledged_ns) {
+      return change.first_sent_ns();
+    }
+  }
+  return acknowledged_ns;
+}
+
+// A gateway that has once answered by a change doesn't answer by the state before it again.
+void CheckNeverBack(const RecordedHistory& history, const CallsByKey& calls, std::string_view on,
+                    std::string_view off, KeyAnswer expected, CheckResult* result) {
+  for (const auto& [key, probes] : calls) {
+    for (const Period& period : history.CertainPeriods(on, off, key, 0)) {
+      // From when the change was sent on, by gateway: when it first answered by it.
+      std::map<std::string, int64_t> shown_at;
+      const int64_t sent_ns = FirstSentOf(history, on, key, period.from_ns);
+      for (const KeyProbeCall& probe : probes) {
+        const bool shows = probe.answer == expected && probe.call->sent_ns >= sent_ns &&
+                           probe.call->ended_ns < period.until_ns;
+        if (!shows) continue;
+        int64_t& earliest = shown_at.try_emplace(probe.call->sent->gateway(), kNever).first->second;
+        earliest = std::min(earliest, probe.call->ended_ns);
+      }
+      for (const KeyProbeCall& probe : probes) {
+        const auto shown = shown_at.find(probe.call->sent->gateway());
+        if (shown == shown_at.end() || probe.call->sent_ns <= shown->second) continue;
+        if (probe.call->ended_ns >= period.until_ns) continue;
+        result->Examine();
+        if (probe.answer == expected) continue;
+        result->Violate(
+            fmt::format("{} went back to an older configuration: key {}", shown->first, key));
+      }
+    }
+  }
+}
+
+void CheckReads(const RecordedHistory& history, CheckResult* result) {
+  for (const HistoryEvent& event : history.events()) {
+    if (!event.has_state_read()) continue;
+    const StateRead& read = event.state_read();
+    result->Examine();
+    std::set<std::string> seen;
+    for (const std::string& request_id : read.request_ids()) {
+      if (!seen.insert(request_id).second) {
+        result->Violate(fmt::format("change {} was applied twice", request_id));
+      }
+    }
+  }
+}
+
+// A change that took effect is not refused, and every acknowledgement names one version.
+void CheckResends(const RecordedHistory& history, CheckResult* result) {
+  std::set<std::string> in_history;
+  for (const HistoryEvent& event : history.events()) {
+    if (!event.has_state_read()) continue;
+    in_history.insert(event.state_read().request_ids().begin(),
+                      event.state_read().request_ids().end());
+  }
+  for (const ChangeRecord& change : history.changes()) {
+    if (change.sent_ns.size() < 2) continue;
+    result->Examine();
+    std::set<uint64_t> versions;
+    const ChangeAnswered* refusal = nullptr;
+    for (const auto& [time_ns, answer] : change.answers) {
+      if (answer->acknowledged()) versions.insert(answer->version());
+      if (answer->refused()) refusal = answer;
+    }
+    const bool applied = !versions.empty() || in_history.count(change.request_id) > 0;
+    if (refusal != nullptr && applied) {
+      result->Violate(fmt::format("change {} was applied, and its resend refused as {}",
+                                  change.request_id, refusal->code()));
+    }
+    if (versions.size() > 1) {
+      result->Violate(
+          fmt::format("change {} was acknowledged as several versions", change.request_id));
+    }
+  }
+}
+
+void CheckRaces(const RecordedHistory& history, CheckResult* result) {
+  std::map<uint64_t, std::string> winners;
+  for (const ChangeRecord& change : history.changes()) {
+    if (change.kind != "configuration" || !change.acknowledged()) continue;
+    const uint64_t version = change.acknowledged_version();
+    if (version == 0) continue;
+    result->Examine();
+    const auto [winner, first] = winners.emplace(version, change.request_id);
+    if (!first) {
+      result->Violate(fmt::format("changes {} and {} both won version {}", winner->second,
+                                  change.request_id, version));
+    }
+    if (change.expected_version > 0 && version != change.expected_version + 1) {
+      result->Violate(fmt::format("change {} expected version {} and was acknowledged as {}",
+                                  change.request_id, change.expected_version, version));
+    }
+  }
+}
+
+}  // namespace
+
+CheckResult ConfigurationCheck::Run(const RecordedHistory& history) const {
+  CheckResult result(kId, kTitle);
+  const CallsByKey calls = GroupByKey(history);
+  CheckInForce(history, calls, "revoke", "accept", KeyAnswer::kRefused, &result);
+  CheckInForce(history, calls, "accept", "revoke", KeyAnswer::kAccepted, &result);
+  CheckNeverBack(history, calls, "revoke", "accept", KeyAnswer::kRefused, &result);
+  CheckNeverBack(history, calls, "accept", "revoke", KeyAnswer::kAccepted, &result);
+  CheckReads(history, &result);
+  CheckResends(history, &result);
+  CheckRaces(history, &result);
+  return result;
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/configuration_check.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "posthatch/rehearse/checks/check.h"
+
+namespace posthatch::rehearse {
+
+// N8: Two seconds after an acknowledgement no gateway accepts a revoked key or refuses a new one; a
+// gateway that has shown a newer configuration never shows an older one; of two racing changes one
+// wins; a resent change is neither refused nor applied twice.
+class ConfigurationCheck : public Check {
+ public:
+  CheckResult Run(const RecordedHistory& history) const override;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/not_executed_check.cc
@@ -0,0 +1,57 @@
+#include "posthatch/rehearse/checks/not_executed_check.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <utility>
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr std::string_view kId = "N2";
+constexpr std::string_view kTitle = "\"not executed\" is said only of what never runs";
+
+// A run is explained by a call of its nonce that was sent before it and did not say "no".
+bool ExplainedByOtherCall(const RecordedHistory& history, const CallRecord& refused,
+                          const RunRecord& run) {
+  for (const CallRecord* call : history.CallsOf(refused.sent->nonce())) {
+    if (call == &refused || call->sent_ns > run.started_ns) continue;
+    if (call->ended == nullptr || call->ended->executed() != "no") return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+CheckResult NotExecutedCheck::Run(const RecordedHistory& history) const {
+  CheckResult result(kId, kTitle);
+  std::multimap<std::pair<std::string, std::string>, const RunRecord*> runs_by_key;
+  for (const RunRecord& record : history.runs()) {
+    const RunStarted& run = *record.run;
+    if (!run.idempotency_key().empty()) {
+      runs_by_key.emplace(std::make_pair(run.tenant(), run.idempotency_key()), &record);
+    }
+  }
+  for (const CallRecord& call : history.calls()) {
+    if (call.ended == nullptr || call.ended->executed() != "no") continue;
+    result.Examine();
+    const std::string& key = call.sent->idempotency_key();
+    const RunRecord* started = nullptr;
+    if (!key.empty()) {
+      const auto found = runs_by_key.find({call.sent->tenant(), key});
+      if (found != runs_by_key.end()) started = found->second;
+    }
+    for (const RunRecord* run : history.RunsOf(call.sent->nonce())) {
+      if (!key.empty() || !ExplainedByOtherCall(history, call, *run)) started = run;
+    }
+    if (started == nullptr) continue;
+    result.Violate(fmt::format(
+        "request {} (key \"{}\") was refused as not executed ({}), but run {} "
+        "started at {}",
+        call.sent->nonce(), key, call.ended->code(), started->run->run(), started->run->backend()));
+  }
+  return result;
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/not_executed_check.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "posthatch/rehearse/checks/check.h"
+
+namespace posthatch::rehearse {
+
+// N2: An answer that says "not executed" is a violation if the back ends' record shows a start of
+// its key, before or after; without a key, if no other call of the same nonce can have caused the
+// start.
+class NotExecutedCheck : public Check {
+ public:
+  CheckResult Run(const RecordedHistory& history) const override;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/request_checks-test.cc
@@ -0,0 +1,224 @@
+// N1 to N5 and N11: each check sees clean histories pass and several kinds of violation fail.
+#include <gtest/gtest.h>
+
+#include "posthatch/rehearse/checks/answer_check.h"
+#include "posthatch/rehearse/checks/history_builder.h"
+#include "posthatch/rehearse/checks/isolation_check.h"
+#include "posthatch/rehearse/checks/not_executed_check.h"
+#include "posthatch/rehearse/checks/retry_check.h"
+#include "posthatch/rehearse/checks/single_run_check.h"
+#include "posthatch/rehearse/checks/stream_check.h"
+
+namespace posthatch::rehearse {
+namespace {
+
+void ExpectClean(const HistoryBuilder& history, const Check& check) {
+  const CheckResult result = history.Examine(check);
+  EXPECT_GT(result.examined(), 0u);
+  EXPECT_EQ(result.violations(), 0u) << result.examples().front();
+}
+
+void ExpectViolations(const HistoryBuilder& history, const Check& check, uint64_t count) {
+  const CheckResult result = history.Examine(check);
+  EXPECT_EQ(result.violations(), count);
+  EXPECT_EQ(result.examples().size(), std::min<uint64_t>(count, CheckResult::kMostExamples));
+}
+
+TEST(SingleRunCheck, ResendsThatRunOncePass) {
+  HistoryBuilder history;
+  history.Call(1, "a", "alpha", "k1");
+  history.Call(2, "a", "alpha", "k1");
+  history.Run(1.05, "a", "service-1", "k1");
+  history.Run(3, "b", "service-1", "k2");
+  ExpectClean(history, SingleRunCheck());
+}
+
+TEST(SingleRunCheck, SecondStartIsAViolationAtWhateverBackEnd) {
+  HistoryBuilder history;
+  history.Run(1, "a", "service-1", "k1");
+  history.Run(2, "a", "service-2", "k1");
+  ExpectViolations(history, SingleRunCheck(), 1);
+}
+
+TEST(SingleRunCheck, SecondStartThatLostItsKeyIsFoundByTheNonce) {
+  HistoryBuilder history;
+  history.Call(1, "a", "alpha", "k1");
+  history.Run(1.05, "a", "service-1", "k1");
+  history.Run(2, "a", "service-1", "");
+  ExpectViolations(history, SingleRunCheck(), 1);
+}
+
+TEST(SingleRunCheck, TenantsHaveKeysOfTheirOwn) {
+  HistoryBuilder history;
+  history.Run(1, "a", "service-1", "k1");
+  history.Run(2, "b", "service-1", "k1")->set_tenant("beta");
+  ExpectClean(history, SingleRunCheck());
+}
+
+TEST(NotExecutedCheck, RefusalsWithoutARunPass) {
+  HistoryBuilder history;
+  history.Refused(1, "a", 503, "no", "k1");
+  history.Refused(2, "b", 503, "no");
+  history.Refused(3, "c", 503, "unknown", "k2");
+  history.Run(3.05, "c", "service-1", "k2");
+  ExpectClean(history, NotExecutedCheck());
+}
+
+TEST(NotExecutedCheck, StartBeforeOrAfterTheRefusalIsAViolation) {
+  HistoryBuilder history;
+  history.Refused(1, "a", 503, "no", "k1");
+  history.Run(9, "a", "service-1", "k1");
+  history.Run(1, "b", "service-1", "k2");
+  history.Refused(5, "b", 503, "no", "k2");
+  history.Refused(7, "c", 503, "no");
+  history.Run(7.01, "c", "worker-1");
+  ExpectViolations(history, NotExecutedCheck(), 3);
+}
+
+TEST(NotExecutedCheck, ARepeatableResendMayRunButNotTheRefusedCall) {
+  HistoryBuilder history;
+  history.Refused(1, "a", 503, "no");
+  history.Call(2, "a");
+  history.Run(2.05, "a");
+  ExpectClean(history, NotExecutedCheck());
+  history.Run(1.5, "a");
+  ExpectViolations(history, NotExecutedCheck(), 1);
+}
+
+TEST(AnswerCheck, OwnWholeAnswersPass) {
+  HistoryBuilder history;
+  history.Run(1, "a");
+  history.Call(1, "a");
+  CallEnded* cut = history.Call(2, "b");
+  cut->set_complete(false);
+  cut->set_body_intact(false);
+  ExpectClean(history, AnswerCheck());
+}
+
+TEST(AnswerCheck, CrossedChangedAndUnnamedAnswersAreViolations) {
+  HistoryBuilder history;
+  history.Run(1, "x");
+  history.Call(1, "a")->set_echoed_nonce("b");
+  history.Call(2, "b")->set_body_intact(false);
+  history.Call(3, "c")->set_run("run-x");
+  history.Call(4, "d")->set_echoed_nonce("");
+  CallEnded* cut = history.Call(5, "e");
+  cut->set_complete(false);
+  cut->set_echoed_nonce("z");
+  ExpectViolations(history, AnswerCheck(), 5);
+}
+
+CallEnded* Stream(HistoryBuilder* history, double time_s, const std::string& nonce,
+                  const std::vector<uint32_t>& pieces) {
+  CallEnded* ended = history->Call(time_s, nonce);
+  history->LastSent()->set_stream(true);
+  history->LastSent()->set_expected_pieces(3);
+  for (const uint32_t piece : pieces) ended->add_pieces(piece);
+  ended->add_piece_runs("run-" + nonce);
+  return ended;
+}
+
+TEST(StreamCheck, WholeStreamsAndVisibleCutsPass) {
+  HistoryBuilder history;
+  Stream(&history, 1, "a", {0, 1, 2});
+  Stream(&history, 2, "b", {0, 1})->set_complete(false);
+  ExpectClean(history, StreamCheck());
+}
+
+TEST(StreamCheck, SkippedRepeatedJoinedAndHiddenCutsAreViolations) {
+  HistoryBuilder history;
+  Stream(&history, 1, "a", {0, 2, 3});
+  Stream(&history, 2, "b", {0, 1, 1, 2});
+  Stream(&history, 3, "c", {0, 1, 2})->add_piece_runs("run-other");
+  Stream(&history, 4, "d", {0, 1});
+  Stream(&history, 5, "e", {});
+  history.Run(6, "f");
+  Stream(&history, 6, "f", {0, 1, 2});
+  history.EndRun(6.2, "f", false);
+  ExpectViolations(history, StreamCheck(), 6);
+}
+
+void Reuse(RunStarted* run, const std::string& maker, uint64_t revision = 1) {
+  ReusedBlocks* reused = run->add_reused();
+  reused->set_made_by_tenant(maker);
+  reused->set_made_under_revision(revision);
+  reused->set_blocks(4);
+}
+
+TEST(IsolationCheck, SharingOutsideIsolationPasses) {
+  HistoryBuilder history;
+  history.Change(1, "c1", "configuration", "isolate=beta");
+  history.Acknowledge(2, "c1", 1);
+  history.Change(10, "c2", "configuration", "share=beta");
+  for (const double time_s : {0.5, 3.0, 11.0}) {
+    history.Call(time_s, "n" + std::to_string(time_s));
+    Reuse(history.Run(time_s, "n" + std::to_string(time_s)), "beta");
+  }
+  history.Call(5, "own");
+  Reuse(history.Run(5, "own"), "alpha");
+  ExpectClean(history, IsolationCheck());
+}
+
+TEST(IsolationCheck, IsolatedBlocksAndOtherTenantsAreViolations) {
+  HistoryBuilder history;
+  history.Change(1, "c1", "configuration", "isolate=beta");
+  history.Acknowledge(2, "c1", 1);
+  history.Call(5, "uses-isolated");
+  Reuse(history.Run(5, "uses-isolated"), "beta");
+  history.Call(6, "is-isolated", "beta");
+  RunStarted* run = history.Run(6, "is-isolated");
+  run->set_tenant("beta");
+  Reuse(run, "alpha");
+  history.Call(7, "as-another", "gamma");
+  history.Run(7, "as-another");
+  ExpectViolations(history, IsolationCheck(), 3);
+}
+
+// `retries` of every hundred requests are tried twice, at ten requests a second.
+void Load(HistoryBuilder* history, int retries, bool first_seen) {
+  for (int request = 0; request < 200; ++request) {
+    const std::string nonce = "n" + std::to_string(request);
+    const bool retried = request % 100 < retries;
+    if (!retried || first_seen) history->Run(request * 0.1, nonce);
+    if (retried) history->Run(request * 0.1 + 0.05, nonce, "worker-2")->set_attempt_number(2);
+  }
+}
+
+TEST(RetryCheck, RetriesWithinTheBudgetPass) {
+  for (const bool first_seen : {true, false}) {
+    HistoryBuilder history;
+    Load(&history, 18, first_seen);
+    ExpectClean(history, RetryCheck());
+  }
+}
+
+TEST(RetryCheck, RetriesOverTheBudgetAreViolations) {
+  for (const bool first_seen : {true, false}) {
+    HistoryBuilder history;
+    Load(&history, 30, first_seen);
+    EXPECT_GT(history.Examine(RetryCheck()).violations(), 0u);
+  }
+}
+
+// A worker that came up at 20 s gets `cold` runs in the next 5 s, two warm ones 10 each.
+HistoryBuilder ColdWorker(int cold) {
+  HistoryBuilder history;
+  for (int run = 0; run < 10; ++run) {
+    history.Run(20.1 + run * 0.4, "w" + std::to_string(run), "worker-1");
+    history.Run(20.2 + run * 0.4, "v" + std::to_string(run), "worker-2");
+  }
+  for (int run = 0; run < cold; ++run) {
+    history.Run(20.1 + run * 0.1, "c" + std::to_string(run), "worker-3")
+        ->set_up_since_ns(20 * kSecondNs);
+  }
+  return history;
+}
+
+TEST(RetryCheck, AColdWorkerThatGetsLittlePasses) { ExpectClean(ColdWorker(5), RetryCheck()); }
+
+TEST(RetryCheck, AFloodedColdWorkerIsAViolation) {
+  ExpectViolations(ColdWorker(30), RetryCheck(), 1);
+}
+
+}  // namespace
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/retry_check.cc
@@ -0,0 +1,133 @@
+#include "posthatch/rehearse/checks/retry_check.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "posthatch/rehearse/checks/bounds.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr std::string_view kId = "N11";
+constexpr std::string_view kTitle = "retries and cold workers are bounded";
+
+constexpr int64_t kWindowNs = 10 * kSecondNs;
+constexpr double kRetryBudget = 0.2;
+// Fewer first attempts than this in a window are no load: two retries would be over the budget.
+constexpr uint64_t kLeastFirstAttempts = 20;
+
+constexpr int64_t kSlowStartNs = 10 * kSecondNs;
+// In half of a linear slow start a worker gets a quarter of a warm one's share on the average; the
+// check allows a whole share and the chance of a few runs.
+constexpr uint64_t kColdAllowance = 4;
+
+struct Attempt {
+  int64_t time_ns;
+  bool retry;
+};
+
+// Attempts that reached a back end, and the first attempts that must have come before retries but
+// reached none.
+std::vector<Attempt> AttemptsOf(const RecordedHistory& history) {
+  std::set<std::pair<std::string, std::string>> first_seen;  // nonce, gateway
+  for (const RunRecord& record : history.runs()) {
+    const RunStarted& run = *record.run;
+    if (run.attempt_number() <= 1) first_seen.insert({run.nonce(), run.gateway()});
+  }
+  std::vector<Attempt> attempts;
+  for (const RunRecord& record : history.runs()) {
+    const RunStarted& run = *record.run;
+    attempts.push_back({record.started_ns, run.attempt_number() > 1});
+    const bool unseen_first =
+        run.attempt_number() > 1 && first_seen.insert({run.nonce(), run.gateway()}).second;
+    if (unseen_first) attempts.push_back({record.started_ns, false});
+  }
+  return attempts;
+}
+
+void CheckBudget(const RecordedHistory& history, CheckResult* result) {
+  const std::vector<Attempt> attempts = AttemptsOf(history);
+  size_t oldest = 0;
+  uint64_t retries = 0;
+  uint64_t firsts = 0;
+  for (const Attempt& attempt : attempts) {
+    ++(attempt.retry ? retries : firsts);
+    while (attempts[oldest].time_ns <= attempt.time_ns - kWindowNs) {
+      --(attempts[oldest].retry ? retries : firsts);
+      ++oldest;
+    }
+    const bool whole_window = attempt.time_ns - attempts.front().time_ns >= kWindowNs;
+    if (!whole_window || firsts < kLeastFirstAttempts) continue;
+    result->Examine();
+    if (static_cast<double>(retries) <= kRetryBudget * static_cast<double>(firsts)) continue;
+    result->Violate(fmt::format("{} retries for {} first attempts in the 10 s before {:.1f} s",
+                                retries, firsts, Seconds(attempt.time_ns)));
+  }
+}
+
+struct WorkerRuns {
+  std::string model;
+  std::vector<std::pair<int64_t, int64_t>> runs;  // started, up since
+};
+
+// Runs that began in `period` at a worker that had been up for the whole slow start.
+uint64_t WarmRuns(const WorkerRuns& worker, const Period& period, bool* warm) {
+  uint64_t count = 0;
+  *warm = false;
+  for (const auto& [started_ns, up_since_ns] : worker.runs) {
+    if (!period.Contains(started_ns)) continue;
+    if (period.from_ns - up_since_ns < kSlowStartNs) return 0;
+    *warm = true;
+    ++count;
+  }
+  return count;
+}
+
+void CheckColdWorkers(const RecordedHistory& history, CheckResult* result) {
+  std::map<std::string, WorkerRuns> workers;
+  std::set<std::pair<std::string, int64_t>> starts;
+  for (const RunRecord& record : history.runs()) {
+    const RunStarted& run = *record.run;
+    if (run.model().empty()) continue;
+    workers[run.backend()].model = run.model();
+    workers[run.backend()].runs.emplace_back(record.started_ns, run.up_since_ns());
+    starts.insert({run.backend(), run.up_since_ns()});
+  }
+  for (const auto& [name, up_since_ns] : starts) {
+    const Period period{up_since_ns, up_since_ns + kSlowStartNs / 2};
+    uint64_t cold_runs = 0;
+    for (const auto& [started_ns, since_ns] : workers[name].runs) {
+      if (since_ns == up_since_ns && period.Contains(started_ns)) ++cold_runs;
+    }
+    uint64_t warm_runs = 0;
+    uint64_t warm_workers = 0;
+    for (const auto& [other, runs] : workers) {
+      if (other == name || runs.model != workers[name].model) continue;
+      bool warm = false;
+      warm_runs += WarmRuns(runs, period, &warm);
+      if (warm) ++warm_workers;
+    }
+    if (warm_workers == 0) continue;
+    result->Examine();
+    const double mean = static_cast<double>(warm_runs) / static_cast<double>(warm_workers);
+    if (static_cast<double>(cold_runs) <= mean + kColdAllowance) continue;
+    result->Violate(fmt::format("cold {} got {} runs in its first 5 s, warm workers {:.1f} each",
+                                name, cold_runs, mean));
+  }
+}
+
+}  // namespace
+
+CheckResult RetryCheck::Run(const RecordedHistory& history) const {
+  CheckResult result(kId, kTitle);
+  CheckBudget(history, &result);
+  CheckColdWorkers(history, &result);
+  return result;
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/checks/stale_wake_check.cc
@@ -0,0 +1,147 @@
+#include "posthatch/rehearse/checks/stale_wake_check.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <optional>
+
+#include "posthatch/rehearse/checks/bounds.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr std::string_view kId = "N10";
+constexpr std::string_view kTitle = "nothing old is used after a long freeze";
+
+constexpr int64_t kLongFreezeNs = 20 * kSecondNs;
+constexpr int64_t kWatchedNs = 30 * kSecondNs;
+
+struct Wake {
+  std::string process;
+  bool controller = false;
+  Period watched;
+};
+
+std::vector<Wake> LongWakes(const RecordedHistory& history) {
+  std::vector<Wake> wakes;
+  for (const FaultPeriod& fault : history.faults()) {
+    const bool silent = fault.kind == "freeze" || fault.kind == "cut";
+    const bool ended = fault.period.until_ns != kNever;
+    if (!silent || !ended || fault.period.until_ns - fault.period.from_ns < kLongFreezeNs) continue;
+    const int64_t woken_ns = fault.period.until_ns;
+    const bool controller = fault.target.rfind("controller", 0) == 0;
+    wakes.push_back({fault.target, controller, {woken_ns, woken_ns + kWatchedNs}});
+  }
+  return wakes;
+}
+
+bool Within(const std::vector<Period>& periods, int64_t time_ns) {
+  for (const Period& period : periods) {
+    if (period.Contains(time_ns)) return true;
+  }
+  return false;
+}
+
+uint64_t NewestRevision(const RecordedHistory& history, const std::string& model, int64_t time_ns) {
+  uint64_t newest = 0;
+  for (const ChangeRecord& change : history.changes()) {
+    const bool counts = change.kind == "model_revision" && change.HasDetail("model", model) &&
+                        change.acknowledged() &&
+                        change.acknowledged_ns() + kConfigurationBoundNs < time_ns;
+    if (counts) newest = std::max(newest, change.acknowledged_version());
+  }
+  return newest;
+}
+
+bool ByRevokedKey(const RecordedHistory& history, const RunStarted& run) {
+  const std::vector<const CallRecord*> calls = history.CallsOf(run.nonce());
+  if (calls.empty()) return false;
+  for (const CallRecord* call : calls) {
+    const std::string& key = call->sent->key_id();
+    if (!Within(history.CertainPeriods("revoke", "accept", key, kConfigurationBoundNs),
+                call->sent_ns)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool CrossesIsolation(const RecordedHistory& history, const RunStarted& run, int64_t time_ns) {
+  for (const ReusedBlocks& reused : run.reused()) {
+    const std::string& maker = reused.made_by_tenant();
+    if (maker.empty() || maker == run.tenant()) continue;
+    for (const std::string& tenant : {maker, run.tenant()}) {
+      if (Within(history.CertainPeriods("isolate", "share", tenant, kConfigurationBoundNs),
+                 time_ns)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// Why this run shows a decision by something old, or nothing.
+std::optional<std::string> StaleDecision(const RecordedHistory& history, const RunRecord& record) {
+  const RunStarted& run = *record.run;
+  const int64_t time_ns = record.started_ns;
+  const auto draining = history.DrainingPeriods(kDrainBoundNs);
+  const auto marked = draining.find(run.backend());
+  if (marked != draining.end() && Within(marked->second, time_ns)) return "a draining back end";
+  if (Within(history.CertainPeriods("evacuate", "lift", run.zone(), kEvacuationBoundNs), time_ns)) {
+    return "an evacuated zone";
+  }
+  if (!run.model().empty() &&
+      run.expected_revision() < NewestRevision(history, run.model(), time_ns)) {
+    return "an old model revision";
+  }
+  if (ByRevokedKey(history, run)) return "a revoked key";
+  if (CrossesIsolation(history, run, time_ns)) return "another tenant's blocks";
+  return std::nullopt;
+}
+
+void CheckRuns(const RecordedHistory& history, const Wake& wake, CheckResult* result) {
+  for (const RunRecord& record : history.runs()) {
+    const bool concerned = wake.watched.Contains(record.started_ns) &&
+                           (wake.controller || record.run->gateway() == wake.process);
+    if (!concerned) continue;
+    result->Examine();
+    if (const auto stale = StaleDecision(history, record)) {
+      result->Violate(fmt::format("{:.1f} s after {} woke, {} used {} for request {}",
+                                  Seconds(record.started_ns - wake.watched.from_ns), wake.process,
+                                  record.run->gateway(), *stale, record.run->nonce()));
+    }
+  }
+}
+
+// Orders of the woken process under a lease that another holder has used since.
+void CheckOrders(const RecordedHistory& history, const Wake& wake, CheckResult* result) {
+  std::map<std::string, const OrderSeen*> newest_by_worker;
+  for (const HistoryEvent& event : history.events()) {
+    if (!event.has_order_seen()) continue;
+    const OrderSeen& order = event.order_seen();
+    const OrderSeen*& newest = newest_by_worker[order.worker()];
+    if (order.holder() == wake.process && wake.watched.Contains(event.time_ns())) {
+      result->Examine();
+      if (newest != nullptr && order.fencing_token() < newest->fencing_token()) {
+        result->Violate(fmt::format(
+            "{} woke and ordered {} under token {}, which {} had passed with {}", wake.process,
+            order.worker(), order.fencing_token(), newest->holder(), newest->fencing_token()));
+      }
+    }
+    if (newest == nullptr || order.fencing_token() > newest->fencing_token()) newest = &order;
+  }
+}
+
+}  // namespace
+
+CheckResult StaleWakeCheck::Run(const RecordedHistory& history) const {
+  CheckResult result(kId, kTitle);
+  for (const Wake& wake : LongWakes(history)) {
+    CheckRuns(history, wake, &result);
+    CheckOrders(history, wake, &result);
+  }
+  return result;
+}
+
+}  // namespace posthatch::rehearse
