--- a/src/posthatch/rehearse/checks/history_builder.h
+++ b/src/posthatch/rehearse/checks/history_builder.h
@@ -133,9 +133,13 @@
 
   // The result of `check` over what was built so far.
   CheckResult Examine(const Check& check) const {
+    return check.Run(RecordedHistory(Events()));
+  }
+
+  std::vector<HistoryEvent> Events() const {
     std::vector<HistoryEvent> events;
     for (const auto& event : events_) events.push_back(*event);
-    return check.Run(RecordedHistory(std::move(events)));
+    return events;
   }
 
  private:
--- /dev/null
+++ b/src/posthatch/rehearse/fault_injector.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "posthatch/rehearse/answer_losing_client.h"
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/scenario.h"
+#include "posthatch/rehearse/stand_in_control.h"
+
+namespace posthatch::rehearse {
+
+// What became of one fault at one process.
+struct FaultOutcome {
+  std::string kind;
+  std::string target;
+  double at_s = 0;      // since the timeline's start
+  std::string result;   // "injected", "not applicable: ...", "skipped: ...", "failed: ..."
+};
+
+// Carries out a scenario's timeline of faults. Event loop thread only; owned by the rehearsal.
+class FaultInjector {
+ public:
+  struct Environment {
+    Fleet* fleet = nullptr;
+    StandInControl* control = nullptr;
+    AnswerLosingClient* operators_client = nullptr;
+    // Name of the leading controller as far as known.
+    std::function<std::string()> leader;
+    // A process was replaced or moved: callers, operators and the inventory must learn it.
+    std::function<void()> on_processes_changed;
+  };
+
+  explicit FaultInjector(Environment environment);
+  ~FaultInjector();
+  FaultInjector(const FaultInjector&) = delete;
+  FaultInjector& operator=(const FaultInjector&) = delete;
+
+  // Schedules all faults; times count from now.
+  void Start(const std::vector<Fault>& faults);
+  // Schedules faults that chaos drew: those that would lose acknowledged data by themselves (disks
+  // of a majority) are skipped.
+  void StartChaos(const std::vector<Fault>& faults);
+  // Ends everything that still lasts: thaws, heals, restarts.
+  void EndAll();
+  const std::vector<FaultOutcome>& outcomes() const { return outcomes_; }
+
+ private:
+  struct ActiveFault;
+
+  void Schedule(const std::vector<Fault>& faults, bool chaos);
+  void Begin(const Fault& fault, bool chaos);
+  void BeginAt(const Fault& fault, const ProcessInfo& process, bool chaos);
+  absl::Status Apply(const Fault& fault, const ProcessInfo& process, ActiveFault* active);
+  absl::Status ApplyLinks(const Fault& fault, const ProcessInfo& process, ActiveFault* active);
+  absl::Status ApplyReplace(const ProcessInfo& process);
+  void End(const std::shared_ptr<ActiveFault>& active);
+  void RestartUntilItRuns(const std::shared_ptr<ActiveFault>& active);
+  void Finish(const std::shared_ptr<ActiveFault>& active);
+  // Adds to (or takes away from) what lies on a link.
+  absl::Status ChangeLink(const std::string& from, const std::string& to, bool cut,
+                          runtime::Duration delay, int change);
+  std::string ReasonToSkip(const Fault& fault, const ProcessInfo& process, bool chaos) const;
+  void SetBehaviour(const ProcessInfo& process, const std::string& json);
+  void RecordFault(const ActiveFault& active, bool ended);
+  void AddOutcome(const Fault& fault, const std::string& target, const std::string& result);
+
+  struct LinkCounts {
+    int cuts = 0;
+    std::multiset<runtime::Duration> delays;
+  };
+
+  const Environment environment_;
+  runtime::MonotonicTime started_{};
+  std::map<std::pair<std::string, std::string>, LinkCounts> links_;
+  std::set<std::string> busy_;  // processes that are down, frozen or being moved
+  bool disk_was_lost_ = false;
+  runtime::MonotonicTime last_disk_loss_{};
+  std::vector<std::shared_ptr<ActiveFault>> active_;
+  std::vector<std::unique_ptr<runtime::Timer>> timers_;
+  std::vector<FaultOutcome> outcomes_;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/fleet.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "posthatch/rehearse/history/history_recorder.h"
+#include "posthatch/rehearse/scenario.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::rehearse {
+
+// One process of the fleet under rehearsal.
+struct ProcessInfo {
+  std::string name;  // node id or back end id; also the fault target in histories
+  Role role = Role::kAny;
+  std::string zone;
+  std::map<std::string, std::string> labels;  // back ends
+  std::string http_endpoint;                  // "ip:port"; empty once it is gone for good
+};
+
+// What happens to everything sent from one process to another.
+struct LinkState {
+  bool cut = false;
+  runtime::Duration extra_delay{};
+};
+
+// A fleet with its back ends, as the timeline and the checks see it: real processes (RealFleet) or
+// the simulator (SimulatedFleet). The caller drives it by RunFor; everything runs on its thread.
+// Methods that a kind of fleet can't do return Unimplemented: the report says "not applicable".
+class Fleet {
+ public:
+  virtual ~Fleet() = default;
+
+  // Starts all processes. Returns once they run; they may not serve yet.
+  virtual absl::Status Start() = 0;
+  // Runs events for this long.
+  virtual void RunFor(runtime::Duration duration) = 0;
+  // Where callers and operators live. Valid from Start to the fleet's end.
+  virtual runtime::Runtime* runtime() = 0;
+  // For what callers, operators and the timeline see.
+  virtual HistoryRecorder* recorder() = 0;
+  // All processes, also those that are down, without those that were replaced.
+  virtual std::vector<ProcessInfo> processes() const = 0;
+  // Empty, or why the rehearsal can't go on (a process ended by itself).
+  virtual std::string Failure() { return ""; }
+
+  virtual absl::Status Kill(const std::string& name) = 0;
+  // Asks the process to end; it drains first.
+  virtual absl::Status Stop(const std::string& name) = 0;
+  // Starts a process that is down again, at its address and with its data folder.
+  virtual absl::Status Restart(const std::string& name) = 0;
+  virtual absl::Status Freeze(const std::string& name) = 0;
+  virtual absl::Status Thaw(const std::string& name) = 0;
+  // Kills it and loses everything that was not synced.
+  virtual absl::Status PowerOff(const std::string& name) = 0;
+  // Empties the data folder of a process that is down.
+  virtual absl::Status ClearDisk(const std::string& name) = 0;
+  virtual absl::Status SetDiskDelay(const std::string& name, runtime::Duration per_sync) = 0;
+  virtual absl::Status JumpClock(const std::string& name, runtime::Duration delta) = 0;
+  virtual absl::Status SetLink(const std::string& from, const std::string& to,
+                               LinkState state) = 0;
+  // Kills the process for good and starts another with a new name and an empty data folder.
+  virtual absl::StatusOr<ProcessInfo> Replace(const std::string& name) = 0;
+  // Starts a process that is down at another address, with its data folder.
+  virtual absl::StatusOr<ProcessInfo> Move(const std::string& name) = 0;
+
+  // Everything recorded so far. Call it after the load has stopped.
+  virtual absl::StatusOr<std::vector<HistoryEvent>> TakeHistory() = 0;
+  // Hash of the simulator's trace; 0 for real processes.
+  virtual uint64_t trace_hash() const { return 0; }
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/fleet_plan.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/scenario.h"
+#include "posthatch/standins/inventory_standin.h"
+#include "posthatch/standins/traffic_mix.h"
+
+// Names, places and traffic that follow from a scenario, alike for real and simulated fleets.
+namespace posthatch::rehearse {
+
+// One process to start.
+struct PlannedProcess {
+  std::string name;    // "gateway-1", "worker-3", "inventory"
+  Role role = Role::kAny;
+  uint32_t number = 1;  // within its role, from 1
+  std::string zone;     // "z1"
+  std::string region;   // "r1"
+  std::string model;    // workers
+  std::string service;  // application services
+};
+
+// Every process of the fleet, in the order of starting: inventory, back ends, controllers, gateways.
+std::vector<PlannedProcess> PlanFleet(const Scenario& scenario);
+// The process numbered `number` of `role`, as for PlanFleet; for replacements.
+PlannedProcess PlanProcess(const Scenario& scenario, Role role, uint32_t number);
+
+// "<network>.<group>.<high>.<low>": one address a process. `network` is 127 for real loopback
+// addresses and 10 in the simulator; each move of a process takes the next `move`.
+std::string AddressOf(uint32_t network, const PlannedProcess& process, uint32_t move);
+bool IsBackend(Role role);
+std::map<std::string, std::string> LabelsOf(const PlannedProcess& process);
+standins::InventoryBackend InventoryEntry(const PlannedProcess& process,
+                                          const std::string& endpoint);
+
+// What the callers send.
+standins::TrafficMix PlanTraffic(const Scenario& scenario);
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/report.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "posthatch/rehearse/checks/check.h"
+#include "posthatch/rehearse/fault_injector.h"
+#include "posthatch/rehearse/scenario.h"
+#include "posthatch/rehearse/statistics.h"
+
+namespace posthatch::rehearse {
+
+// All that one run of a scenario found.
+struct RehearsalReport {
+  std::string scenario;
+  std::string mode;  // "run" or "simulate"
+  uint64_t seed = 0;
+  double duration_s = 0;
+  std::string failure;  // why it could not be carried through; empty: it was
+  Statistics statistics;
+  std::vector<CheckResult> checks;
+  std::vector<NotExamined> not_examined;
+  std::vector<FaultOutcome> faults;
+  std::vector<FaultOutcome> operations;
+  std::optional<double> round_robin_hit_ratio;
+  uint64_t trace_hash = 0;        // simulate only
+  bool deterministic = true;      // false: a second run of the seed had another trace hash
+};
+
+// Whether every check that applies examined something and found nothing, and the run was whole.
+bool Passed(const RehearsalReport& report);
+// Runs all checks and statistics over the history.
+void ExamineHistory(const Scenario& scenario, const RecordedHistory& history,
+                    RehearsalReport* report);
+
+// JSON of one run, and of many seeds of one scenario (docs/REHEARSAL.md lists the keys).
+std::string ReportJson(const RehearsalReport& report);
+std::string SeedsJson(const std::vector<RehearsalReport>& reports);
+// Table for people.
+std::string SummaryTable(const RehearsalReport& report);
+// One line for one seed of many.
+std::string SeedLine(const RehearsalReport& report);
+absl::Status WriteFile(const std::string& path, const std::string& text);
+
+}  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/scenario.h
+++ b/src/posthatch/rehearse/scenario.h
@@ -98,7 +98,8 @@
 
 struct TenantSizes {
   uint32_t count = 8;
-  uint32_t large = 2;  // the first ones: they send most of the traffic
+  uint32_t large = 2;     // the first ones: they send most of the traffic
+  uint32_t isolated = 1;  // the last ones: isolated from the start
 };
 
 // Shares of the traffic, of a total that need not be 1.
--- a/src/posthatch/rehearse/scenario_loader.cc
+++ b/src/posthatch/rehearse/scenario_loader.cc
@@ -31,6 +31,10 @@
 void ReadTenants(TableReader reader, TenantSizes* tenants) {
   reader.Read("count", 1, 10000, &tenants->count);
   reader.Read("large", 0, 10000, &tenants->large);
+  reader.Read("isolated", 0, 10000, &tenants->isolated);
+  if (tenants->isolated > tenants->count) {
+    reader.Fail("isolated", "more isolated tenants than tenants");
+  }
   if (tenants->large > tenants->count) reader.Fail("large", "more large tenants than tenants");
   reader.Finish();
 }
--- /dev/null
+++ b/src/posthatch/rehearse/stand_in_control.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::rehearse {
+
+// Sends the rehearsal's own requests (PUT /debug/..., GET /readyz) to processes of the fleet, real
+// or simulated alike. Event loop thread only.
+class StandInControl {
+ public:
+  using Done = std::function<void(absl::Status, const std::string& body)>;
+
+  explicit StandInControl(runtime::Runtime* runtime) : runtime_(runtime) {}
+  StandInControl(const StandInControl&) = delete;
+  StandInControl& operator=(const StandInControl&) = delete;
+
+  void Put(const std::string& endpoint, const std::string& path, const std::string& json,
+           Done done);
+  // Unavailable unless the answer is 200.
+  void Get(const std::string& endpoint, const std::string& path, Done done);
+
+ private:
+  struct PendingCall;
+  void Send(const std::string& endpoint, http::Request request, Done done);
+  void Finish(uint64_t id, const absl::Status& status);
+
+  runtime::Runtime* const runtime_;
+  std::map<uint64_t, std::shared_ptr<PendingCall>> pending_;
+  uint64_t last_id_ = 0;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/statistics.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/checks/recorded_history.h"
+
+namespace posthatch::rehearse {
+
+// Percentiles of a set of durations, in milliseconds; `count` 0: nothing was measured.
+struct Percentiles {
+  uint64_t count = 0;
+  double p50 = 0;
+  double p95 = 0;
+  double p99 = 0;
+};
+
+// Nearest-rank percentiles.
+Percentiles PercentilesOf(std::vector<double> milliseconds);
+
+struct RequestCounts {
+  uint64_t sent = 0;       // calls of the load, with resends, without key probes
+  uint64_t completed = 0;  // whole answers with status 2xx
+  uint64_t refused = 0;    // answers with another status
+  uint64_t unknown = 0;    // no answer, or a broken one
+  uint64_t left = 0;       // the caller gave up by its own choice
+};
+
+// Requests sent in the ten seconds after a fault began, and how many of them completed.
+struct Goodput {
+  std::string fault;
+  std::string target;
+  double at_s = 0;  // since the history's first call
+  uint64_t sent = 0;
+  uint64_t completed = 0;
+};
+
+// What a history says of speed and economy.
+struct Statistics {
+  RequestCounts requests;
+  Percentiles latency_ms;          // whole answers, from sending to the end
+  Percentiles first_token_ms;      // streams
+  Percentiles token_gap_ms;        // between pieces of a stream
+  Percentiles config_in_force_ms;  // from an acknowledgement to the last sign of the state before
+  Percentiles revision_in_force_ms;
+  double prefix_hit_ratio = 0;     // prompt blocks that were not prefilled, of all prompt blocks
+  double retry_ratio = 0;          // attempts beyond the first, of first attempts
+  std::vector<Goodput> goodput;
+};
+
+Statistics ComputeStatistics(const RecordedHistory& history);
+
+}  // namespace posthatch::rehearse
