--- a/src/posthatch/rehearse/checks/control_checks-test.cc
+++ b/src/posthatch/rehearse/checks/control_checks-test.cc
@@ -190,7 +190,7 @@
   HistoryBuilder history;
   history.Change(1, "c", "configuration", "");
   history.Acknowledge(2, "c", 4);
-  history.Read(3, 3, {})->set_asked_ns(kSecondNs);
+  history.Read(3, 3, {})->set_started_ns(kSecondNs);
   EXPECT_EQ(history.Examine(DurabilityCheck()).examined(), 0u);
 }
 
--- a/src/posthatch/rehearse/checks/history_builder.h
+++ b/src/posthatch/rehearse/checks/history_builder.h
@@ -102,7 +102,7 @@
   StateRead* Read(double time_s, uint64_t version, const std::vector<std::string>& request_ids) {
     HistoryEvent* event = Add(time_s);
     StateRead* read = event->mutable_state_read();
-    read->set_asked_ns(event->time_ns());
+    read->set_started_ns(event->time_ns());
     read->set_configuration_version(version);
     for (const std::string& id : request_ids) read->add_request_ids(id);
     return read;
