Add the replicated log: segmented storage, Raft core and replica

Storage frames records with the start of their batch, so that a damaged record that was synced is told from an interrupted write. The core is a pure state machine (Step, Tick, Propose -> Ready). Ruled out: a separate hard state file (a second sync for each vote and term); truncating segments on conflict (a later entry replaces everything from its index on, which needs no truncation).

--- /dev/null
+++ b/src/posthatch/consensus/cluster_configuration.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "posthatch/consensus/consensus.pb.h"
+
+namespace posthatch::consensus {
+
+// Null if `replica_id` is no member.
+const Member* FindMember(const ClusterConfiguration& configuration, uint64_t replica_id);
+Member* FindMutableMember(ClusterConfiguration* configuration, uint64_t replica_id);
+bool IsVoter(const ClusterConfiguration& configuration, uint64_t replica_id);
+size_t VoterCount(const ClusterConfiguration& configuration);
+// Adds the member, or makes an existing one a voter or a learner.
+ClusterConfiguration WithMember(ClusterConfiguration configuration, const Member& member);
+ClusterConfiguration WithoutMember(ClusterConfiguration configuration, uint64_t replica_id);
+
+// Whether `has` holds for a majority of the voters; false if there are none.
+bool MajorityHas(const ClusterConfiguration& configuration,
+                 const std::function<bool(uint64_t replica_id)>& has);
+// The highest value that a majority of the voters has reached; 0 if there are no voters.
+uint64_t MajorityValue(const ClusterConfiguration& configuration,
+                       const std::function<uint64_t(uint64_t replica_id)>& value_of);
+
+// What a configuration entry or a snapshot carries; an empty one if it does not parse.
+ClusterConfiguration ParseConfiguration(const std::string& data);
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/consensus/disk_health.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::consensus {
+
+// Watches how long the log's disk syncs take, so that a leader with a slow disk hands over.
+class DiskHealth {
+ public:
+  // Slow means a 95th percentile above `threshold` for `patience`.
+  DiskHealth(runtime::Duration threshold, runtime::Duration patience)
+      : threshold_(threshold), patience_(patience) {}
+
+  void OnSync(runtime::Duration took, runtime::MonotonicTime now);
+  // To be called regularly; `in_flight` is how long the write under way has taken so far.
+  void Update(runtime::Duration in_flight, runtime::MonotonicTime now);
+  // 95th percentile over the last seconds, or the write under way if that is longer. Zero if there
+  // was none.
+  runtime::Duration p95() const { return p95_; }
+  bool IsSlow(runtime::MonotonicTime now) const { return slow_ && now - slow_since_ >= patience_; }
+
+ private:
+  struct Sample {
+    runtime::MonotonicTime at;
+    runtime::Duration took;
+  };
+  const runtime::Duration threshold_;
+  const runtime::Duration patience_;
+  std::deque<Sample> samples_;
+  runtime::Duration p95_{0};
+  bool slow_ = false;
+  runtime::MonotonicTime slow_since_;
+};
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/consensus/raft_core.cc
@@ -0,0 +1,325 @@
+#include "posthatch/consensus/raft_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/consensus/cluster_configuration.h"
+
+namespace posthatch::consensus {
+
+using runtime::MonotonicTime;
+
+RaftCore::RaftCore(RaftOptions options, runtime::Random* random, RecoveredState recovered,
+                   MonotonicTime now)
+    : options_(options),
+      random_(random),
+      endpoint_(std::move(recovered.endpoint)),
+      hard_state_(recovered.hard_state),
+      snapshot_(std::move(recovered.snapshot)) {
+  log_.Restore(recovered.base_index, recovered.base_term, std::move(recovered.entries));
+  first_unstaged_ = log_.last_index() + 1;
+  durable_index_ = log_.last_index();
+  if (snapshot_ != nullptr) {
+    commit_index_ = snapshot_->metadata.index();
+    applied_index_ = commit_index_;
+    AdoptConfiguration(commit_index_, ParseConfiguration(snapshot_->metadata.configuration()));
+  }
+  for (uint64_t index = log_.base_index() + 1; index <= log_.last_index(); ++index) {
+    const storage::LogEntry& entry = log_.Entry(index);
+    if (entry.type() != storage::LogEntry::CONFIGURATION || index <= commit_index_) continue;
+    AdoptConfiguration(index, ParseConfiguration(entry.data()));
+  }
+  verified_index_ = commit_index_;
+  // What was promised to a leader before the restart is forgotten: keep the longest such promise.
+  if (term() > 0) leader_heard_at_ = now;
+  ResetElectionTimer(now);
+}
+
+// ---------------------------------------------------------------------------------- state
+
+uint64_t RaftCore::cluster_id() const {
+  return IsFresh() ? joining_cluster_ : configuration().cluster_id();
+}
+
+const ClusterConfiguration& RaftCore::configuration() const {
+  static const ClusterConfiguration kNone;
+  return configurations_.empty() ? kNone : configurations_.back().second;
+}
+
+ClusterConfiguration RaftCore::ConfigurationAt(uint64_t index) const {
+  ClusterConfiguration found;
+  for (const auto& [entry_index, configuration] : configurations_) {
+    if (entry_index <= index) found = configuration;
+  }
+  return found;
+}
+
+ReplicaRole RaftCore::role() const {
+  if (IsFresh()) return ReplicaRole::kUnbootstrapped;
+  if (role_ == Role::kLeader) return ReplicaRole::kLeader;
+  if (!IsVoter(configuration(), replica_id())) return ReplicaRole::kLearner;
+  return role_ == Role::kFollower ? ReplicaRole::kFollower : ReplicaRole::kCandidate;
+}
+
+bool RaftCore::HasLeader(MonotonicTime now) const {
+  if (IsLeader()) return true;
+  return leader_id_ != 0 && leader_heard_at_.has_value() &&
+         now - *leader_heard_at_ < options_.election_timeout_max;
+}
+
+std::string RaftCore::EndpointOf(uint64_t replica_id) const {
+  if (replica_id == this->replica_id()) return endpoint_;
+  const auto found = addresses_.find(replica_id);
+  return found == addresses_.end() ? std::string() : found->second.endpoint;
+}
+
+// ---------------------------------------------------------------------------------- messages
+
+RaftMessage RaftCore::NewMessage(uint64_t to) const {
+  RaftMessage message;
+  message.set_cluster_id(cluster_id());
+  message.set_from(replica_id());
+  message.set_to(to);
+  message.set_term(term());
+  message.set_from_endpoint(endpoint_);
+  message.set_from_boot_count(boot_count());
+  return message;
+}
+
+void RaftCore::NoteEndpoint(const RaftMessage& message) {
+  if (message.from() == 0 || message.from() == replica_id()) return;
+  if (message.from_endpoint().empty() || message.from_endpoint() == endpoint_) return;
+  const auto known = addresses_.find(message.from());
+  if (known != addresses_.end() && message.from_boot_count() < known->second.boot_count) return;
+  SetAddress(message.from(), {message.from_endpoint(), message.from_boot_count()});
+}
+
+void RaftCore::Send(RaftMessage message) {
+  std::string endpoint = EndpointOf(message.to());
+  if (endpoint.empty()) return;
+  outbox_.push_back({std::move(endpoint), std::move(message)});
+}
+
+void RaftCore::SendWhenDurable(RaftMessage message) {
+  const bool unstaged =
+      hard_state_dirty_ || reset_.has_value() || first_unstaged_ <= log_.last_index();
+  const uint64_t needed = unstaged ? next_persist_id_ : next_persist_id_ - 1;
+  if (needed <= durable_persist_id_) return Send(std::move(message));
+  held_.emplace_back(needed, std::move(message));
+}
+
+bool RaftCore::Accepts(const RaftMessage& message) {
+  if (message.from() == 0 || message.from() == replica_id()) return false;
+  // A message for the identity that this machine had before it lost its disk is not for us.
+  if (message.to() != replica_id()) return false;
+  if (message.has_join_request()) {
+    return !IsFresh() && (message.cluster_id() == 0 || message.cluster_id() == cluster_id());
+  }
+  if (message.cluster_id() == 0) return false;
+  if (!IsFresh()) return message.cluster_id() == cluster_id();
+  // Only a cluster that has this replica id in its configuration writes to it.
+  if (!message.has_vote_request() && !message.has_append_request() &&
+      !message.has_snapshot_chunk()) {
+    return false;
+  }
+  joining_cluster_ = message.cluster_id();
+  return true;
+}
+
+bool RaftCore::PrepareTerm(const RaftMessage& message, MonotonicTime now) {
+  if (message.has_join_request() || message.term() == term()) return true;
+  if (message.term() < term()) {
+    AnswerOldTerm(message);
+    return false;
+  }
+  if (message.has_vote_request()) {
+    const VoteRequest& request = message.vote_request();
+    if (request.pre_vote()) return true;
+    if (!request.leadership_transfer() && MustRefuseVotes(now)) return false;
+  }
+  if (message.has_vote_response() && message.vote_response().pre_vote() &&
+      message.vote_response().granted()) {
+    return true;
+  }
+  const bool from_leader = message.has_append_request() || message.has_snapshot_chunk();
+  BecomeFollower(message.term(), from_leader ? message.from() : 0, now);
+  return true;
+}
+
+// Tells a leader or candidate of an earlier term that its time is over.
+void RaftCore::AnswerOldTerm(const RaftMessage& message) {
+  RaftMessage answer = NewMessage(message.from());
+  if (message.has_append_request() || message.has_snapshot_chunk()) {
+    answer.mutable_append_response()->set_success(false);
+  } else if (message.has_vote_request()) {
+    answer.mutable_vote_response()->set_pre_vote(message.vote_request().pre_vote());
+    answer.mutable_vote_response()->set_request_term(message.term());
+  } else {
+    return;
+  }
+  Send(std::move(answer));
+}
+
+void RaftCore::Step(const RaftMessage& message, MonotonicTime now) {
+  if (!Accepts(message)) return;
+  NoteEndpoint(message);
+  if (PrepareTerm(message, now)) Dispatch(message, now);
+}
+
+void RaftCore::Dispatch(const RaftMessage& message, MonotonicTime now) {
+  switch (message.body_case()) {
+    case RaftMessage::kVoteRequest:
+      return HandleVoteRequest(message, now);
+    case RaftMessage::kVoteResponse:
+      return HandleVoteResponse(message, now);
+    case RaftMessage::kAppendRequest:
+      return HandleAppendRequest(message, now);
+    case RaftMessage::kAppendResponse:
+      return HandleAppendResponse(message, now);
+    case RaftMessage::kSnapshotChunk:
+      return HandleSnapshotChunk(message, now);
+    case RaftMessage::kSnapshotResponse:
+      return HandleSnapshotResponse(message, now);
+    case RaftMessage::kTimeoutNow:
+      return HandleTimeoutNow(message, now);
+    case RaftMessage::kJoinRequest:
+      return HandleJoinRequest(message, now);
+    case RaftMessage::kHello:  // Bootstrap's
+    case RaftMessage::BODY_NOT_SET:
+      return;
+  }
+}
+
+void RaftCore::Tick(MonotonicTime now) {
+  if (IsLeader()) return LeaderTick(now);
+  if (now >= election_deadline_ && IsVoter(configuration(), replica_id())) StartPreVote(now);
+}
+
+absl::StatusOr<uint64_t> RaftCore::Propose(std::string command, MonotonicTime now) {
+  if (!IsLeader()) return absl::FailedPreconditionError("not leader");
+  if (transfer_target_ != 0) return absl::FailedPreconditionError("handing leadership over");
+  if (now - leader_since_ >= options_.election_timeout_min && !HasQuorum(now)) {
+    return absl::FailedPreconditionError("not leader: no majority heard");
+  }
+  if (log_.last_index() - commit_index_ >= options_.max_uncommitted_entries ||
+      uncommitted_bytes_ + command.size() > options_.max_uncommitted_bytes) {
+    return absl::ResourceExhaustedError("too many commands in flight");
+  }
+  storage::LogEntry entry;
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term());
+  entry.set_data(std::move(command));
+  uncommitted_bytes_ += entry.data().size();
+  AppendToLog(std::move(entry));
+  return log_.last_index();
+}
+
+void RaftCore::Bootstrap(const ClusterConfiguration& configuration, MonotonicTime now) {
+  if (!IsFresh() || log_.last_index() != 0) return;
+  SetHardState(std::max<uint64_t>(term(), 1), hard_state_.vote());
+  storage::LogEntry entry;
+  entry.set_index(1);
+  entry.set_term(1);
+  entry.set_type(storage::LogEntry::CONFIGURATION);
+  entry.set_data(configuration.SerializeAsString());
+  AppendToLog(std::move(entry));
+  if (IsVoter(configuration, replica_id())) StartElection(/*transfer=*/false, now);
+}
+
+// ---------------------------------------------------------------------------------- persisting
+
+void RaftCore::SetHardState(uint64_t term, uint64_t vote) {
+  if (hard_state_.term() == term && hard_state_.vote() == vote) return;
+  hard_state_.set_term(term);
+  hard_state_.set_vote(vote);
+  hard_state_dirty_ = true;
+}
+
+void RaftCore::AppendToLog(storage::LogEntry entry) {
+  const uint64_t index = entry.index();
+  const bool is_configuration = entry.type() == storage::LogEntry::CONFIGURATION;
+  log_.Append(std::move(entry));
+  if (is_configuration) AdoptConfiguration(index, ParseConfiguration(log_.Entry(index).data()));
+}
+
+void RaftCore::TruncateLog(uint64_t from_index) {
+  log_.TruncateFrom(from_index);
+  first_unstaged_ = std::min(first_unstaged_, from_index);
+  durable_index_ = std::min(durable_index_, from_index - 1);
+  verified_index_ = std::min(verified_index_, from_index - 1);
+  for (Staged& staged : staged_) staged.last_index = std::min(staged.last_index, from_index - 1);
+  while (!configurations_.empty() && configurations_.back().first >= from_index) {
+    configurations_.pop_back();
+  }
+}
+
+void RaftCore::StagePersist(Ready* ready) {
+  if (!hard_state_dirty_ && !reset_.has_value() && first_unstaged_ > log_.last_index()) return;
+  ready->persist_id = next_persist_id_++;
+  ready->reset = std::exchange(reset_, std::nullopt);
+  for (; first_unstaged_ <= log_.last_index(); ++first_unstaged_) {
+    ready->entries.push_back(log_.Entry(first_unstaged_));
+  }
+  if (std::exchange(hard_state_dirty_, false)) ready->hard_state = hard_state_;
+  staged_.push_back({ready->persist_id, log_.last_index()});
+}
+
+void RaftCore::OnPersisted(uint64_t persist_id, MonotonicTime now) {
+  durable_persist_id_ = persist_id;
+  const uint64_t durable_before = durable_index_;
+  while (!staged_.empty() && staged_.front().persist_id <= persist_id) {
+    durable_index_ = std::max(durable_index_, staged_.front().last_index);
+    staged_.pop_front();
+  }
+  while (!held_.empty() && held_.front().first <= persist_id) {
+    Send(std::move(held_.front().second));
+    held_.pop_front();
+  }
+  if (role_ == Role::kCandidate) CountVotes(now);
+  if (IsLeader()) {
+    AdvanceCommit();
+  } else if (durable_index_ > durable_before && leader_id_ != 0) {
+    SendAppendResponse(leader_id_, newest_append_sent_at_ns_, newest_read_round_);
+  }
+}
+
+// ---------------------------------------------------------------------------------- output
+
+bool RaftCore::HasReady(MonotonicTime now) const {
+  if (hard_state_dirty_ || reset_.has_value() || first_unstaged_ <= log_.last_index()) return true;
+  if (!outbox_.empty()) return true;
+  if (OwnTermCommitted() && !reads_.empty() &&
+      (reads_.back().round == 0 || OldestReadConfirmed(now))) {
+    return true;
+  }
+  return installing_ == nullptr ? applied_index_ < commit_index_ : !install_taken_;
+}
+
+Ready RaftCore::TakeReady(MonotonicTime now) {
+  Ready ready;
+  if (IsLeader()) {
+    AskReads(now);
+    for (auto& [id, progress] : progress_) SendEntries(id, &progress, now);
+  }
+  StagePersist(&ready);
+  if (installing_ != nullptr && !install_taken_) {
+    install_taken_ = true;
+    ready.install = installing_;
+  }
+  if (installing_ == nullptr) TakeCommitted(&ready);
+  TakeReads(&ready, now);
+  ready.messages = std::move(outbox_);
+  outbox_.clear();
+  return ready;
+}
+
+void RaftCore::TakeCommitted(Ready* ready) {
+  size_t bytes = 0;
+  while (applied_index_ < commit_index_ && bytes < options_.max_apply_bytes) {
+    const storage::LogEntry& entry = log_.Entry(++applied_index_);
+    bytes += entry.data().size() + 1;
+    ready->committed.push_back(entry);
+  }
+}
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/consensus/raft_core.h
@@ -0,0 +1,247 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "posthatch/consensus/consensus.pb.h"
+#include "posthatch/consensus/memory_log.h"
+#include "posthatch/consensus/raft_types.h"
+#include "posthatch/consensus/replicated_log.h"
+#include "posthatch/runtime/random.h"
+
+namespace posthatch::consensus {
+
+// The Raft algorithm as a state machine without clock, disk or network: calls go in, TakeReady()
+// tells what to do. After Ongaro, "Consensus: Bridging Theory and Practice" (2014), with pre-vote
+// (9.6), leadership transfer (3.10), single-server membership change (4), log compaction (5), read
+// index (6.4) and writing to the leader's disk in parallel (10.2.1). Design note: consensus.md.
+//
+// Owned by RaftReplica; not thread-safe. `now` must not go back between calls.
+class RaftCore {
+ public:
+  // `random` must outlive this object.
+  RaftCore(RaftOptions options, runtime::Random* random, RecoveredState recovered,
+           runtime::MonotonicTime now);
+
+  // ------------------------------------------------------------------ input
+  void Step(const RaftMessage& message, runtime::MonotonicTime now);
+  // To be called at least every quarter of a heartbeat interval.
+  void Tick(runtime::MonotonicTime now);
+  // Index of the new entry, or FailedPrecondition (not the leader, or handing over),
+  // ResourceExhausted (too much uncommitted).
+  absl::StatusOr<uint64_t> Propose(std::string command, runtime::MonotonicTime now);
+  // An id that comes back in Ready::reads, or FailedPrecondition. Reads are lost with leadership.
+  absl::StatusOr<uint64_t> RequestRead(runtime::MonotonicTime now);
+  // The first entry of a new cluster; only for a fresh replica. Stands for election at once.
+  void Bootstrap(const ClusterConfiguration& configuration, runtime::MonotonicTime now);
+  // Begins to hand leadership to the best-placed live voter whose disk syncs faster than
+  // `max_sync_p95_us`. False if not leader or there is none.
+  bool TransferLeadership(uint64_t max_sync_p95_us, runtime::MonotonicTime now);
+  void OnPersisted(uint64_t persist_id, runtime::MonotonicTime now);
+  void OnSnapshotInstalled(const std::shared_ptr<const storage::Snapshot>& snapshot,
+                           runtime::MonotonicTime now);
+  // A snapshot of the state machine at applied_index() or before is durable. Forgets entries before
+  // it, but for the last `keep_entries`.
+  void OnSnapshotTaken(const std::shared_ptr<const storage::Snapshot>& snapshot,
+                       uint64_t keep_entries, runtime::MonotonicTime now);
+  void SetSyncP95(uint64_t microseconds) { sync_p95_us_ = microseconds; }
+
+  // ------------------------------------------------------------------ output
+  bool HasReady(runtime::MonotonicTime now) const;
+  Ready TakeReady(runtime::MonotonicTime now);
+
+  // ------------------------------------------------------------------ state
+  uint64_t replica_id() const { return hard_state_.replica_id(); }
+  uint64_t boot_count() const { return hard_state_.boot_count(); }
+  uint64_t term() const { return hard_state_.term(); }
+  uint64_t vote() const { return hard_state_.vote(); }
+  uint64_t cluster_id() const;
+  ReplicaRole role() const;
+  bool IsLeader() const { return role_ == Role::kLeader; }
+  // Leader, and an entry of its own term is committed: reads and membership changes are allowed.
+  bool OwnTermCommitted() const;
+  // Leader, and the state machine holds all that earlier leaders have committed.
+  bool IsLeaderReady() const { return IsLeader() && applied_index_ >= term_start_index_; }
+  bool IsTransferring() const { return transfer_target_ != 0; }
+  // Whether a majority has answered messages that were sent within the shortest election timeout:
+  // no other leader can have been elected yet. False if not leader.
+  bool HasQuorum(runtime::MonotonicTime now) const;
+  // No configuration is known: the replica belongs to no cluster.
+  bool IsFresh() const { return configurations_.empty(); }
+  uint64_t leader_id() const { return leader_id_; }
+  // Whether a leader has been heard (or this replica leads).
+  bool HasLeader(runtime::MonotonicTime now) const;
+  std::string EndpointOf(uint64_t replica_id) const;  // empty if unknown
+  uint64_t commit_index() const { return commit_index_; }
+  uint64_t applied_index() const { return applied_index_; }
+  uint64_t durable_index() const { return durable_index_; }
+  const MemoryLog& log() const { return log_; }
+  const ClusterConfiguration& configuration() const;
+  ClusterConfiguration ConfigurationAt(uint64_t index) const;
+  const std::map<uint64_t, Progress>& progress() const { return progress_; }
+  // Stamps sender, term and cluster on a message.
+  RaftMessage NewMessage(uint64_t to) const;
+  // Learns a replica's endpoint from a message.
+  void NoteEndpoint(const RaftMessage& message);
+
+ private:
+  enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
+  struct Address {
+    std::string endpoint;
+    uint64_t boot_count = 0;
+  };
+  struct Staged {  // handed out for persisting, not yet durable
+    uint64_t persist_id;
+    uint64_t last_index;
+  };
+  struct PendingRead {
+    uint64_t id;
+    uint64_t round = 0;  // 0: not yet asked of the followers
+    uint64_t index = 0;
+  };
+  struct ReceivedSnapshot {
+    storage::SnapshotMetadata metadata;
+    uint64_t total_bytes = 0;
+    std::string data;
+  };
+
+  // raft_core.cc
+  bool Accepts(const RaftMessage& message);
+  bool PrepareTerm(const RaftMessage& message, runtime::MonotonicTime now);
+  void Dispatch(const RaftMessage& message, runtime::MonotonicTime now);
+  void AnswerOldTerm(const RaftMessage& message);
+  void Send(RaftMessage message);
+  void SendWhenDurable(RaftMessage message);
+  void AppendToLog(storage::LogEntry entry);
+  void TruncateLog(uint64_t from_index);
+  void StagePersist(Ready* ready);
+  void TakeCommitted(Ready* ready);
+  void SetHardState(uint64_t term, uint64_t vote);
+
+  // raft_election.cc
+  void ResetElectionTimer(runtime::MonotonicTime now);
+  void BecomeFollower(uint64_t term, uint64_t leader, runtime::MonotonicTime now);
+  void BecomeLeader(runtime::MonotonicTime now);
+  void StartPreVote(runtime::MonotonicTime now);
+  void StartElection(bool transfer, runtime::MonotonicTime now);
+  void RequestVotes(bool pre_vote, bool transfer);
+  void CountVotes(runtime::MonotonicTime now);
+  bool MustRefuseVotes(runtime::MonotonicTime now) const;
+  void HandleVoteRequest(const RaftMessage& message, runtime::MonotonicTime now);
+  void HandleVoteResponse(const RaftMessage& message, runtime::MonotonicTime now);
+  void HandleTimeoutNow(const RaftMessage& message, runtime::MonotonicTime now);
+  void AdvanceTransfer(runtime::MonotonicTime now);
+
+  // raft_replication.cc
+  void LeaderTick(runtime::MonotonicTime now);
+  void BroadcastHeartbeat(runtime::MonotonicTime now);
+  void SendHeartbeat(uint64_t to, Progress* progress, runtime::MonotonicTime now);
+  void SendEntries(uint64_t to, Progress* progress, runtime::MonotonicTime now);
+  RaftMessage NewAppend(uint64_t to, uint64_t prev_index, uint64_t prev_term,
+                        runtime::MonotonicTime now) const;
+  void HandleAppendRequest(const RaftMessage& message, runtime::MonotonicTime now);
+  bool MatchEntries(const AppendRequest& request);
+  void RejectAppend(const RaftMessage& message);
+  void SendAppendResponse(uint64_t to, int64_t sent_at_ns, uint64_t read_round);
+  void HandleAppendResponse(const RaftMessage& message, runtime::MonotonicTime now);
+  void HandleRejection(const AppendResponse& response, Progress* progress);
+  void NoteContact(Progress* progress, int64_t sent_at_ns, uint64_t read_round,
+                   runtime::MonotonicTime now);
+  void AdvanceCommit();
+  void AskReads(runtime::MonotonicTime now);
+  bool OldestReadConfirmed(runtime::MonotonicTime now) const;
+  void TakeReads(Ready* ready, runtime::MonotonicTime now);
+
+  // raft_snapshot.cc
+  void StartSnapshot(uint64_t to, Progress* progress, runtime::MonotonicTime now);
+  void SendChunk(uint64_t to, Progress* progress, runtime::MonotonicTime now);
+  void HandleSnapshotChunk(const RaftMessage& message, runtime::MonotonicTime now);
+  void HandleSnapshotResponse(const RaftMessage& message, runtime::MonotonicTime now);
+
+  // raft_membership.cc
+  void AdoptConfiguration(uint64_t index, const ClusterConfiguration& configuration);
+  void RefreshProgress(runtime::MonotonicTime now);
+  void HandleJoinRequest(const RaftMessage& message, runtime::MonotonicTime now);
+  void ProposeConfiguration(const ClusterConfiguration& configuration, runtime::MonotonicTime now);
+  void RunMembershipPolicy(runtime::MonotonicTime now);
+  bool AdmitLearner(runtime::MonotonicTime now);
+  bool PromoteLearner(runtime::MonotonicTime now);
+  bool DropExcessVoter(runtime::MonotonicTime now);
+  bool RemoveSilentLearner(runtime::MonotonicTime now);
+  bool RefreshEndpoints(runtime::MonotonicTime now);
+  void SetAddress(uint64_t replica_id, Address address);
+  bool IsLive(const Member& member, runtime::MonotonicTime now) const;
+  bool IsGone(const Member& member, runtime::MonotonicTime now) const;
+  bool IsCaughtUp(const Member& member, runtime::MonotonicTime now) const;
+
+  const RaftOptions options_;
+  runtime::Random* const random_;
+  const std::string endpoint_;
+
+  // Durable (through Ready).
+  storage::HardState hard_state_;
+  bool hard_state_dirty_ = false;
+  MemoryLog log_;
+  std::optional<storage::LogReset> reset_;  // to be persisted
+  uint64_t first_unstaged_ = 1;             // entries from here on were not yet handed out
+  std::deque<Staged> staged_;
+  uint64_t durable_index_ = 0;
+  uint64_t next_persist_id_ = 1;
+  uint64_t durable_persist_id_ = 0;
+  // In order of persist id: sent when that is durable.
+  std::deque<std::pair<uint64_t, RaftMessage>> held_;
+
+  // Configurations that may still matter, by the index of their entry; the last is in force.
+  std::vector<std::pair<uint64_t, ClusterConfiguration>> configurations_;
+  std::map<uint64_t, Address> addresses_;
+  uint64_t joining_cluster_ = 0;  // of a fresh replica: the first cluster that wrote to it
+
+  Role role_ = Role::kFollower;
+  uint64_t leader_id_ = 0;
+  std::optional<runtime::MonotonicTime> leader_heard_at_;
+  int64_t newest_append_sent_at_ns_ = 0;  // of the leader's messages, by its clock
+  uint64_t newest_read_round_ = 0;
+  runtime::MonotonicTime election_deadline_;
+  std::set<uint64_t> votes_;
+  uint64_t own_vote_persist_id_ = 0;
+  bool transfer_election_ = false;
+
+  uint64_t commit_index_ = 0;
+  uint64_t applied_index_ = 0;
+  uint64_t verified_index_ = 0;  // follower: its log is the leader's up to here
+  uint64_t sync_p95_us_ = 0;
+
+  // Leader.
+  std::map<uint64_t, Progress> progress_;
+  runtime::MonotonicTime leader_since_;
+  runtime::MonotonicTime next_heartbeat_;
+  runtime::MonotonicTime last_heartbeat_;
+  uint64_t commit_at_last_heartbeat_ = 0;
+  uint64_t term_start_index_ = 0;  // of this leader's no-op
+  size_t uncommitted_bytes_ = 0;
+  uint64_t read_round_ = 0;
+  uint64_t next_read_id_ = 1;
+  std::deque<PendingRead> reads_;
+  uint64_t transfer_target_ = 0;
+  runtime::MonotonicTime transfer_deadline_;
+  std::map<uint64_t, Address> joining_;
+
+  // Snapshots.
+  std::shared_ptr<const storage::Snapshot> snapshot_;  // newest durable one
+  std::optional<ReceivedSnapshot> receiving_;
+  std::shared_ptr<const storage::Snapshot> installing_;
+  bool install_taken_ = false;
+
+  std::vector<OutgoingMessage> outbox_;
+};
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/consensus/raft_membership.cc
@@ -0,0 +1,187 @@
+// Membership: single-server changes (dissertation, section 4.1), learners, automatic replacement.
+// At most one change is under way, and none before the leader has committed an entry of its own
+// term. The order of a replacement and why it loses nothing: docs/design-docs/consensus.md.
+#include <algorithm>
+
+#include "posthatch/consensus/cluster_configuration.h"
+#include "posthatch/consensus/raft_core.h"
+
+namespace posthatch::consensus {
+
+using runtime::MonotonicTime;
+
+void RaftCore::AdoptConfiguration(uint64_t index, const ClusterConfiguration& configuration) {
+  configurations_.emplace_back(index, configuration);
+  for (const Member& member : configuration.members()) {
+    if (member.replica_id() == replica_id()) continue;
+    const auto found = addresses_.find(member.replica_id());
+    if (found == addresses_.end() || found->second.boot_count < member.boot_count()) {
+      SetAddress(member.replica_id(), {member.endpoint(), member.boot_count()});
+    }
+  }
+}
+
+// One replica lives at an endpoint: whoever was there before has moved or has lost its disk.
+// Members that were added later stand later in the configuration.
+void RaftCore::SetAddress(uint64_t replica_id, Address address) {
+  if (address.endpoint == endpoint_) address.endpoint.clear();
+  for (auto& [id, other] : addresses_) {
+    if (id != replica_id && other.endpoint == address.endpoint) other.endpoint.clear();
+  }
+  addresses_[replica_id] = std::move(address);
+}
+
+// Brings the progress table in line with the configuration in force.
+void RaftCore::RefreshProgress(MonotonicTime now) {
+  for (const Member& member : configuration().members()) {
+    if (member.replica_id() == replica_id() || progress_.count(member.replica_id()) > 0) continue;
+    Progress progress;
+    progress.next = log_.last_index() + 1;
+    progress.last_heard = now;
+    progress_.emplace(member.replica_id(), progress);
+  }
+  for (auto it = progress_.begin(); it != progress_.end();) {
+    it = FindMember(configuration(), it->first) == nullptr ? progress_.erase(it) : std::next(it);
+  }
+}
+
+void RaftCore::HandleJoinRequest(const RaftMessage& message, MonotonicTime) {
+  if (!IsLeader() || FindMember(configuration(), message.from()) != nullptr) return;
+  joining_[message.from()] = {message.from_endpoint(), message.from_boot_count()};
+}
+
+void RaftCore::ProposeConfiguration(const ClusterConfiguration& configuration, MonotonicTime now) {
+  storage::LogEntry entry;
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term());
+  entry.set_type(storage::LogEntry::CONFIGURATION);
+  entry.set_data(configuration.SerializeAsString());
+  uncommitted_bytes_ += entry.data().size();
+  AppendToLog(std::move(entry));
+  RefreshProgress(now);
+}
+
+void RaftCore::RunMembershipPolicy(MonotonicTime now) {
+  if (!OwnTermCommitted() || IsTransferring() || !HasQuorum(now)) return;
+  if (configurations_.back().first > commit_index_) return;
+  // The first that has something to do.
+  static_cast<void>(DropExcessVoter(now) || PromoteLearner(now) || RemoveSilentLearner(now) ||
+                    AdmitLearner(now) || RefreshEndpoints(now));
+}
+
+// Silent for long, or its machine has come back under another identity (its disk was lost).
+bool RaftCore::IsGone(const Member& member, MonotonicTime now) const {
+  const auto found = progress_.find(member.replica_id());
+  if (found == progress_.end()) return false;  // this replica itself
+  const runtime::Duration silent = now - found->second.last_heard;
+  const bool superseded = EndpointOf(member.replica_id()).empty();
+  return silent >= options_.replace_silent_after ||
+         (superseded && silent >= options_.election_timeout_max);
+}
+
+// Has answered a message of the last shortest election timeout.
+bool RaftCore::IsLive(const Member& member, MonotonicTime now) const {
+  const auto found = progress_.find(member.replica_id());
+  return found != progress_.end() && found->second.contact.has_value() &&
+         now - *found->second.contact < options_.election_timeout_min;
+}
+
+// Has within the last round trip confirmed, durably, all that was committed before it, and lacks
+// little of the rest.
+bool RaftCore::IsCaughtUp(const Member& member, MonotonicTime now) const {
+  const auto found = progress_.find(member.replica_id());
+  if (found == progress_.end()) return false;
+  const Progress& progress = found->second;
+  return progress.mode == Progress::Mode::kReplicate && IsLive(member, now) &&
+         *progress.contact >= last_heartbeat_ && progress.match >= commit_at_last_heartbeat_ &&
+         progress.match + options_.max_promotion_lag >= log_.last_index();
+}
+
+bool RaftCore::AdmitLearner(MonotonicTime now) {
+  const size_t members = static_cast<size_t>(configuration().members_size());
+  if (joining_.empty() || members >= VoterCount(configuration()) + options_.max_learners) {
+    return false;
+  }
+  const auto [replica_id, address] = *joining_.begin();
+  joining_.erase(joining_.begin());
+  if (FindMember(configuration(), replica_id) != nullptr) return false;
+  Member member;
+  member.set_replica_id(replica_id);
+  member.set_endpoint(address.endpoint);
+  member.set_boot_count(address.boot_count);
+  ProposeConfiguration(WithMember(configuration(), member), now);
+  return true;
+}
+
+bool RaftCore::PromoteLearner(MonotonicTime now) {
+  size_t gone = 0;
+  const Member* candidate = nullptr;
+  for (const Member& member : configuration().members()) {
+    if (member.voter()) {
+      gone += IsGone(member, now) ? 1 : 0;
+    } else if (candidate == nullptr && IsCaughtUp(member, now)) {
+      candidate = &member;
+    }
+  }
+  const size_t voters = VoterCount(configuration());
+  const bool wanted =
+      voters < options_.target_voters || (voters == options_.target_voters && gone > 0);
+  // The promotion itself, and the removal after it, must find a majority.
+  const bool will_commit = voters + 1 - gone > (voters + 1) / 2;
+  if (candidate == nullptr || !wanted || !will_commit) return false;
+  Member promoted = *candidate;
+  promoted.set_voter(true);
+  ProposeConfiguration(WithMember(configuration(), promoted), now);
+  return true;
+}
+
+bool RaftCore::DropExcessVoter(MonotonicTime now) {
+  if (VoterCount(configuration()) <= options_.target_voters) return false;
+  const Member* excess = nullptr;
+  bool all_live = true;
+  for (const Member& member : configuration().members()) {
+    if (!member.voter() || member.replica_id() == replica_id()) continue;
+    if (IsGone(member, now)) {
+      ProposeConfiguration(WithoutMember(configuration(), member.replica_id()), now);
+      return true;
+    }
+    all_live = all_live && IsLive(member, now);
+    const auto lag_of = [this](const Member& voter) {
+      return log_.last_index() - progress_.at(voter.replica_id()).match;
+    };
+    if (excess == nullptr || lag_of(member) > lag_of(*excess)) excess = &member;
+  }
+  // The voter to be replaced came back: whoever is furthest behind becomes a learner.
+  if (excess == nullptr || !all_live) return false;
+  Member demoted = *excess;
+  demoted.set_voter(false);
+  ProposeConfiguration(WithMember(configuration(), demoted), now);
+  return true;
+}
+
+bool RaftCore::RemoveSilentLearner(MonotonicTime now) {
+  for (const Member& member : configuration().members()) {
+    if (member.voter() || !IsGone(member, now)) continue;
+    ProposeConfiguration(WithoutMember(configuration(), member.replica_id()), now);
+    return true;
+  }
+  return false;
+}
+
+// Writes newer endpoints into the configuration, for replicas that start when all have moved.
+bool RaftCore::RefreshEndpoints(MonotonicTime now) {
+  ClusterConfiguration refreshed = configuration();
+  bool changed = false;
+  for (Member& member : *refreshed.mutable_members()) {
+    Address known{endpoint_, boot_count()};
+    if (member.replica_id() != replica_id()) known = addresses_[member.replica_id()];
+    if (known.endpoint.empty() || known.endpoint == member.endpoint()) continue;
+    member.set_endpoint(known.endpoint);
+    member.set_boot_count(known.boot_count);
+    changed = true;
+  }
+  if (changed) ProposeConfiguration(refreshed, now);
+  return changed;
+}
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/consensus/raft_snapshot.cc
@@ -0,0 +1,160 @@
+// Log compaction and snapshots sent in chunks. One chunk is under way at a time; a lost one is sent
+// again by heartbeat.
+#include <algorithm>
+
+#include "posthatch/consensus/cluster_configuration.h"
+#include "posthatch/consensus/raft_core.h"
+
+namespace posthatch::consensus {
+
+using runtime::MonotonicTime;
+
+namespace {
+
+constexpr uint64_t kMaxSnapshotBytes = 1u << 30;
+
+bool SameSnapshot(const storage::SnapshotMetadata& left, const storage::SnapshotMetadata& right) {
+  return left.index() == right.index() && left.term() == right.term();
+}
+
+}  // namespace
+
+void RaftCore::OnSnapshotTaken(const std::shared_ptr<const storage::Snapshot>& snapshot,
+                               uint64_t keep_entries, MonotonicTime now) {
+  if (snapshot_ != nullptr && snapshot->metadata.index() <= snapshot_->metadata.index()) return;
+  snapshot_ = snapshot;
+  const uint64_t index = snapshot->metadata.index();
+  uint64_t compact_to = std::min(index, durable_index_);
+  compact_to = compact_to > keep_entries ? compact_to - keep_entries : 0;
+  // A live follower that is being sent an older snapshot will need the entries behind that one.
+  for (const auto& [id, progress] : progress_) {
+    const bool alive = now - progress.last_heard < options_.election_timeout_max;
+    if (alive && progress.snapshot != nullptr) {
+      compact_to = std::min(compact_to, progress.snapshot->metadata.index());
+    }
+  }
+  if (compact_to > log_.base_index()) log_.CompactTo(compact_to);
+  while (configurations_.size() > 1 && configurations_[1].first <= index) {
+    configurations_.erase(configurations_.begin());
+  }
+}
+
+void RaftCore::StartSnapshot(uint64_t to, Progress* progress, MonotonicTime now) {
+  if (snapshot_ == nullptr) return;
+  progress->mode = Progress::Mode::kSnapshot;
+  progress->snapshot = snapshot_;
+  progress->snapshot_offset = 0;
+  progress->in_flight.clear();
+  SendChunk(to, progress, now);
+}
+
+void RaftCore::SendChunk(uint64_t to, Progress* progress, MonotonicTime now) {
+  const storage::Snapshot& snapshot = *progress->snapshot;
+  RaftMessage message = NewMessage(to);
+  SnapshotChunk* chunk = message.mutable_snapshot_chunk();
+  *chunk->mutable_metadata() = snapshot.metadata;
+  chunk->set_total_bytes(snapshot.data.size());
+  chunk->set_offset(progress->snapshot_offset);
+  chunk->set_data(snapshot.data.substr(progress->snapshot_offset, options_.snapshot_chunk_bytes));
+  chunk->set_sent_at_ns(runtime::ToNanoseconds(now));
+  chunk->set_read_round(read_round_);
+  progress->chunk_sent_at = now;
+  Send(std::move(message));
+}
+
+void RaftCore::HandleSnapshotResponse(const RaftMessage& message, MonotonicTime now) {
+  const auto found = progress_.find(message.from());
+  if (!IsLeader() || found == progress_.end()) return;
+  Progress* progress = &found->second;
+  const SnapshotResponse& response = message.snapshot_response();
+  NoteContact(progress, response.sent_at_ns(), response.read_round(), now);
+  if (progress->mode != Progress::Mode::kSnapshot ||
+      response.snapshot_index() != progress->snapshot->metadata.index() ||
+      response.next_offset() > progress->snapshot->data.size()) {
+    return;
+  }
+  const bool moved = response.next_offset() != progress->snapshot_offset;
+  progress->snapshot_offset = response.next_offset();
+  if (moved && progress->snapshot_offset < progress->snapshot->data.size()) {
+    SendChunk(message.from(), progress, now);
+  }
+}
+
+void RaftCore::HandleSnapshotChunk(const RaftMessage& message, MonotonicTime now) {
+  if (IsLeader()) return;
+  if (role_ != Role::kFollower) BecomeFollower(term(), message.from(), now);
+  leader_id_ = message.from();
+  leader_heard_at_ = now;
+  ResetElectionTimer(now);
+  const SnapshotChunk& chunk = message.snapshot_chunk();
+  const storage::SnapshotMetadata& metadata = chunk.metadata();
+  if (metadata.index() <= commit_index_) {
+    verified_index_ = std::max(verified_index_, commit_index_);
+    return SendAppendResponse(message.from(), chunk.sent_at_ns(), chunk.read_round());
+  }
+  uint64_t next_offset = 0;
+  if (installing_ != nullptr) {
+    if (SameSnapshot(installing_->metadata, metadata)) next_offset = chunk.total_bytes();
+  } else {
+    if (chunk.offset() == 0 || !receiving_.has_value() ||
+        !SameSnapshot(receiving_->metadata, metadata)) {
+      receiving_ = ReceivedSnapshot{metadata, chunk.total_bytes(), std::string()};
+    }
+    const size_t room = receiving_->total_bytes - receiving_->data.size();
+    if (chunk.offset() == receiving_->data.size() && chunk.data().size() <= room &&
+        receiving_->total_bytes <= kMaxSnapshotBytes) {
+      receiving_->data += chunk.data();
+    }
+    next_offset = receiving_->data.size();
+    if (next_offset == receiving_->total_bytes) {
+      auto snapshot = std::make_shared<storage::Snapshot>();
+      snapshot->metadata = metadata;
+      snapshot->data = std::move(receiving_->data);
+      receiving_.reset();
+      installing_ = std::move(snapshot);
+      install_taken_ = false;
+    }
+  }
+  RaftMessage answer = NewMessage(message.from());
+  SnapshotResponse* response = answer.mutable_snapshot_response();
+  response->set_snapshot_index(metadata.index());
+  response->set_next_offset(next_offset);
+  response->set_sent_at_ns(chunk.sent_at_ns());
+  response->set_read_round(chunk.read_round());
+  Send(std::move(answer));
+}
+
+void RaftCore::OnSnapshotInstalled(const std::shared_ptr<const storage::Snapshot>& snapshot,
+                                   MonotonicTime) {
+  installing_.reset();
+  const uint64_t index = snapshot->metadata.index();
+  if (index <= applied_index_) return;
+  const bool log_continues = log_.Term(index) == snapshot->metadata.term();
+  if (!log_continues) {
+    log_.Reset(index, snapshot->metadata.term());
+    reset_.emplace();
+    reset_->set_index(index);
+    reset_->set_term(snapshot->metadata.term());
+    first_unstaged_ = index + 1;
+    durable_index_ = index;
+    for (Staged& staged : staged_) staged.last_index = 0;
+    configurations_.clear();
+  }
+  snapshot_ = snapshot;
+  durable_index_ = std::max(durable_index_, index);
+  commit_index_ = std::max(commit_index_, index);
+  applied_index_ = index;
+  verified_index_ = std::max(verified_index_, index);
+  while (!configurations_.empty() && configurations_.front().first <= index) {
+    configurations_.erase(configurations_.begin());
+  }
+  std::vector<std::pair<uint64_t, ClusterConfiguration>> later = std::move(configurations_);
+  configurations_.clear();
+  AdoptConfiguration(index, ParseConfiguration(snapshot->metadata.configuration()));
+  configurations_.insert(configurations_.end(), later.begin(), later.end());
+  if (leader_id_ != 0 && !IsLeader()) {
+    SendAppendResponse(leader_id_, newest_append_sent_at_ns_, newest_read_round_);
+  }
+}
+
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/storage/log_writer.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "posthatch/runtime/clock.h"
+#include "posthatch/runtime/file_system.h"
+#include "posthatch/runtime/timer_service.h"
+#include "posthatch/storage/log_recovery.h"
+
+namespace posthatch::storage {
+
+struct LogWriterOptions {
+  std::string folder = "raft";
+  uint64_t segment_bytes = 8u << 20;  // a new segment is begun once one is this long
+  runtime::Duration full_disk_retry = std::chrono::milliseconds(250);
+};
+
+// What is to be made durable together. Order within: reset, entries, hard state.
+struct LogBatch {
+  std::optional<LogReset> reset;
+  std::vector<LogEntry> entries;
+  std::optional<HardState> hard_state;
+};
+
+// Appends to the segmented log with group commit: while one write is in flight, further batches
+// gather and are written by the next, with one sync for all. A full disk is no failure: what was
+// written of the batch is cut off and the batch is tried again until it fits. Any other error ends
+// the writer: after a failed sync nothing can be said about the file's content.
+// Event loop thread only.
+class LogWriter {
+ public:
+  // Called once the batch is durable, or with the error that ended the writer.
+  using Done = std::function<void(absl::Status)>;
+  // Called with the time that each write and sync took.
+  using SyncObserver = std::function<void(runtime::Duration)>;
+
+  LogWriter(runtime::FileSystem* file_system, runtime::Clock* clock, runtime::TimerService* timers,
+            LogWriterOptions options, const RecoveredLog& recovered);
+  LogWriter(const LogWriter&) = delete;
+  LogWriter& operator=(const LogWriter&) = delete;
+
+  void SetSyncObserver(SyncObserver observer) { sync_observer_ = std::move(observer); }
+  // Runs recovery's repairs, then calls `done`. Nothing recovered counts as durable before.
+  void Open(Done done);
+  void Append(LogBatch batch, Done done);
+  // Removes segments that hold only entries up to `index`, oldest first. The caller has made a
+  // snapshot durable that reaches at least this far.
+  void RemovePrefix(uint64_t index);
+
+  bool disk_full() const { return disk_full_; }
+  // How long the write in flight has taken so far; zero if there is none.
+  runtime::Duration InFlightTime() const;
+  uint64_t segment_count() const { return segments_.size(); }
+
+ private:
+  struct Pending {
+    LogBatch batch;
+    Done done;
+  };
+  void WriteNext();
+  void EncodePending();
+  void SubmitEncoded();
+  void OnWritten(const absl::Status& status);
+  void Fail(const absl::Status& status);
+  runtime::FileSystem::Done Guard(std::function<void(absl::Status)> next);
+
+  runtime::FileSystem* const file_system_;
+  runtime::Clock* const clock_;
+  const LogWriterOptions options_;
+  runtime::Timer retry_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  SyncObserver sync_observer_;
+
+  std::vector<runtime::FileOperation> repairs_;
+  HardState hard_state_;  // newest written or pending: repeated at the head of each segment
+  std::vector<SegmentInfo> segments_;  // the last one is being written, if segment_open_
+  uint64_t next_sequence_;
+  bool segment_open_ = false;
+  uint64_t synced_bytes_ = 0;  // of the segment being written
+  uint64_t encoded_max_index_ = 0;
+
+  std::vector<Pending> pending_;
+  std::vector<Done> in_flight_;
+  std::string encoded_;  // bytes of the write in flight, kept for another try
+  bool writing_ = false;
+  bool tried_ = false;  // the bytes in flight may already be in the file, in part
+  bool disk_full_ = false;
+  absl::Status failure_;
+  runtime::MonotonicTime write_started_;
+};
+
+}  // namespace posthatch::storage
--- /dev/null
+++ b/src/posthatch/storage/record_format.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+// Framing of log segments. A segment is a header followed by records; a record is a header
+// (marker, type, payload length, start of its batch, payload checksum, header checksum) and its
+// payload. All numbers are little-endian, all checksums CRC32C.
+//
+// A batch is what was written between two syncs. Each record names the offset at which its batch
+// begins, so a damaged record followed by a record of a later batch is known to have been synced:
+// that is corruption. A damaged record with nothing of a later batch behind it may be a write that
+// power loss interrupted.
+namespace posthatch::storage {
+
+inline constexpr uint32_t kFormatVersion = 1;
+inline constexpr size_t kSegmentHeaderBytes = 24;
+inline constexpr size_t kRecordHeaderBytes = 28;
+inline constexpr uint32_t kMaxRecordBytes = 64u << 20;
+
+enum class RecordType : uint8_t { kHardState = 1, kEntry = 2, kReset = 3 };
+
+// CRC32C (RFC 3720, appendix B.4) of `bytes`.
+uint32_t Crc32c(std::string_view bytes);
+
+std::string EncodeSegmentHeader(uint64_t sequence);
+// Appends one record to `out`; `batch_start` is an offset in the segment.
+void AppendRecord(RecordType type, std::string_view payload, uint64_t batch_start,
+                  std::string* out);
+
+struct ParsedRecord {
+  RecordType type;
+  std::string_view payload;  // into the parsed contents
+};
+
+struct ParsedSegment {
+  std::vector<ParsedRecord> records;
+  // Bytes that hold the header and whole records; less than the file size if the tail is torn.
+  uint64_t valid_bytes = 0;
+  bool torn = false;
+};
+
+// Reads one segment, which must have been written as number `sequence`. Errors: DataLoss
+// (corruption), FailedPrecondition (unknown format version). A torn tail is no error; whether one
+// is allowed is for the caller to say.
+absl::StatusOr<ParsedSegment> ParseSegment(std::string_view contents, uint64_t sequence);
+
+}  // namespace posthatch::storage
