--- a/src/posthatch/simulation/http_connection.cc
+++ b/src/posthatch/simulation/http_connection.cc
@@ -85,7 +85,8 @@
 
 void HttpConnection::SendHead(http::Response head) {
   head.body.clear();
-  PushToClient(1, Digest(head.body, head.status), std::move(head),
+  const uint64_t digest = id_ + static_cast<uint64_t>(head.status);
+  PushToClient(1, digest, std::move(head),
                [](ClientEnd* end, http::Response* content) { end->OnHead(*content); });
 }
 
--- a/src/posthatch/simulation/pipe.h
+++ b/src/posthatch/simulation/pipe.h
@@ -56,7 +56,7 @@
     uint64_t digest;
     Callback deliver;
   };
-  static constexpr size_t kWindowBytes = 256 * 1024;
+  static constexpr size_t kWindowBytes = size_t{256} * 1024;
   static constexpr runtime::Duration kRetransmission = std::chrono::milliseconds(200);
   static constexpr runtime::Duration kMinStall = std::chrono::seconds(8);
   static constexpr runtime::Duration kMaxStall = std::chrono::seconds(16);
--- a/src/posthatch/simulation/sim_disk-test.cc
+++ b/src/posthatch/simulation/sim_disk-test.cc
@@ -12,14 +12,15 @@
 using runtime::FileOperation;
 using Kind = FileOperation::Kind;
 
-FileOperation Operation(Kind kind, std::string path, std::string data = "",
-                        std::string target = "") {
-  return FileOperation{kind, std::move(path), std::move(data), std::move(target), 0};
+FileOperation Operation(Kind kind, const std::string& path, const std::string& data = "",
+                        const std::string& target = "") {
+  return FileOperation{kind, path, data, target, 0};
 }
 
 class SimDiskTest : public testing::Test {
  protected:
-  void Apply(Kind kind, std::string path, std::string data = "", std::string target = "") {
+  void Apply(Kind kind, const std::string& path, const std::string& data = "",
+             const std::string& target = "") {
     EXPECT_TRUE(disk_.Apply(Operation(kind, path, data, target)).ok());
   }
   std::string Content(const std::string& path) { return disk_.ReadFile(path).value_or("missing"); }
--- a/src/posthatch/simulation/sim_http_server.cc
+++ b/src/posthatch/simulation/sim_http_server.cc
@@ -36,7 +36,7 @@
       limits_(limits),
       handler_(std::move(handler)) {}
 
-uint64_t SimHttpServer::Accept(std::shared_ptr<HttpConnection> connection) {
+uint64_t SimHttpServer::Accept(const std::shared_ptr<HttpConnection>& connection) {
   if (draining_ || life_ != host_->life()) return 0;
   const uint64_t id = connection->id();
   const auto server_connection = std::make_shared<SimServerConnection>(this, connection);
--- a/src/posthatch/simulation/sim_http_server.h
+++ b/src/posthatch/simulation/sim_http_server.h
@@ -19,7 +19,7 @@
                 std::string endpoint, http::ServerLimits limits, http::Handler handler);
 
   // The kernel's part of accepting: returns the life that took the connection.
-  uint64_t Accept(std::shared_ptr<HttpConnection> connection);
+  uint64_t Accept(const std::shared_ptr<HttpConnection>& connection);
   void Drain();
   // Closes all connections and stops listening; idempotent.
   void Shutdown();
--- a/src/posthatch/simulation/sim_transport.h
+++ b/src/posthatch/simulation/sim_transport.h
@@ -34,7 +34,7 @@
   uint64_t dropped() const { return dropped_; }
 
  private:
-  static constexpr size_t kMaxQueuedBytes = 16 * 1024 * 1024;
+  static constexpr size_t kMaxQueuedBytes = size_t{16} * 1024 * 1024;
 
   runtime::Envelope MakeEnvelope(runtime::Service service, std::string payload) const;
   void SendStream(const std::string& to_endpoint, runtime::Service service, std::string payload);
