Add posthatchd: settings checked whole, common endpoints, drain on SIGTERM

One table describes every setting; the checker, the flags and docs/operations/settings.md are made from it.

--- a/src/posthatch/asio/endpoint.cc
+++ b/src/posthatch/asio/endpoint.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "posthatch/asio/endpoint_text.h"
 #include "posthatch/util/string_view.h"
 
 namespace posthatch::asio {
@@ -30,6 +31,12 @@
   return TcpEndpoint(address, static_cast<uint16_t>(port));
 }
 
+bool IsDefiniteEndpoint(const std::string& text) {
+  const auto endpoint = ParseEndpoint(text);
+  return endpoint.ok() && !endpoint->address().is_unspecified() &&
+         !endpoint->address().is_multicast();
+}
+
 std::string FormatEndpoint(const TcpEndpoint& endpoint) {
   const std::string address = endpoint.address().to_string();
   if (endpoint.address().is_v6()) return absl::StrCat("[", address, "]:", endpoint.port());
--- /dev/null
+++ b/src/posthatch/daemon/command_line.cc
@@ -0,0 +1,142 @@
+#include "posthatch/daemon/command_line.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include "absl/status/statusor.h"
+#include "posthatch/asio/asio_runtime.h"
+#include "posthatch/daemon/process_runner.h"
+#include "posthatch/daemon/settings_loader.h"
+#include "posthatch/daemon/settings_table.h"
+
+namespace posthatch::daemon {
+namespace {
+
+// What the command line said for one role.
+struct RoleCommand {
+  CLI::App* command = nullptr;
+  std::string config_file;
+  bool check_config = false;
+  bool enable_fault_injection = false;
+  std::map<std::string, std::string> flags;  // key to text; filled for flags that were given
+
+  SettingsSource Source(std::string text) const {
+    SettingsSource source{config_file, std::move(text), {}};
+    for (const SettingDescription& setting : SettingsTable()) {
+      const auto flag = flags.find(setting.Key());
+      if (flag == flags.end() || command->count(setting.Flag()) == 0) continue;
+      source.overrides.emplace_back(flag->first, flag->second);
+    }
+    return source;
+  }
+};
+
+void AddRole(CLI::App* app, Role role, const std::string& name, const std::string& help,
+             RoleCommand* command) {
+  command->command = app->add_subcommand(name, help);
+  command->command->add_option("--config", command->config_file, "Settings file (TOML)")
+      ->required();
+  command->command->add_flag("--check-config", command->check_config,
+                             "Check settings and flags, start nothing");
+  command->command->add_flag("--enable-fault-injection", command->enable_fault_injection,
+                             "Answer PUT /debug/faults; for rehearsals only");
+  for (const SettingDescription& setting : SettingsTable()) {
+    if (!setting.AppliesTo(role)) continue;
+    command->command->add_option(setting.Flag(), command->flags[setting.Key()],
+                                 std::string(setting.help) + " [" + AllowedRange(setting) + "]");
+  }
+}
+
+absl::StatusOr<std::string> ReadWholeFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) return absl::NotFoundError(path + ": can't be read, or is empty");
+  return text.str();
+}
+
+int ReportErrors(const std::vector<SettingsError>& errors) {
+  for (const SettingsError& error : errors) std::cerr << error.ToString() << "\n";
+  return kExitBadSettings;
+}
+
+absl::StatusOr<std::unique_ptr<asio::AsioRuntime>> MakeRuntime(const NodeSettings& node,
+                                                               bool enable_fault_injection) {
+  asio::AsioRuntimeOptions options;
+  options.node_id = node.node_id;
+  options.internal_endpoint = node.internal_endpoint;
+  options.data_folder = node.data_folder;
+  options.log_file = node.log_file;
+  options.log_level = node.log_level;
+  options.enable_fault_injection = enable_fault_injection;
+  return asio::AsioRuntime::Create(options);
+}
+
+int ReportStartFailure(const absl::Status& status) {
+  std::cerr << "posthatchd: not started: " << status.ToString() << "\n";
+  return kExitStartFailed;
+}
+
+// `load` reads the role's settings, `make` builds its process.
+template <typename Settings, typename Load, typename Make>
+int RunRole(const RoleCommand& command, const Load& load, const Make& make) {
+  auto text = ReadWholeFile(command.config_file);
+  if (!text.ok()) {
+    std::cerr << text.status().message() << "\n";
+    return kExitBadSettings;
+  }
+  Settings settings;
+  const std::vector<SettingsError> errors = load(command.Source(*std::move(text)), &settings);
+  if (!errors.empty()) return ReportErrors(errors);
+  if (command.check_config) {
+    std::cout << command.config_file << ": no errors\n";
+    return kExitOk;
+  }
+  const auto runtime = MakeRuntime(settings.node, command.enable_fault_injection);
+  if (!runtime.ok()) return ReportStartFailure(runtime.status());
+  settings.node.internal_endpoint = (*runtime)->runtime()->transport->endpoint();
+  const absl::Status status = RunProcess(runtime->get(), settings.node, settings.limits,
+                                         [&](const std::string& http_endpoint) {
+                                           settings.node.http_endpoint = http_endpoint;
+                                           return make((*runtime)->runtime(), settings);
+                                         });
+  return status.ok() ? kExitOk : ReportStartFailure(status);
+}
+
+}  // namespace
+
+int RunCommandLine(int argc, const char* const* argv, ProcessFactory* factory) {
+  CLI::App app("A process of a posthatch fleet", "posthatchd");
+  app.require_subcommand(1);
+  RoleCommand gateway;
+  RoleCommand controller;
+  AddRole(&app, Role::kGateway, "gateway", "Takes callers' requests and routes them", &gateway);
+  AddRole(&app, Role::kController, "controller", "Holds the replicated log", &controller);
+  CLI::App* table = app.add_subcommand("settings-table", "Print docs/operations/settings.md");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitOk : kExitBadSettings;
+  }
+  if (table->parsed()) {
+    std::cout << SettingsMarkdown();
+    return kExitOk;
+  }
+  if (gateway.command->parsed()) {
+    return RunRole<GatewaySettings>(
+        gateway, LoadGatewaySettings,
+        [factory](runtime::Runtime* runtime, const GatewaySettings& settings) {
+          return factory->MakeGateway(runtime, settings);
+        });
+  }
+  return RunRole<ControllerSettings>(
+      controller, LoadControllerSettings,
+      [factory](runtime::Runtime* runtime, const ControllerSettings& settings) {
+        return factory->MakeController(runtime, settings);
+      });
+}
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/common_http.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "posthatch/daemon/process.h"
+#include "posthatch/http/http.h"
+#include "prometheus/registry.h"
+
+namespace posthatch::daemon {
+
+struct CommonHttpOptions {
+  Process* process = nullptr;
+  prometheus::Registry* metrics = nullptr;
+  // Applies the "level" of PUT /admin/v1/log-level; null: the call is answered 404.
+  std::function<absl::Status(std::string_view level)> set_log_level;
+  // Applies the body of PUT /debug/faults; null unless the process runs in a rehearsal: 404.
+  std::function<absl::Status(std::string_view json)> set_faults;
+  // As NodeSettings::admin_token_sha256; asked for by the two calls above.
+  std::string admin_token_sha256;
+};
+
+// The endpoints that every process has, in front of Process::HandleHttp: GET /healthz, /readyz,
+// /metrics, PUT /admin/v1/log-level and, in rehearsals, PUT /debug/faults. Owned by whoever
+// listens; outlives the server that uses handler(). Event loop thread only.
+class CommonHttp {
+ public:
+  explicit CommonHttp(CommonHttpOptions options);
+
+  // What a server's handler calls for each request.
+  void Handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  // From now on /readyz answers 503.
+  void SetDraining() { draining_ = true; }
+
+ private:
+  http::Response Readiness() const;
+  http::Response Metrics() const;
+  http::Response SetLogLevel(const http::Request& request) const;
+  http::Response SetFaults(const http::Request& request) const;
+  bool Authorized(const http::Request& request) const;
+
+  const CommonHttpOptions options_;
+  bool draining_ = false;
+};
+
+// Whether `header`, the value of an Authorization field, is the bearer token whose SHA-256 is
+// `token_sha256` (hexadecimal); always so if that is empty. Takes equally long for every token.
+bool IsAuthorized(std::string_view header, std::string_view token_sha256);
+
+// The error body of docs/API.md. `executed` is "no" or "unknown".
+http::Response ErrorResponse(int status, std::string_view code, std::string_view message,
+                             std::string_view executed);
+
+}  // namespace posthatch::daemon
--- a/src/posthatch/daemon/node_settings.h
+++ b/src/posthatch/daemon/node_settings.h
@@ -7,9 +7,11 @@
 #include "posthatch/http/http.h"
 #include "posthatch/membership/membership.h"
 #include "posthatch/runtime/clock.h"
+#include "posthatch/runtime/trace.h"
 
 // Settings of one process, already checked (see settings_loader.h). Each field is documented here
-// and appears under the same name in the TOML file; docs/operations/settings.md is made from it.
+// and in the table of settings_table.cc, which names its key in the TOML file, checks it and makes
+// docs/operations/settings.md.
 namespace posthatch::daemon {
 
 struct NodeSettings {
@@ -22,6 +24,9 @@
   std::string inventory_endpoint;  // "ip:port" of the platform's inventory
   runtime::Duration drain_deadline = std::chrono::seconds(20);  // SIGTERM to exit at the latest
   std::string admin_token_sha256;  // operators' bearer token, hashed; empty: none is asked
+  std::string data_folder;         // of a controller: log and snapshots
+  std::string log_file;            // empty: stderr
+  runtime::Severity log_level = runtime::Severity::kInfo;
 };
 
 struct GatewaySettings {
--- /dev/null
+++ b/src/posthatch/daemon/process_runner.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "posthatch/asio/asio_runtime.h"
+#include "posthatch/daemon/node_settings.h"
+#include "posthatch/daemon/process.h"
+
+namespace posthatch::daemon {
+
+// Builds a process, once the address it answers HTTP on is bound.
+using MakeProcess = std::function<std::unique_ptr<Process>(const std::string& http_endpoint)>;
+
+// Makes and starts a process, answers its HTTP endpoint and runs the event loop until a SIGTERM or
+// SIGINT has been followed by a drain:
+//   1. /readyz answers 503, the listener closes, idle connections close;
+//   2. Process::Drain;
+//   3. once that is done and every answer has ended, or at `drain_deadline`, the event loop stops.
+// Destroys the process before it returns. Returns OK after a drain, also one that was cut short;
+// errors are those of Process::Start and of listening.
+absl::Status RunProcess(asio::AsioRuntime* asio_runtime, const NodeSettings& node,
+                        const http::ServerLimits& limits, const MakeProcess& make_process);
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/setting_value.cc
@@ -0,0 +1,157 @@
+#include "posthatch/daemon/setting_value.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "posthatch/asio/endpoint_text.h"
+#include "posthatch/asio/json_trace_sink.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::daemon {
+namespace {
+
+constexpr size_t kMaxNameLength = 64;
+constexpr size_t kMaxTextLength = 4096;
+constexpr size_t kMaxSeeds = 3;
+constexpr size_t kSha256Digits = 64;
+
+struct RawFormatter {
+  std::string operator()(const std::string& text) const { return absl::StrCat("\"", text, "\""); }
+  std::string operator()(int64_t number) const { return absl::StrCat(number); }
+  std::string operator()(const std::vector<std::string>& list) const {
+    return absl::StrCat("[", absl::StrJoin(list, ", "), "]");
+  }
+};
+
+absl::Status Refuse(const SettingDescription& setting, const RawSetting& value) {
+  return absl::InvalidArgumentError(
+      absl::StrCat("must be ", AllowedRange(setting), ", is ", std::visit(RawFormatter(), value)));
+}
+
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return absl::ascii_isalnum(c) || c == '.' || c == '_' || c == '-';
+         });
+}
+
+bool IsText(const std::string& text) {
+  return text.size() <= kMaxTextLength &&
+         std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20; });
+}
+
+bool IsSha256(const std::string& text) {
+  return text.empty() || (text.size() == kSha256Digits &&
+                          std::all_of(text.begin(), text.end(),
+                                      [](unsigned char c) { return absl::ascii_isxdigit(c); }));
+}
+
+bool IsValidText(SettingKind kind, const std::string& text) {
+  switch (kind) {
+    case SettingKind::kName:
+      return IsName(text);
+    case SettingKind::kEndpoint:
+      return asio::IsDefiniteEndpoint(text);
+    case SettingKind::kSha256:
+      return IsSha256(text);
+    default:
+      return IsText(text);
+  }
+}
+
+absl::Status StoreText(const SettingDescription& setting, const RawSetting& value,
+                       SettingTarget target) {
+  const auto* text = std::get_if<std::string>(&value);
+  if (text == nullptr || !IsValidText(setting.kind, *text)) return Refuse(setting, value);
+  if (setting.required && text->empty()) return Refuse(setting, value);
+  std::string stored = *text;
+  if (setting.kind == SettingKind::kSha256) absl::AsciiStrToLower(&stored);
+  *std::get<std::string*>(target) = std::move(stored);
+  return absl::OkStatus();
+}
+
+absl::Status StoreLevel(const SettingDescription& setting, const RawSetting& value,
+                        SettingTarget target) {
+  const auto* text = std::get_if<std::string>(&value);
+  if (text == nullptr) return Refuse(setting, value);
+  const auto level = asio::ParseSeverity(*text);
+  if (!level.ok()) return Refuse(setting, value);
+  *std::get<runtime::Severity*>(target) = *level;
+  return absl::OkStatus();
+}
+
+absl::Status StoreEndpoints(const SettingDescription& setting, const RawSetting& value,
+                            SettingTarget target) {
+  const auto* list = std::get_if<std::vector<std::string>>(&value);
+  if (list == nullptr || list->size() > kMaxSeeds) return Refuse(setting, value);
+  const absl::flat_hash_set<std::string> different(list->begin(), list->end());
+  if (different.size() != list->size() ||
+      !std::all_of(list->begin(), list->end(), asio::IsDefiniteEndpoint)) {
+    return Refuse(setting, value);
+  }
+  *std::get<std::vector<std::string>*>(target) = *list;
+  return absl::OkStatus();
+}
+
+absl::Status StoreNumber(const SettingDescription& setting, const RawSetting& value,
+                         SettingTarget target) {
+  const auto* number = std::get_if<int64_t>(&value);
+  if (number == nullptr || *number < setting.minimum || *number > setting.maximum) {
+    return Refuse(setting, value);
+  }
+  if (auto* const* small = std::get_if<uint32_t*>(&target)) {
+    **small = static_cast<uint32_t>(*number);
+  } else if (auto* const* large = std::get_if<uint64_t*>(&target)) {
+    **large = static_cast<uint64_t>(*number);
+  } else {
+    *std::get<runtime::Duration*>(target) = std::chrono::milliseconds(*number);
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+absl::StatusOr<RawSetting> RawFromText(const SettingDescription& setting, const std::string& text) {
+  switch (setting.kind) {
+    case SettingKind::kCount:
+    case SettingKind::kBytes:
+    case SettingKind::kMilliseconds: {
+      int64_t number = 0;
+      if (!absl::SimpleAtoi(text, &number)) return Refuse(setting, text);
+      return number;
+    }
+    case SettingKind::kEndpointList:
+      return std::vector<std::string>(absl::StrSplit(text, ',', absl::SkipEmpty()));
+    default:
+      return text;
+  }
+}
+
+absl::Status StoreSetting(const SettingDescription& setting, const RawSetting& value,
+                          SettingsDraft* draft) {
+  const SettingTarget target = setting.target(draft);
+  switch (setting.kind) {
+    case SettingKind::kText:
+    case SettingKind::kName:
+    case SettingKind::kEndpoint:
+    case SettingKind::kSha256:
+      return StoreText(setting, value, target);
+    case SettingKind::kLogLevel:
+      return StoreLevel(setting, value, target);
+    case SettingKind::kEndpointList:
+      return StoreEndpoints(setting, value, target);
+    case SettingKind::kCount:
+    case SettingKind::kBytes:
+    case SettingKind::kMilliseconds:
+      return StoreNumber(setting, value, target);
+  }
+  return absl::InternalError("unknown kind of setting");
+}
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/setting_value.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "posthatch/daemon/settings_table.h"
+
+namespace posthatch::daemon {
+
+// A value as it stood in the file or in a flag, before it is checked.
+using RawSetting = std::variant<std::string, int64_t, std::vector<std::string>>;
+
+// Turns a flag's text into what the file would have held. Errors: InvalidArgument.
+absl::StatusOr<RawSetting> RawFromText(const SettingDescription& setting, const std::string& text);
+
+// Checks `value` against kind and range and stores it. Errors: InvalidArgument, with the allowed
+// range and the value in the message.
+absl::Status StoreSetting(const SettingDescription& setting, const RawSetting& value,
+                          SettingsDraft* draft);
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/settings_loader.cc
@@ -0,0 +1,196 @@
+#include "posthatch/daemon/settings_loader.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+
+#include "absl/container/btree_map.h"
+#include "absl/strings/str_cat.h"
+#include "posthatch/daemon/setting_value.h"
+
+namespace posthatch::daemon {
+namespace {
+
+constexpr const char* kCommandLine = "command line";
+
+// Where a value came from, for messages.
+struct Located {
+  RawSetting value;
+  std::string file;
+  int line = 0;
+};
+
+// Reads one file and its overrides; collects every error on the way.
+class Loader {
+ public:
+  Loader(Role role, const SettingsSource& source) : role_(role), source_(source) {}
+
+  std::vector<SettingsError> Load(SettingsDraft* draft) {
+    if (!ReadFile()) return std::move(errors_);
+    ReadOverrides();
+    for (const SettingDescription& setting : SettingsTable()) Store(setting, draft);
+    if (errors_.empty()) CheckTogether(*draft);
+    std::stable_sort(errors_.begin(), errors_.end(),
+                     [](const auto& a, const auto& b) { return a.line < b.line; });
+    return std::move(errors_);
+  }
+
+ private:
+  void Add(const std::string& file, int line, const std::string& key, std::string message) {
+    errors_.push_back({file, line, key, std::move(message)});
+  }
+
+  const SettingDescription* Find(const std::string& key) const {
+    for (const SettingDescription& setting : SettingsTable()) {
+      if (setting.Key() == key) return &setting;
+    }
+    return nullptr;
+  }
+
+  // Returns false if the file is no TOML: then nothing else can be said of it.
+  bool ReadFile() {
+    try {
+      const toml::table document = toml::parse(source_.text, source_.file_name);
+      for (const auto& [name, node] : document) ReadTable(std::string(name.str()), node);
+      return true;
+    } catch (const toml::parse_error& error) {
+      Add(source_.file_name, static_cast<int>(error.source().begin.line), "",
+          absl::StrCat("not TOML: ", std::string(error.description())));
+      return false;
+    }
+  }
+
+  static int LineOf(const toml::node& node) { return static_cast<int>(node.source().begin.line); }
+
+  void ReadTable(const std::string& name, const toml::node& node) {
+    const toml::table* table = node.as_table();
+    const bool known = std::any_of(SettingsTable().begin(), SettingsTable().end(),
+                                   [&](const auto& setting) { return setting.table == name; });
+    if (table == nullptr || !known) {
+      Add(source_.file_name, LineOf(node), name,
+          "unknown; settings stand in [node], [limits], [gateway] or [controller]");
+      return;
+    }
+    for (const auto& [key, value] : *table) {
+      ReadValue(absl::StrCat(name, ".", std::string(key.str())), value);
+    }
+  }
+
+  void ReadValue(const std::string& key, const toml::node& node) {
+    const SettingDescription* setting = Find(key);
+    if (setting == nullptr || !setting->AppliesTo(role_)) {
+      Add(source_.file_name, LineOf(node), key,
+          setting == nullptr ? "unknown setting" : "not a setting of this role");
+      seen_.insert_or_assign(key, std::nullopt);
+      return;
+    }
+    std::optional<RawSetting> raw = RawFromNode(node);
+    if (!raw) {
+      Add(source_.file_name, LineOf(node), key, absl::StrCat("must be ", AllowedRange(*setting)));
+      seen_.insert_or_assign(key, std::nullopt);
+      return;
+    }
+    seen_.insert_or_assign(key, Located{*std::move(raw), source_.file_name, LineOf(node)});
+  }
+
+  static std::optional<RawSetting> RawFromNode(const toml::node& node) {
+    if (const auto text = node.value_exact<std::string>()) return *text;
+    if (const auto number = node.value_exact<int64_t>()) return *number;
+    const toml::array* array = node.as_array();
+    if (array == nullptr) return std::nullopt;
+    std::vector<std::string> list;
+    for (const toml::node& item : *array) {
+      const auto text = item.value_exact<std::string>();
+      if (!text) return std::nullopt;
+      list.push_back(*text);
+    }
+    return list;
+  }
+
+  void ReadOverrides() {
+    for (const auto& [key, text] : source_.overrides) {
+      const SettingDescription* setting = Find(key);
+      if (setting == nullptr || !setting->AppliesTo(role_)) {
+        Add(kCommandLine, 0, key, "not a setting of this role");
+        continue;
+      }
+      const auto raw = RawFromText(*setting, text);
+      if (raw.ok()) {
+        seen_.insert_or_assign(key, Located{*raw, kCommandLine, 0});
+      } else {
+        Add(kCommandLine, 0, key, std::string(raw.status().message()));
+        seen_.insert_or_assign(key, std::nullopt);
+      }
+    }
+  }
+
+  void Store(const SettingDescription& setting, SettingsDraft* draft) {
+    if (!setting.AppliesTo(role_)) return;
+    const auto found = seen_.find(setting.Key());
+    if (found == seen_.end()) {
+      if (setting.required) {
+        Add(source_.file_name, 0, setting.Key(),
+            absl::StrCat("missing; must be ", AllowedRange(setting)));
+      }
+      return;
+    }
+    if (!found->second) return;  // already reported
+    const Located& located = *found->second;
+    const absl::Status status = StoreSetting(setting, located.value, draft);
+    if (!status.ok()) {
+      Add(located.file, located.line, setting.Key(), std::string(status.message()));
+    }
+  }
+
+  // What no single setting can tell.
+  void CheckTogether(const SettingsDraft& draft) {
+    const bool any_port = draft.node.http_endpoint.ends_with(":0");
+    if (draft.node.internal_endpoint == draft.node.http_endpoint && !any_port) {
+      const auto& located = seen_.find("node.http_endpoint")->second;
+      Add(located->file, located->line, "node.http_endpoint",
+          "must differ from node.internal_endpoint");
+    }
+  }
+
+  const Role role_;
+  const SettingsSource& source_;
+  std::vector<SettingsError> errors_;
+  // Values by key; nullopt for those already reported.
+  absl::btree_map<std::string, std::optional<Located>> seen_;
+};
+
+}  // namespace
+
+std::string SettingsError::ToString() const {
+  std::string text = file;
+  if (line > 0) absl::StrAppend(&text, ":", line);
+  if (!key.empty()) absl::StrAppend(&text, ": ", key);
+  absl::StrAppend(&text, ": ", message);
+  return text;
+}
+
+std::vector<SettingsError> LoadGatewaySettings(const SettingsSource& source,
+                                               GatewaySettings* settings) {
+  SettingsDraft draft;
+  std::vector<SettingsError> errors = Loader(Role::kGateway, source).Load(&draft);
+  if (!errors.empty()) return errors;
+  *settings = draft.gateway;
+  settings->node = draft.node;
+  settings->limits = draft.limits;
+  return errors;
+}
+
+std::vector<SettingsError> LoadControllerSettings(const SettingsSource& source,
+                                                  ControllerSettings* settings) {
+  SettingsDraft draft;
+  std::vector<SettingsError> errors = Loader(Role::kController, source).Load(&draft);
+  if (!errors.empty()) return errors;
+  *settings = draft.controller;
+  settings->node = draft.node;
+  settings->limits = draft.limits;
+  return errors;
+}
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/settings_loader.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "posthatch/daemon/node_settings.h"
+#include "posthatch/daemon/settings_table.h"
+
+namespace posthatch::daemon {
+
+// Something wrong with the settings.
+struct SettingsError {
+  std::string file;  // "command line" for flags
+  int line = 0;      // 0 if it has no line: a missing key, or a flag
+  std::string key;   // empty for a file that can't be read as TOML
+  std::string message;
+
+  // "gateway.toml:12: limits.max_body_bytes: must be ..., is 3"
+  std::string ToString() const;
+};
+
+struct SettingsSource {
+  std::string file_name;  // for messages
+  std::string text;       // TOML
+  // Key ("node.zone") and text of each flag given.
+  std::vector<std::pair<std::string, std::string>> overrides;
+};
+
+// Check a whole settings file with the flags that override it, and fill `settings` if nothing is
+// wrong. Return every error found (of a file that is no TOML only the first), none if all is well.
+std::vector<SettingsError> LoadGatewaySettings(const SettingsSource& source,
+                                               GatewaySettings* settings);
+std::vector<SettingsError> LoadControllerSettings(const SettingsSource& source,
+                                                  ControllerSettings* settings);
+
+}  // namespace posthatch::daemon
