Simulate sessions over a log in memory; mend two faults that it showed

Cause 1: a gateway that was given a hint suspected the hinted controller, which it had not asked yet, and so went back to the wrong one for ever; it now remembers whom it asked. Cause 2: after Leave() it dropped answers to its own calls, so that a draining gateway could not finish delivery records; only grants and pushes are dropped now.

--- /dev/null
+++ b/src/posthatch/control/controller_service-test.cc
@@ -0,0 +1,173 @@
+#include "posthatch/control/controller_service.h"
+
+#include <gtest/gtest.h>
+
+#include "posthatch/control/commands-test.h"
+#include "posthatch/control/fleet_harness-test.h"
+#include "posthatch/control/memory_log-test.h"
+
+namespace posthatch::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Controllers over a log that never fails: what the service does by itself.
+class ControllerServiceTest : public testing::TestWithParam<uint64_t> {
+ protected:
+  ControllerServiceTest()
+      : fleet_(GetParam(), 2, 4, 6, [this](runtime::Runtime* runtime, ControlState* state) {
+          auto log = std::make_shared<MemoryLog>(runtime, &cluster_, state);
+          return LogParts{log, log.get(), log.get()};
+        }) {
+    Elect(0);
+    EXPECT_TRUE(RunUntil([this] { return AllGatewaysHaveLeases(); }, seconds(3)));
+    // A first configuration, and past the wait of a new leader.
+    fleet_.operator_process->Change(0);
+    EXPECT_TRUE(RunUntil([this] { return fleet_.operator_process->open() == 0; }, seconds(12)));
+  }
+
+  void Elect(int controller) {
+    cluster_.Elect(fleet_.controller_hosts[controller]->internal_endpoint());
+  }
+  bool RunUntil(const std::function<bool()>& condition, runtime::Duration limit) {
+    return fleet_.world.RunUntil(condition, limit);
+  }
+  GatewaySession& Session(int gateway) {
+    return fleet_.Gateway(fleet_.gateway_hosts[gateway])->session;
+  }
+  bool AllGatewaysHaveLeases() {
+    for (int i = 0; i < 4; ++i) {
+      if (!Session(i).LeaseValid()) return false;
+    }
+    return true;
+  }
+  runtime::Duration TimeOfOneChange() {
+    const runtime::MonotonicTime start = fleet_.world.Now();
+    fleet_.operator_process->Change(0);
+    EXPECT_TRUE(RunUntil([this] { return fleet_.operator_process->open() == 0; }, seconds(15)));
+    return fleet_.world.Now() - start;
+  }
+  // Everything is recorded until the end, and judged.
+  void ExpectNoViolation() {
+    std::vector<std::pair<uint64_t, std::string>> versions;
+    const ControllerProcess* leader = fleet_.Controller(fleet_.Leader());
+    ASSERT_NE(leader, nullptr);
+    for (const ConfigurationVersion& version : leader->state.history().versions()) {
+      versions.emplace_back(version.version(), version.request_id());
+    }
+    fleet_.history.SetFinalHistory(std::move(versions));
+    EXPECT_GT(fleet_.history.decisions(), 100);
+    EXPECT_GT(fleet_.history.acknowledgements(), 0);
+    EXPECT_EQ(fleet_.history.Violations(runtime::Duration::zero()), std::vector<std::string>());
+  }
+
+  MemoryCluster cluster_;
+  FleetHarness fleet_;
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ControllerServiceTest, testing::Range<uint64_t>(1, 6));
+
+TEST_P(ControllerServiceTest, AChangeIsInForceEverywhereWhenItIsAcknowledged) {
+  for (int i = 0; i < 20; ++i) fleet_.operator_process->Race();
+  ASSERT_TRUE(RunUntil([this] { return fleet_.operator_process->open() == 0; }, seconds(20)));
+  EXPECT_GT(fleet_.operator_process->refused(), 0);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(Session(i).state().configuration_version(),
+              fleet_.operator_process->newest_version());
+  }
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, AFrozenGatewayDelaysAnAcknowledgementByAtMostItsLease) {
+  EXPECT_LT(TimeOfOneChange(), milliseconds(700));
+  fleet_.gateway_hosts[0]->Freeze();
+  fleet_.operator_process->avoid = fleet_.gateway_hosts[0]->http_endpoint();
+  const runtime::Duration waited = TimeOfOneChange();
+  EXPECT_GT(waited, seconds(2));
+  EXPECT_LT(waited, milliseconds(4500));
+  fleet_.world.RunFor(seconds(25));
+  fleet_.gateway_hosts[0]->Thaw();
+  fleet_.world.RunFor(seconds(5));
+  EXPECT_TRUE(Session(0).LeaseValid());
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, ANewLeaderWaitsForTheLeasesThatItsPredecessorGranted) {
+  // g0 is cut off from the new leader and still holds a lease of the former one.
+  fleet_.world.Cut("g0", "c1");
+  fleet_.world.Cut("c1", "g0");
+  RunUntil([this] { return Session(0).lease_expiry() - fleet_.world.Now() > seconds(3); },
+           seconds(3));
+  Elect(1);
+  const runtime::Duration waited = TimeOfOneChange();
+  EXPECT_GT(waited, seconds(3));
+  EXPECT_FALSE(Session(0).LeaseValid());
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, ALeaderThatLostItsMajorityGrantsNothing) {
+  cluster_.Elect("10.0.9.9:7000");  // someone whom nobody reaches
+  fleet_.world.RunFor(seconds(6));
+  for (int i = 0; i < 4; ++i) EXPECT_FALSE(Session(i).LeaseValid());
+  Elect(0);
+  EXPECT_TRUE(RunUntil([this] { return AllGatewaysHaveLeases(); }, seconds(3)));
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, EachWorkerHasOneHolderOfItsZoneAndIsHandedOverWithoutOverlap) {
+  const auto all_held_in_zone = [this] {
+    const FleetState& state = Session(1).state();
+    if (state.leases_size() != 6) return false;
+    for (const WorkerLease& lease : state.leases()) {
+      const int worker = lease.worker_id()[1] - '0';
+      const int gateway = lease.holder()[1] - '0';
+      if (worker % 3 != gateway % 3) return false;
+    }
+    return true;
+  };
+  ASSERT_TRUE(RunUntil(all_held_in_zone, seconds(10)));
+  const size_t orders = fleet_.history.orders();
+  fleet_.gateway_hosts[2]->Freeze();  // the only one of its zone
+  fleet_.world.RunFor(seconds(12));
+  for (const WorkerLease& lease : Session(1).state().leases()) EXPECT_NE(lease.holder(), "g2");
+  EXPECT_EQ(Session(1).state().leases_size(), 6);
+  fleet_.gateway_hosts[2]->Thaw();
+  ASSERT_TRUE(RunUntil(all_held_in_zone, seconds(10)));
+  EXPECT_GT(fleet_.history.orders(), orders);
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, ALeavingGatewayIsNotWaitedFor) {
+  Session(0).Leave();
+  EXPECT_FALSE(Session(0).LeaseValid());
+  EXPECT_LT(TimeOfOneChange(), milliseconds(900));
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, TheInventoryAndItsAgeReachTheGateways) {
+  EXPECT_EQ(Session(0).state().inventory().backends_size(), 6);
+  EXPECT_LT(Session(0).InventoryAge(), seconds(4));
+  fleet_.world.FindHost("inventory")->Crash();
+  fleet_.world.RunFor(seconds(10));
+  EXPECT_GT(Session(0).InventoryAge(), seconds(8));
+  EXPECT_TRUE(Session(0).LeaseValid());
+}
+
+TEST_P(ControllerServiceTest, BeyondTheLimitProposalsAreRefusedAsNotTaken) {
+  int refused = 0;
+  int done = 0;
+  for (int i = 0; i < 10000; ++i) {
+    Session(0).Propose(Begin(absl::StrCat("k", i), "a", "hash", 0), seconds(1), false,
+                       [&](const absl::StatusOr<CommandResult>& result) {
+                         if (result.ok()) ++done;
+                         if (absl::IsResourceExhausted(result.status())) ++refused;
+                       });
+  }
+  EXPECT_TRUE(RunUntil([&] { return done + refused == 10000; }, seconds(10)));
+  EXPECT_GE(refused, 5000);
+  EXPECT_GT(done, 1000);
+}
+
+}  // namespace
+}  // namespace posthatch::control
--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -105,14 +105,14 @@
 }
 
 void GatewaySession::Renew() {
-  const bool silent = renewal_ > answered_renewal_;
-  if (silent) locator_.Suspect(locator_.Target());
+  if (renewal_ > answered_renewal_) locator_.Suspect(asked_);
   const std::string target = locator_.Target();
   if (!target.empty()) {
     sent_[++renewal_] = runtime_->clock->Now();
     while (sent_.size() > kMaxOpenRenewals) sent_.erase(sent_.begin());
     ControlMessage message;
     *message.mutable_session_renewal() = MakeRenewal(false);
+    asked_ = target;
     Send(target, message);
     if (renewals_counter_ != nullptr) renewals_counter_->Increment();
   }
@@ -138,7 +138,7 @@
 
 void GatewaySession::OnEnvelope(const runtime::Envelope& envelope) {
   ControlMessage message;
-  if (left_ || !message.ParseFromString(envelope.payload())) return;
+  if (!message.ParseFromString(envelope.payload())) return;
   const std::string& from = envelope.from_endpoint();
   switch (message.message_case()) {
     case ControlMessage::kSessionGrant:
@@ -162,6 +162,7 @@
 }
 
 void GatewaySession::OnGrant(const std::string& from_endpoint, const SessionGrant& grant) {
+  if (left_) return;
   const auto sent = sent_.find(grant.renewal());
   if (sent == sent_.end() || grant.incarnation() != runtime_->transport->incarnation()) return;
   if (grant.term() < term_ || grant.lease_ms() > kMaxLeaseMs) return;
@@ -192,7 +193,7 @@
 }
 
 void GatewaySession::OnPush(const std::string& from_endpoint, const StatePush& push) {
-  if (push.term() < term_) return;
+  if (left_ || push.term() < term_) return;
   bool changed = false;
   if (!PutInForce(push.changed(), push.changed_sections(), &changed)) return;
   Acknowledge(from_endpoint, push.push());
@@ -206,6 +207,7 @@
   }
   if (hint == locator_.Target()) return;
   locator_.FollowHint(hint);
+  if (left_) return;
   if (!LeaseValid() || renewal_ > answered_renewal_) {
     renew_timer_.Start(std::chrono::milliseconds(5), [this] { Renew(); });
   }
--- a/src/posthatch/control/gateway_session.h
+++ b/src/posthatch/control/gateway_session.h
@@ -92,6 +92,7 @@
   uint64_t renewal_ = 0;
   std::map<uint64_t, runtime::MonotonicTime> sent_;  // renewal -> when it was sent
   uint64_t answered_renewal_ = 0;
+  std::string asked_;  // where the last renewal went
   std::string rejection_;
   bool inventory_known_ = false;
   runtime::MonotonicTime inventory_read_at_;
--- /dev/null
+++ b/src/posthatch/control/memory_log-test.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "posthatch/consensus/replicated_log.h"
+#include "posthatch/control/leadership_guard.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::control {
+
+// Entries and leadership of a whole cluster, in one place: never lost, agreed on at once.
+struct MemoryCluster {
+  struct Entry {
+    uint64_t term;
+    std::string command;
+  };
+  std::vector<Entry> entries;
+  std::string leader_endpoint;
+  uint64_t term = 0;
+
+  void Elect(const std::string& endpoint) {
+    ++term;
+    leader_endpoint = endpoint;
+    entries.push_back({term, ""});  // as Raft's first entry of a term
+  }
+};
+
+// One controller's view of a MemoryCluster: hears of new entries and leaders after a delay, so that
+// a former leader goes on believing for a while. Commits take kCommitTime.
+class MemoryLog : public consensus::ReplicatedLog, public LeadershipGuard {
+ public:
+  static constexpr runtime::Duration kCommitTime = std::chrono::milliseconds(2);
+  static constexpr runtime::Duration kHearInterval = std::chrono::milliseconds(5);
+
+  MemoryLog(runtime::Runtime* runtime, MemoryCluster* cluster,
+            consensus::StateMachine* state_machine)
+      : runtime_(runtime),
+        cluster_(cluster),
+        state_machine_(state_machine),
+        timer_(runtime->timers) {
+    Hear();
+  }
+
+  void Propose(std::string command, ProposeDone done) override {
+    if (!leading_) {
+      done(absl::FailedPreconditionError("not leader"));
+      return;
+    }
+    if (!MayGrant()) {
+      done(absl::UnavailableError("lost leadership"));
+      return;
+    }
+    cluster_->entries.push_back({cluster_->term, std::move(command)});
+    runtime_->timers->Schedule(kCommitTime,
+                               [this, index = cluster_->entries.size(), done = std::move(done)] {
+                                 if (applied_ < index) ApplyUpTo(index);
+                                 done(std::move(answers_[index - 1]));
+                               });
+  }
+  void ReadBarrier(ReadDone done) override {
+    done(MayGrant() ? absl::OkStatus() : absl::FailedPreconditionError("not leader"));
+  }
+  bool IsLeader() const override { return leading_; }
+  uint64_t term() const override { return term_; }
+  uint64_t applied_index() const override { return applied_; }
+  consensus::ReplicaRole role() const override {
+    return leading_ ? consensus::ReplicaRole::kLeader : consensus::ReplicaRole::kFollower;
+  }
+  std::string leader_endpoint() const override { return cluster_->leader_endpoint; }
+  void SetLeadershipListener(LeadershipListener listener) override {
+    listener_ = std::move(listener);
+  }
+  bool MayGrant() const override {
+    return cluster_->leader_endpoint == runtime_->transport->endpoint() && cluster_->term == term_;
+  }
+
+ private:
+  void Hear() {
+    timer_.Start(kHearInterval, [this] { Hear(); });
+    ApplyUpTo(cluster_->entries.size());
+    const bool leads = cluster_->leader_endpoint == runtime_->transport->endpoint();
+    const bool changed = leads != leading_ || (leads && term_ != cluster_->term);
+    leading_ = leads;
+    term_ = cluster_->term;
+    if (changed && listener_) listener_(leading_, term_);
+  }
+  void ApplyUpTo(uint64_t index) {
+    while (applied_ < index) {
+      const MemoryCluster::Entry entry = cluster_->entries[applied_];
+      ++applied_;
+      answers_.push_back(entry.command.empty()
+                             ? std::string()
+                             : state_machine_->Apply(applied_, entry.term, entry.command));
+    }
+  }
+
+  runtime::Runtime* const runtime_;
+  MemoryCluster* const cluster_;
+  consensus::StateMachine* const state_machine_;
+  runtime::Timer timer_;
+  LeadershipListener listener_;
+  std::vector<std::string> answers_;
+  uint64_t applied_ = 0;
+  uint64_t term_ = 0;
+  bool leading_ = false;
+};
+
+}  // namespace posthatch::control
