Test the data plane by cause of failure

Cause: each mechanism of the data plane has to be seen at work against the failure it is for. Change: tests on fakes of lease, log, index, clock and HTTP: lost, crossed and cut answers, streams, revoked keys, freezes between record and dispatch, resends, drains, evacuations, retry storms, cold workers, slow readers, shedding. The shared isolation domain takes the generation that the control state gives its tenants. Any refusal of a back end that says executed "no" counts as proof.

--- a/src/posthatch/gateway/answer_check.cc
+++ b/src/posthatch/gateway/answer_check.cc
@@ -73,7 +73,7 @@
 }
 
 bool ProvesNotExecuted(const http::Response& answer) {
-  if (answer.status != 409 && answer.status != 429 && answer.status != 503) return false;
+  if (answer.status < 400) return false;
   boost::json::error_code error;
   const boost::json::value parsed = boost::json::parse(answer.body, error);
   if (error || !parsed.is_object()) return false;
--- a/src/posthatch/gateway/answer_check.h
+++ b/src/posthatch/gateway/answer_check.h
@@ -17,7 +17,7 @@
 absl::Status CheckServiceBody(std::string_view body, std::string_view request_id,
                               std::string_view operation);
 
-// Whether the back end says that it refused before running: 409, 429 or 503 with
+// Whether the back end says that it refused before running: a status of 400 or more with
 // `"executed": "no"` in its error.
 bool ProvesNotExecuted(const http::Response& answer);
 
--- /dev/null
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -0,0 +1,166 @@
+#include <gtest/gtest.h>
+
+#include "posthatch/gateway/gateway_test_fixture.h"
+
+// Non-repeatable operations: one run at most, and honest answers (invariants N1, N2, N10).
+namespace posthatch::gateway {
+namespace {
+
+class DeliveryTest : public GatewayTest {
+ protected:
+  // As GatewayTest::Place, at a second gateway that shares the log and the back ends.
+  std::shared_ptr<FakeWriter> PlaceElsewhere(const std::string& key) {
+    if (other_ == nullptr) {
+      other_runtime_ = runtime;
+      other_runtime_.metrics = &other_registry_;
+      other_ = std::make_unique<Gateway>(&other_runtime_, options, &view, &control, &locator);
+    }
+    std::swap(gateway, other_);
+    const auto writer = Place(key);
+    std::swap(gateway, other_);
+    return writer;
+  }
+
+ private:
+  runtime::Runtime other_runtime_;
+  prometheus::Registry other_registry_;
+  std::unique_ptr<Gateway> other_;
+};
+
+TEST_F(DeliveryTest, ResendElsewhereGetsTheKeptOutcome) {
+  StartGateway();
+  Place("k");
+  EXPECT_EQ(PlaceElsewhere("k")->whole.status, 409);  // still running
+  LastCall().GoodOperation("place");
+  const auto again = PlaceElsewhere("k");
+  EXPECT_EQ(again->whole.status, 200);
+  EXPECT_TRUE(again->Says(R"("result":1)"));
+  EXPECT_EQ(client.calls.size(), 1u);
+}
+
+TEST_F(DeliveryTest, CrashAfterDispatchIsUnknownAndRunsOnce) {
+  StartGateway();
+  Place("k");
+  gateway.reset();
+  const auto again = PlaceElsewhere("k");
+  EXPECT_EQ(again->whole.status, 409);
+  EXPECT_TRUE(again->Says(R"("executed":"unknown")"));
+  EXPECT_EQ(client.calls.size(), 1u);
+}
+
+TEST_F(DeliveryTest, LostAnswerIsUnknownAndNotSentAgain) {
+  StartGateway();
+  const auto writer = Place("k");
+  LastCall().Error(http::CallProgress::kSent);
+  EXPECT_EQ(writer->whole.status, 502);
+  EXPECT_TRUE(writer->Says(R"("executed":"unknown")"));
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::UNKNOWN);
+  EXPECT_EQ(Place("k")->whole.status, 502);
+  EXPECT_EQ(client.calls.size(), 1u);
+}
+
+TEST_F(DeliveryTest, CrossedAnswerIsUnknown) {
+  StartGateway();
+  const auto writer = Place("k");
+  LastCall().HeadFor("another attempt");
+  EXPECT_EQ(writer->whole.status, 502);
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::UNKNOWN);
+}
+
+TEST_F(DeliveryTest, FreezeBetweenBeginAndDispatchSendsNothing) {
+  StartGateway();
+  control.hold = true;
+  const auto writer = Place("k");
+  clock.now += std::chrono::seconds(20);  // no timer runs while frozen
+  control.hold = false;
+  control.Release();
+  EXPECT_TRUE(client.calls.empty());
+  EXPECT_TRUE(writer->Says(R"("executed":"no")"));
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::NOT_EXECUTED);
+  EXPECT_EQ(PlaceElsewhere("k")->whole.status, 410);
+  EXPECT_TRUE(client.calls.empty());
+}
+
+TEST_F(DeliveryTest, LeaseThatEndsBeforeDispatchSendsNothing) {
+  StartGateway();
+  control.hold = true;
+  Place("k");
+  view.expiry = clock.now;
+  control.Release();
+  EXPECT_TRUE(client.calls.empty());
+}
+
+TEST_F(DeliveryTest, KeyRevokedBeforeDispatchSendsNothing) {
+  StartGateway();
+  control.hold = true;
+  const auto writer = Place("k");
+  view.fleet.mutable_configuration()->mutable_tenants(0)->clear_key_sha256();
+  view.fleet.set_configuration_index(2);
+  view.Changed();
+  control.hold = false;
+  control.Release();
+  EXPECT_TRUE(client.calls.empty());
+  EXPECT_EQ(writer->whole.status, 401);
+}
+
+TEST_F(DeliveryTest, BeginWithoutAnswerIsUnknownAndClosedLater) {
+  StartGateway();
+  control.lost_answers = 1;
+  const auto writer = Place("k");
+  EXPECT_EQ(writer->whole.status, 503);
+  EXPECT_TRUE(writer->Says(R"("executed":"unknown")"));
+  EXPECT_TRUE(client.calls.empty());
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::NOT_EXECUTED);
+}
+
+TEST_F(DeliveryTest, OutcomeThatIsNotCommittedIsUnknown) {
+  StartGateway();
+  control.fail_finish = true;
+  const auto writer = Place("k");
+  LastCall().GoodOperation("place");
+  EXPECT_EQ(writer->whole.status, 503);
+  EXPECT_TRUE(writer->Says(R"("executed":"unknown")"));
+}
+
+TEST_F(DeliveryTest, OtherBodyUnderTheSameKeyIsRefused) {
+  StartGateway();
+  Place("k");
+  const auto writer = Send("/v1/services/lobby/place", R"({"seat":2})", "k");
+  EXPECT_EQ(writer->whole.status, 409);
+  EXPECT_TRUE(writer->Says("key_reused"));
+  EXPECT_EQ(client.calls.size(), 1u);
+}
+
+TEST_F(DeliveryTest, RefusalBeforeTheRecordSaysUnknown) {
+  StartGateway();
+  view.expiry = clock.now;
+  EXPECT_TRUE(Place("k")->Says(R"("executed":"unknown")"));
+  EXPECT_TRUE(Complete()->Says(R"("executed":"no")"));
+}
+
+TEST_F(DeliveryTest, KeyIsRequired) {
+  StartGateway();
+  EXPECT_EQ(Place("")->whole.status, 400);
+  EXPECT_EQ(control.proposals, 0);
+}
+
+TEST_F(DeliveryTest, LongAnswerIsNotKept) {
+  StartGateway();
+  const auto writer = Place("k");
+  EXPECT_EQ(LastCall().options.max_body_bytes, 64u * 1024);
+  LastCall().Head();
+  LastCall().Error(http::CallProgress::kAnswered, absl::DataLossError("too long"));
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::UNKNOWN);
+}
+
+TEST_F(DeliveryTest, UnreachableBackendIsClosedAsNeverRun) {
+  StartGateway();
+  const auto writer = Place("k");
+  LastCall().Error(http::CallProgress::kNotSent);
+  EXPECT_EQ(writer->whole.status, 502);
+  EXPECT_TRUE(writer->Says(R"("executed":"no")"));
+  EXPECT_EQ(control.Outcome("k"), control::DeliveryOutcome::NOT_EXECUTED);
+}
+
+}  // namespace
+}  // namespace posthatch::gateway
--- a/src/posthatch/gateway/fleet_lookup.cc
+++ b/src/posthatch/gateway/fleet_lookup.cc
@@ -1,10 +1,6 @@
 #include "posthatch/gateway/fleet_lookup.h"
 
-#include <xxhash.h>
-
-#include <map>
-
-#include "absl/strings/str_cat.h"
+#include <algorithm>
 
 namespace posthatch::gateway {
 namespace {
@@ -47,23 +43,10 @@
   for (const control::ServiceRoute& route : state.configuration().services()) {
     services_[route.name()] = route;
   }
-  RebuildIsolation(state);
-}
-
-void FleetLookup::RebuildIsolation(const control::FleetState& state) {
   isolation_.clear();
-  std::map<std::string, uint64_t> isolated;
   for (const control::TenantIsolation& entry : state.isolation()) {
     isolation_[entry.tenant()] = entry;
-    if (entry.isolated()) isolated[entry.tenant()] = entry.generation();
-  }
-  shared_generation_ = 0;
-  if (isolated.empty()) return;
-  std::string material;
-  for (const auto& [tenant, generation] : isolated) {
-    absl::StrAppend(&material, tenant.size(), ":", tenant, "/", generation, ";");
   }
-  shared_generation_ = XXH3_64bits(material.data(), material.size());
 }
 
 const ModelEntry* FleetLookup::FindModel(const std::string& name) const {
@@ -80,10 +63,9 @@
                                       const std::string& tenant) const {
   const auto found = isolation_.find(tenant);
   if (found == isolation_.end()) return index::BlockSeed{model, revision, tenant, 0};
-  if (found->second.isolated()) {
-    return index::BlockSeed{model, revision, tenant, found->second.generation()};
-  }
-  return index::BlockSeed{model, revision, std::string(), shared_generation_};
+  const control::TenantIsolation& domain = found->second;
+  return index::BlockSeed{model, revision, domain.isolated() ? tenant : std::string(),
+                          domain.generation()};
 }
 
 }  // namespace posthatch::gateway
--- a/src/posthatch/gateway/fleet_lookup.h
+++ b/src/posthatch/gateway/fleet_lookup.h
@@ -36,22 +36,18 @@
   const control::ServiceRoute* FindService(const std::string& name) const;
   const RoutingLimits& limits() const { return limits_; }
 
-  // The identity of blocks that `tenant` may make and use under the newest revision of `model`.
-  // An isolated tenant has a domain of its own, with its generation. All others share one domain,
-  // whose generation is a fingerprint of the isolated tenants and their generations: when a tenant
-  // leaves the shared domain, the blocks that it made there can't be named any more. A tenant that
-  // the state doesn't mention counts as isolated.
+  // The identity of blocks that `tenant` may make and use under `revision` of `model`. An isolated
+  // tenant has a domain of its own. All others share one domain, whose generation each of them
+  // carries and which changes when a tenant enters or leaves it: what that tenant made there before
+  // can't be named any more. A tenant that the state doesn't mention counts as isolated.
   index::BlockSeed SeedFor(const std::string& model, uint64_t revision,
                            const std::string& tenant) const;
 
  private:
-  void RebuildIsolation(const control::FleetState& state);
-
   RoutingLimits limits_;
   absl::flat_hash_map<std::string, ModelEntry> models_;
   absl::flat_hash_map<std::string, control::ServiceRoute> services_;
   absl::flat_hash_map<std::string, control::TenantIsolation> isolation_;
-  uint64_t shared_generation_ = 0;
 };
 
 }  // namespace posthatch::gateway
--- a/src/posthatch/gateway/gateway_test_fixture.h
+++ b/src/posthatch/gateway/gateway_test_fixture.h
@@ -186,7 +186,8 @@
  public:
   void Propose(control::Command command, runtime::Duration, bool, ProposeDone done) override {
     ++proposals;
-    if (lose_answers) {
+    if (lost_answers > 0) {
+      --lost_answers;
       Apply(command);
       done(absl::DeadlineExceededError("lost"));
       return;
@@ -213,7 +214,7 @@
   std::map<std::string, control::DeliveryRecord> records;  // by idempotency key
   int proposals = 0;
   bool hold = false;
-  bool lose_answers = false;
+  int lost_answers = 0;  // of the next proposals, which are applied all the same
   bool fail_finish = false;
 
  private:
--- /dev/null
+++ b/src/posthatch/gateway/limits-test.cc
@@ -0,0 +1,280 @@
+#include <gtest/gtest.h>
+
+#include "posthatch/gateway/gateway_test_fixture.h"
+
+// Who is let in, where work may go, and how often it may be tried again.
+namespace posthatch::gateway {
+namespace {
+
+using LimitsTest = GatewayTest;
+
+TEST_F(LimitsTest, RevokedKeyDiesAtOnce) {
+  StartGateway();
+  Complete();
+  LastCall().GoodCompletion();
+  view.fleet.mutable_configuration()->mutable_tenants(0)->clear_key_sha256();
+  view.fleet.set_configuration_index(2);
+  view.Changed();
+  EXPECT_EQ(Complete()->whole.status, 401);
+  EXPECT_EQ(Complete(false, "key-two")->answers, 0);  // in progress
+  EXPECT_EQ(Complete(false, "key-three")->whole.status, 401);
+}
+
+TEST_F(LimitsTest, RateLimitIsATokenBucket) {
+  view.fleet.mutable_configuration()->mutable_tenants(0)->set_rate_limit(2);
+  view.fleet.mutable_configuration()->mutable_tenants(0)->set_burst(4);
+  StartGateway();
+  for (int request = 0; request < 4; ++request) EXPECT_EQ(Complete()->answers, 0);
+  const auto refused = Complete();
+  EXPECT_EQ(refused->whole.status, 429);
+  EXPECT_EQ(refused->whole.headers.Get("Retry-After"), "1");
+  EXPECT_TRUE(refused->Says(R"("executed":"no")"));
+  timers.Advance(std::chrono::milliseconds(500));
+  EXPECT_EQ(Complete()->answers, 0);
+  EXPECT_EQ(Complete()->answers, 1);
+}
+
+TEST_F(LimitsTest, ConcurrencyIsSharedOutAmongGateways) {
+  view.fleet.mutable_configuration()->mutable_tenants(0)->set_max_concurrency(4);
+  options.live_gateways = [] { return 2u; };
+  StartGateway();
+  Complete();
+  Complete();
+  EXPECT_EQ(Complete()->whole.status, 429);
+  LastCall().GoodCompletion();
+  timers.Advance(std::chrono::milliseconds(1));
+  EXPECT_EQ(Complete()->answers, 0);
+}
+
+TEST_F(LimitsTest, LowPriorityIsShedFirst) {
+  options.max_concurrent_requests = 10;
+  view.fleet.mutable_configuration()->mutable_tenants(1)->set_priority(9);
+  StartGateway();
+  for (int request = 0; request < 7; ++request) EXPECT_EQ(Complete()->answers, 0);
+  EXPECT_TRUE(Complete()->Says("overloaded"));
+  for (int request = 0; request < 3; ++request) {
+    EXPECT_EQ(Complete(false, "key-two")->answers, 0);
+  }
+  EXPECT_TRUE(Complete(false, "key-two")->Says("overloaded"));
+}
+
+TEST_F(LimitsTest, NothingIsDecidedWithoutALease) {
+  StartGateway();
+  view.expiry = clock.now;
+  const auto writer = Complete();
+  EXPECT_TRUE(writer->Says("no_lease"));
+  EXPECT_FALSE(gateway->Ready());
+  EXPECT_TRUE(client.calls.empty());
+}
+
+TEST_F(LimitsTest, LeaseIsAskedAgainBeforeARetry) {
+  StartGateway();
+  for (int request = 0; request < 10; ++request) Complete();
+  const auto writer = Complete();
+  view.expiry = clock.now;
+  LastCall().Error(http::CallProgress::kSent);
+  EXPECT_TRUE(writer->Says("no_lease"));
+  EXPECT_TRUE(writer->Says(R"("executed":"unknown")"));
+  EXPECT_EQ(client.calls.size(), 11u);
+}
+
+TEST_F(LimitsTest, DrainedAndEvacuatedWorkersGetNothing) {
+  StartGateway();
+  locator.holders = {{"w1", 1, 4}};  // whatever the index says
+  Complete();
+  EXPECT_EQ(LastCall().endpoint, "w1:80");
+  view.fleet.mutable_inventory()->mutable_backends(0)->set_draining(true);
+  control::Evacuation* evacuation = view.fleet.add_evacuations();
+  control::Requirement* zone = evacuation->mutable_selector()->add_requirements();
+  zone->set_key("zone");
+  zone->set_operator_(control::Requirement::IN);
+  zone->add_values("b");
+  view.Changed();
+  for (int request = 0; request < 50; ++request) {
+    Complete();
+    EXPECT_EQ(LastCall().endpoint, "w2:80");
+  }
+}
+
+TEST_F(LimitsTest, RetryStormStaysInTheBudget) {
+  StartGateway();
+  for (int request = 0; request < 500; ++request) {
+    Complete();
+    while (!LastCall().cancelled && LastCall().Field("X-Posthatch-Attempt-Number") != "3") {
+      const size_t calls = client.calls.size();
+      LastCall().Error(http::CallProgress::kSent);
+      if (client.calls.size() == calls) break;
+    }
+    LastCall().Error(http::CallProgress::kSent);
+    timers.Advance(std::chrono::milliseconds(20));
+  }
+  int firsts = 0;
+  int retries = 0;
+  for (const auto& call : client.calls) {
+    ++(call->Field("X-Posthatch-Attempt-Number") == "1" ? firsts : retries);
+  }
+  EXPECT_GT(retries, 20);
+  EXPECT_LE(retries, firsts / 5);
+}
+
+TEST_F(LimitsTest, FirstAttemptsThatWereNotSentEarnNoRetries) {
+  FakeClock fake;
+  RetryBudget budget(&fake);
+  for (int request = 0; request < 10; ++request) budget.CountFirst();
+  for (int request = 0; request < 6; ++request) budget.TakeBackFirst();
+  EXPECT_FALSE(budget.TryRetry(0.2));
+  budget.CountFirst();
+  EXPECT_TRUE(budget.TryRetry(0.2));
+  fake.now += std::chrono::seconds(11);
+  EXPECT_FALSE(budget.TryRetry(0.2));
+}
+
+// Sends `count` requests, 20 a second, that are answered at once; how many went to `endpoint`.
+class ShareTest : public GatewayTest {
+ protected:
+  int Share(const std::string& endpoint, int count) {
+    int hits = 0;
+    for (int request = 0; request < count; ++request) {
+      Complete();
+      if (LastCall().endpoint == endpoint) ++hits;
+      LastCall().GoodCompletion();
+      timers.Advance(std::chrono::milliseconds(50));
+    }
+    return hits;
+  }
+};
+
+TEST_F(ShareTest, NewWorkerIsNotFlooded) {
+  StartGateway();
+  AddBackend("w5", control::BACKEND_KIND_WORKER, "a");
+  view.Changed();
+  EXPECT_LE(Share("w5:80", 60), 15);  // a third would be 20
+  Share("", 200);
+  EXPECT_GE(Share("w5:80", 60), 12);
+}
+
+TEST_F(ShareTest, WorkerThatLostItsCacheStartsSlowly) {
+  StartGateway();
+  locator.holders = {{"w1", 1, 4}};
+  for (uint64_t epoch : {1, 2}) {
+    Complete();
+    ASSERT_EQ(LastCall().endpoint, "w1:80");
+    LastCall().Head(200, epoch);  // the second one is new: the worker is cold
+    LastCall().Error(http::CallProgress::kAnswered);
+  }
+  locator.holders.clear();
+  EXPECT_LE(Share("w1:80", 40), 8);
+}
+
+TEST_F(LimitsTest, FailingWorkerIsEjected) {
+  StartGateway();
+  locator.holders = {{"w1", 1, 4}};
+  for (int request = 0; request < 20 && client.calls.size() < 20; ++request) {
+    Complete();
+    if (LastCall().endpoint == "w1:80") LastCall().Error(http::CallProgress::kSent);
+  }
+  int to_failed = 0;
+  for (const auto& call : client.calls) to_failed += call->endpoint == "w1:80" ? 1 : 0;
+  EXPECT_EQ(to_failed, 3);
+}
+
+TEST_F(LimitsTest, SelfReadListAddsDrainingMarks) {
+  options.inventory_endpoint = "inventory:80";
+  StartGateway();
+  EXPECT_TRUE(client.calls.empty());
+  view.inventory_age = std::chrono::seconds(3);
+  EXPECT_TRUE(Complete()->Says("no_lease"));  // too old, and not asked for yet
+  timers.Advance(std::chrono::milliseconds(700));
+  ASSERT_FALSE(client.calls.empty());
+  ASSERT_EQ(LastCall().endpoint, "inventory:80");
+  LastCall().Whole(200, R"({"version":2,"backends":[
+      {"id":"w1","kind":"worker","endpoint":"w1:80","zone":"a","model":"m","draining":true}]})");
+  locator.holders = {{"w1", 1, 4}};
+  for (int request = 0; request < 20; ++request) {
+    Complete();
+    EXPECT_NE(LastCall().endpoint, "w1:80");
+  }
+}
+
+TEST_F(LimitsTest, UnreachableListLeavesTheLastOneInUse) {
+  options.inventory_endpoint = "inventory:80";
+  StartGateway();
+  view.inventory_age = std::chrono::seconds(10);
+  timers.Advance(std::chrono::milliseconds(700));
+  LastCall().Error(http::CallProgress::kNotSent);
+  EXPECT_EQ(Complete()->answers, 0);
+  EXPECT_NE(LastCall().endpoint, "inventory:80");
+}
+
+TEST_F(LimitsTest, FetchIsPlannedOnlyOverAGoodLink) {
+  StartGateway();
+  // The holder is busy: the request goes elsewhere and takes the blocks along.
+  view.fleet.mutable_configuration()->mutable_routing()->set_max_requests_per_worker(1);
+  view.Changed();
+  locator.holders = {{"w1", 1, 4}};
+  Complete();
+  ASSERT_EQ(LastCall().endpoint, "w1:80");
+  Complete();
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Kv-Source"), "w1:80");
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Kv-Blocks"), "4");
+  LinkSpeedEstimator links(&clock);
+  EXPECT_TRUE(links.FetchPays("w1", "w2"));
+  links.RecordFetch("w1", "w2", 4, 0, std::chrono::seconds(1));
+  EXPECT_FALSE(links.FetchPays("w1", "w2"));
+  EXPECT_TRUE(links.FetchPays("w1", "w3"));
+  clock.now += std::chrono::minutes(1);
+  EXPECT_TRUE(links.FetchPays("w1", "w2"));  // tried again
+}
+
+TEST_F(LimitsTest, SeedFollowsRevisionAndIsolation) {
+  StartGateway();
+  Complete();
+  const std::string shared = LastCall().Field("X-Posthatch-Cache-Salt");
+  Complete(false, "key-two");
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Cache-Salt"), shared);
+  for (auto& domain : *view.fleet.mutable_isolation()) domain.set_generation(5);
+  view.fleet.mutable_isolation(0)->set_isolated(true);
+  view.Changed();
+  Complete();
+  const std::string own = LastCall().Field("X-Posthatch-Cache-Salt");
+  Complete(false, "key-two");
+  // Neither the isolated tenant's blocks nor what it left in the shared domain can be named.
+  EXPECT_NE(LastCall().Field("X-Posthatch-Cache-Salt"), own);
+  EXPECT_NE(LastCall().Field("X-Posthatch-Cache-Salt"), shared);
+  control::ModelRevision* revision = view.fleet.add_revisions();
+  revision->set_model("m");
+  revision->set_revision(3);
+  view.Changed();
+  Complete();
+  EXPECT_NE(LastCall().Field("X-Posthatch-Cache-Salt"), own);
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Model-Revision"), "3");
+}
+
+TEST_F(LimitsTest, DrainLetsRunningAnswersEnd) {
+  StartGateway();
+  const auto running = Complete();
+  bool drained = false;
+  gateway->Drain([&drained] { drained = true; });
+  EXPECT_TRUE(Complete()->Says("draining"));
+  EXPECT_FALSE(drained);
+  LastCall().GoodCompletion();
+  EXPECT_EQ(running->whole.status, 200);
+  EXPECT_TRUE(drained);
+}
+
+TEST_F(LimitsTest, GarbageIsRefused) {
+  StartGateway();
+  for (const char* body : {"", "{", "[]", R"({"model":"m"})", R"({"model":1,"prompt":"x"})",
+                           R"({"model":"m","prompt":"x","stream":1})"}) {
+    EXPECT_EQ(Send("/v1/completions", body)->whole.status, 400) << body;
+  }
+  EXPECT_EQ(Send("/v1/completions", R"({"model":"x","prompt":"p"})")->whole.status, 404);
+  for (const char* target : {"/", "/v1/services/lobby", "/v1/services/lobby/x/y",
+                             "/v1/services/lobby/../x", "/v1/services/lobby/none"}) {
+    EXPECT_EQ(Send(target, "{}")->whole.status, 404) << target;
+  }
+  EXPECT_EQ(Send("/v1/services/lobby/place", "{}", std::string(200, 'k'))->whole.status, 400);
+}
+
+}  // namespace
+}  // namespace posthatch::gateway
--- /dev/null
+++ b/src/posthatch/gateway/stream-test.cc
@@ -0,0 +1,207 @@
+#include <gtest/gtest.h>
+
+#include "posthatch/gateway/gateway_test_fixture.h"
+#include "posthatch/gateway/sse_stream_checker.h"
+
+// Whole answers and streams: nothing of another request, of another run, or incomplete.
+namespace posthatch::gateway {
+namespace {
+
+using AnswerTest = GatewayTest;
+
+// With first attempts enough in the window of the retry budget.
+class RetryingTest : public GatewayTest {
+ protected:
+  void Prepare() {
+    StartGateway();
+    for (int request = 0; request < 20; ++request) {
+      Complete();
+      LastCall().GoodCompletion();
+    }
+  }
+};
+
+TEST_F(RetryingTest, LostAnswerIsAskedForElsewhere) {
+  Prepare();
+  const auto writer = Complete();
+  const std::string first = LastCall().endpoint;
+  LastCall().Error(http::CallProgress::kSent);
+  EXPECT_EQ(LastCall().Field("X-Posthatch-Attempt-Number"), "2");
+  EXPECT_NE(LastCall().endpoint, first);
+  LastCall().GoodCompletion();
+  EXPECT_EQ(writer->whole.status, 200);
+}
+
+TEST_F(RetryingTest, AttemptsAreBounded) {
+  Prepare();
+  const auto writer = Complete();
+  for (int attempt = 1; attempt <= 3; ++attempt) LastCall().Error(http::CallProgress::kSent);
+  EXPECT_EQ(writer->whole.status, 502);
+  EXPECT_TRUE(writer->Says(R"("executed":"unknown")"));
+  EXPECT_EQ(client.calls.size(), 23u);
+}
+
+TEST_F(RetryingTest, CrossedAnswerIsDropped) {
+  Prepare();
+  const auto writer = Complete();
+  const auto crossed = client.calls.back();
+  crossed->HeadFor("another attempt");
+  EXPECT_EQ(client.calls.size(), 22u);
+  crossed->GoodCompletion();  // what follows, and a second answer, are dropped too
+  EXPECT_EQ(writer->answers, 0);
+  timers.Advance(std::chrono::milliseconds(1));
+  EXPECT_TRUE(crossed->cancelled);
+  LastCall().GoodCompletion();
+  EXPECT_EQ(writer->answers, 1);
+}
+
+TEST_F(RetryingTest, BodyOfAnotherRequestIsDropped) {
+  Prepare();
+  const auto writer = Complete();
+  LastCall().Whole(200, R"({"id":"r","request_id":"other","choices":[{"text":"T"}]})");
+  EXPECT_EQ(writer->answers, 0);
+  EXPECT_EQ(client.calls.size(), 22u);
+}
+
+TEST_F(RetryingTest, WrongChecksumIsDropped) {
+  Prepare();
+  const auto writer = Complete();
+  LastCall().Whole(200,
+                   absl::StrCat(R"({"id":"r","request_id":")", LastCall().Field("X-Request-Id"),
+                                R"(","choices":[{"text":"T"}],"checksum":"12"})"));
+  EXPECT_EQ(writer->answers, 0);
+}
+
+TEST_F(RetryingTest, RefusalBeforeRunningIsProvedNotExecuted) {
+  Prepare();
+  const auto writer = Complete();
+  for (int attempt = 1; attempt <= 3; ++attempt) {
+    LastCall().Whole(503, R"({"error":{"code":"loading","executed":"no"}})");
+  }
+  EXPECT_EQ(writer->whole.status, 503);
+  EXPECT_TRUE(writer->Says(R"("executed":"no")"));
+}
+
+TEST_F(RetryingTest, StreamIsTriedElsewhereOnlyWhileNothingWasShown) {
+  Prepare();
+  const auto writer = Complete(true);
+  LastCall().Head();
+  LastCall().Error(http::CallProgress::kAnswered);
+  ASSERT_EQ(client.calls.size(), 22u);
+  LastCall().Head();
+  LastCall().Piece(LastCall().Event(0));
+  LastCall().Error(http::CallProgress::kAnswered);
+  EXPECT_EQ(client.calls.size(), 22u);
+  EXPECT_TRUE(writer->aborted);
+  EXPECT_FALSE(writer->finished);
+  EXPECT_NE(writer->written.find("event: error"), std::string::npos);
+}
+
+TEST_F(AnswerTest, StreamWithoutItsEndIsCut) {
+  StartGateway();
+  const auto writer = Complete(true);
+  LastCall().Head();
+  LastCall().Piece(LastCall().Event(0));
+  LastCall().End();
+  EXPECT_TRUE(writer->aborted);
+  EXPECT_FALSE(writer->finished);
+}
+
+TEST_F(AnswerTest, CallerThatLeavesCancelsTheRun) {
+  StartGateway();
+  const auto writer = Complete(true);
+  LastCall().Head();
+  LastCall().Piece(LastCall().Event(0));
+  writer->on_gone();
+  timers.Advance(std::chrono::milliseconds(1));
+  EXPECT_TRUE(LastCall().cancelled);
+}
+
+TEST_F(AnswerTest, SlowReaderIsBoundedInMemory) {
+  options.max_stream_buffer_bytes = 1000;
+  StartGateway();
+  const auto writer = Complete(true);
+  writer->slow = true;
+  LastCall().Head();
+  int piece = 0;
+  while (!LastCall().paused && piece < 100) LastCall().Piece(LastCall().Event(piece++));
+  EXPECT_TRUE(LastCall().paused);
+  EXPECT_LT(writer->buffered, 1200u);
+  writer->buffered = 0;
+  writer->on_writable();
+  EXPECT_FALSE(LastCall().paused);
+}
+
+TEST_F(AnswerTest, ReaderThatStopsIsCutOff) {
+  options.max_stream_buffer_bytes = 10;
+  StartGateway();
+  const auto writer = Complete(true);
+  writer->slow = true;
+  LastCall().Head();
+  LastCall().Piece(LastCall().Event(0));
+  timers.Advance(std::chrono::seconds(31));
+  EXPECT_TRUE(writer->aborted);
+  EXPECT_TRUE(LastCall().cancelled);
+}
+
+std::string Piece(const std::string& run, const std::string& request, const std::string& number) {
+  return "data: {\"id\":\"" + run + "\",\"request_id\":\"" + request + "\",\"piece\":" + number +
+         ",\"choices\":[]}\n\n";
+}
+
+TEST(SseStreamCheckerTest, TakesAnyChunking) {
+  std::string stream;
+  for (int piece = 0; piece < 20; ++piece) stream += Piece("r", "q", std::to_string(piece));
+  for (size_t length = 1; length < 200; ++length) {
+    SseStreamChecker checker("q");
+    std::string shown;
+    const std::string whole = stream + std::string(SseStreamChecker::kDoneEvent);
+    for (size_t start = 0; start < whole.size(); start += length) {
+      const auto events = checker.Feed(whole.substr(start, length));
+      ASSERT_TRUE(events.ok()) << events.status() << " chunks of " << length;
+      shown += *events;
+    }
+    EXPECT_TRUE(checker.Finish().ok());
+    EXPECT_EQ(shown, stream);
+  }
+}
+
+TEST(SseStreamCheckerTest, RefusesWhatIsNotOneWholeRun) {
+  const std::string good = Piece("r", "q", "0") + Piece("r", "q", "1");
+  const std::string bad[] = {
+      good + Piece("r", "q", "3"),          // one is missing
+      good + Piece("r", "q", "1"),          // one is repeated
+      good + Piece("s", "q", "2"),          // of another run
+      good + Piece("r", "p", "2"),          // of another request
+      good + Piece("r", "q", "2.5"),        // not a number of a piece
+      good + Piece("r", "q", "02"),         // not JSON
+      Piece("r", "p", "0"),                 // all of another request
+      Piece("r", "q", "1"),                 // the first one is missing
+      good + "event: error\ndata: {}\n\n",  // an error of the worker
+      good + "data: {\"id\":\"r\"\n\n",     // cut inside
+      good + "data: [DONE]\n\ndata: [DONE]\n\n",
+      good + "data: [DONE]\n\nx",
+      "data: [DONE]\n\n",  // nothing at all
+  };
+  for (const std::string& stream : bad) {
+    SseStreamChecker checker("q");
+    EXPECT_FALSE(checker.Feed(stream).ok()) << stream;
+  }
+  SseStreamChecker unfinished("q");
+  EXPECT_TRUE(unfinished.Feed(good).ok());
+  EXPECT_FALSE(unfinished.Finish().ok());
+  EXPECT_FALSE(SseStreamChecker("q").Feed(std::string(2 * 1024 * 1024, 'x')).ok());
+}
+
+TEST(SseStreamCheckerTest, TextThatLooksLikeAPieceNumberMisleadsNobody) {
+  const auto event = [](int number, const std::string& run) {
+    return "data: {\"choices\":[{\"text\":\"\\\"piece\\\":0\"}],\"id\":\"" + run +
+           "\",\"request_id\":\"q\",\"piece\":" + std::to_string(number) + "}\n\n";
+  };
+  SseStreamChecker checker("q");
+  EXPECT_TRUE(checker.Feed(event(0, "r") + event(1, "r")).ok());
+  EXPECT_FALSE(checker.Feed(event(2, "s")).ok());
+}
+
+}  // namespace
+}  // namespace posthatch::gateway
