--- /dev/null
+++ b/src/posthatch/channels/channel_fleet-test.cc
@@ -0,0 +1,384 @@
+// A fleet of controllers, relay points and subscribers in the simulator, under faults, and a
+// checker from outside: no subscriber may trust a version longer than X after a newer one was
+// accepted.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/channels/channel_names.h"
+#include "posthatch/channels/invalidation_server.h"
+#include "posthatch/channels/relay_point.h"
+#include "posthatch/channels/subscription_set.h"
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::channels {
+namespace {
+
+using simulation::SimHost;
+using simulation::SimWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr runtime::Duration kCheckInterval = milliseconds(20);
+constexpr runtime::Duration kLeaderLease = seconds(1);
+
+// Each process has a clock of another origin and a slightly different rate.
+class SkewedClock : public runtime::Clock {
+ public:
+  SkewedClock(const runtime::Clock* clock, uint64_t seed)
+      : clock_(clock),
+        offset_(seconds(seed * 1009 % 100000)),
+        parts_per_million_(static_cast<int64_t>(seed * 37 % 400) - 200) {}
+  runtime::MonotonicTime Now() const override {
+    const runtime::MonotonicTime now = clock_->Now();
+    return now + offset_ + now.time_since_epoch() / 1'000'000 * parts_per_million_;
+  }
+  int64_t WallNanoseconds() const override { return clock_->WallNanoseconds(); }
+
+ private:
+  const runtime::Clock* const clock_;
+  const runtime::Duration offset_;
+  const int64_t parts_per_million_;
+};
+
+// The durable versions and who may serve them: what the replicated log stands for.
+struct Truth {
+  struct Accepted {
+    ObjectVersion version;
+    runtime::MonotonicTime at;
+  };
+  std::map<std::string, std::vector<Accepted>> objects;
+  std::string leader;
+  uint64_t term = 1;
+  runtime::MonotonicTime lease_end;
+};
+
+// A controller's copy of the truth. It applies what is accepted at once when it leads.
+class ReplicatedObjects : public ObjectSource {
+ public:
+  explicit ReplicatedObjects(const Truth* truth) { CatchUp(*truth); }
+  std::vector<RegisteredObject> Objects() const override {
+    std::vector<RegisteredObject> all;
+    for (const auto& [name, version] : versions_) {
+      all.emplace_back().set_object(name);
+      *all.back().mutable_version() = version;
+    }
+    return all;
+  }
+  bool Find(const std::string& object, ObjectVersion* version) const override {
+    const auto found = versions_.find(object);
+    if (found == versions_.end()) return false;
+    *version = found->second;
+    return true;
+  }
+  void AddListener(Listener listener) override { listeners_.push_back(std::move(listener)); }
+  void CatchUp(const Truth& truth) {
+    for (const auto& [name, accepted] : truth.objects) {
+      ObjectVersion& version = versions_[name];
+      if (CompareVersions(version, accepted.back().version) == 0) continue;
+      version = accepted.back().version;
+      for (const Listener& listener : listeners_) listener(name, version);
+    }
+  }
+
+ private:
+  std::map<std::string, ObjectVersion> versions_;
+  std::vector<Listener> listeners_;
+};
+
+struct Process {
+  runtime::Runtime runtime;
+  std::unique_ptr<SkewedClock> clock;
+  std::unique_ptr<ReplicatedObjects> objects;  // controllers
+  std::unique_ptr<InvalidationServer> server;
+  std::unique_ptr<SubscriptionSet> subscriptions;  // gateways
+  std::unique_ptr<RelayPoint> relay;
+};
+
+class ChannelFleetTest : public testing::TestWithParam<uint64_t> {
+ protected:
+  static constexpr int kControllers = 3;
+
+  ChannelFleetTest() : world_(GetParam()) {
+    for (const char* object : {"worker/w1", "worker/w2", "model/m", "tenant/t", "store/s"}) {
+      truth_.objects[object].push_back({MakeVersion(1, 0), world_.Now()});
+    }
+    for (int i = 0; i < kControllers; ++i) AddController(absl::StrCat("c", i));
+    Elect("c0");
+  }
+
+  void AddHost(const std::string& name, std::function<void(Process*)> build) {
+    SimHost* host = world_.AddHost(name, "z1", absl::StrCat("10.0.0.", ++hosts_));
+    const uint64_t seed = GetParam() * 100 + hosts_;
+    host->SetBoot([this, name, seed, build](runtime::Runtime* host_runtime) {
+      auto process = std::make_shared<Process>();
+      process->runtime = *host_runtime;
+      process->clock = std::make_unique<SkewedClock>(host_runtime->clock, seed);
+      process->runtime.clock = process->clock.get();
+      build(process.get());
+      processes_[name] = process;
+      return process;
+    });
+    host->Start();
+  }
+  void AddController(const std::string& name) {
+    AddHost(name, [this, name](Process* process) {
+      process->objects = std::make_unique<ReplicatedObjects>(&truth_);
+      InvalidationServerOptions options;
+      options.publisher.max_direct_registrations = 3;
+      process->server = std::make_unique<
+          InvalidationServer>(&process->runtime, options, process->objects.get(), [this, name] {
+        return ServingState{truth_.leader == name && world_.Now() < truth_.lease_end, truth_.term};
+      });
+    });
+  }
+  void AddGateway(const std::string& name, bool relay, const std::string& upstream = "",
+                  bool aggregate = false) {
+    gateways_.push_back(name);
+    AddHost(name, [this, relay, upstream, aggregate](Process* process) {
+      SubscriptionSetOptions options;
+      options.subscription.zone = "z1";
+      options.subscription.relay = relay;
+      options.subscription.lifetime = seconds(20);
+      options.aggregate = aggregate;
+      process->subscriptions =
+          std::make_unique<SubscriptionSet>(&process->runtime, options, [this, upstream] {
+            std::vector<std::string> endpoints;
+            if (!upstream.empty()) return std::vector<std::string>{Endpoint(upstream)};
+            for (int i = 0; i < kControllers; ++i) {
+              endpoints.push_back(Endpoint(absl::StrCat("c", i)));
+            }
+            return endpoints;
+          });
+      if (relay) {
+        process->relay = std::make_unique<RelayPoint>(&process->runtime, PublisherOptions(),
+                                                      process->subscriptions.get());
+      }
+      process->subscriptions->Start();
+    });
+  }
+  std::string Endpoint(const std::string& name) {
+    return world_.FindHost(name)->internal_endpoint();
+  }
+  std::shared_ptr<Process> Find(const std::string& name) { return processes_[name].lock(); }
+
+  void Elect(const std::string& name) {
+    truth_.leader = name;
+    ++truth_.term;
+    if (auto process = Find(name)) process->objects->CatchUp(truth_);
+    RenewLeaderLease();
+  }
+  // What quorum checks do: the leader may serve for a short time after the last one.
+  void RenewLeaderLease() {
+    if (Usable(truth_.leader)) truth_.lease_end = world_.Now() + kLeaderLease;
+  }
+  bool Usable(const std::string& name) {
+    return world_.FindHost(name)->running() && !frozen_.contains(name);
+  }
+  // An invalidation is accepted only by a leader that may serve, which has applied it at once.
+  void Raise(const std::string& object) {
+    if (!Usable(truth_.leader) || world_.Now() >= truth_.lease_end) return;
+    auto& accepted = truth_.objects[object];
+    accepted.push_back({MakeVersion(accepted.back().version.epoch() + 1, 0), world_.Now()});
+    Find(truth_.leader)->objects->CatchUp(truth_);
+  }
+  void Freeze(const std::string& name) {
+    world_.FindHost(name)->Freeze();
+    frozen_.insert(name);
+  }
+  void Thaw(const std::string& name) {
+    world_.FindHost(name)->Thaw();
+    frozen_.erase(name);
+  }
+
+  // Every old version of every object, at every gateway.
+  void Check() {
+    for (const std::string& gateway : gateways_) {
+      const auto process = Find(gateway);
+      if (process == nullptr || !Usable(gateway)) continue;
+      for (const auto& [object, accepted] : truth_.objects) {
+        for (size_t i = 0; i + 1 < accepted.size(); ++i) {
+          if (!process->subscriptions->IsFresh(object, accepted[i].version)) continue;
+          ++stale_but_trusted_;
+          const runtime::Duration age = world_.Now() - accepted[i + 1].at;
+          longest_ = std::max(longest_, age);
+          EXPECT_LE(age, GuaranteeOf(object)) << gateway << " trusts an old version of " << object;
+        }
+        ++examined_;
+        if (process->subscriptions->IsFresh(object, accepted.back().version)) ++trusted_;
+      }
+    }
+  }
+  void RunFor(runtime::Duration duration) {
+    const runtime::MonotonicTime end = world_.Now() + duration;
+    while (world_.Now() < end) {
+      world_.RunFor(kCheckInterval);
+      RenewLeaderLease();
+      Check();
+    }
+  }
+  bool AllTrusted() {
+    for (const std::string& gateway : gateways_) {
+      for (const auto& [object, accepted] : truth_.objects) {
+        if (!Find(gateway)->subscriptions->IsFresh(object, accepted.back().version)) return false;
+      }
+    }
+    return true;
+  }
+
+  SimWorld world_;
+  Truth truth_;
+  std::map<std::string, std::weak_ptr<Process>> processes_;
+  std::set<std::string> frozen_;
+  std::vector<std::string> gateways_;
+  int hosts_ = 0;
+  uint64_t examined_ = 0;
+  uint64_t trusted_ = 0;
+  uint64_t stale_but_trusted_ = 0;
+  runtime::Duration longest_{};
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ChannelFleetTest, testing::Range<uint64_t>(1, 9));
+
+TEST_P(ChannelFleetTest, CalmFleetTrustsEverythingAndLearnsOfChangesInMilliseconds) {
+  AddGateway("r0", true);
+  RunFor(seconds(1));  // subscribers are redirected to relay points that are registered
+  for (int i = 0; i < 5; ++i) AddGateway(absl::StrCat("g", i), false);
+  RunFor(seconds(5));
+  ASSERT_TRUE(AllTrusted());
+  EXPECT_GT(Find("r0")->relay->registration_count(), 0u) << "some were redirected";
+  for (int round = 0; round < 50; ++round) {
+    Raise("worker/w1");
+    RunFor(milliseconds(100));
+    ASSERT_TRUE(AllTrusted());
+  }
+  EXPECT_LE(longest_, milliseconds(80));
+}
+
+TEST_P(ChannelFleetTest, FrozenServerIsReplacedAndItsLateMessagesProveNothing) {
+  for (int i = 0; i < 3; ++i) AddGateway(absl::StrCat("g", i), false);
+  RunFor(seconds(3));
+  Freeze("c0");
+  RunFor(seconds(2));
+  Elect("c1");
+  Raise("worker/w1");
+  Raise("model/m");
+  RunFor(seconds(4));
+  EXPECT_TRUE(AllTrusted());
+  RunFor(seconds(19));
+  Thaw("c0");
+  RunFor(seconds(3));
+  EXPECT_TRUE(AllTrusted());
+}
+
+TEST_P(ChannelFleetTest, FrozenSubscriberTrustsNothingOldWhenItWakes) {
+  AddGateway("g0", false);
+  RunFor(seconds(3));
+  for (int round = 0; round < 4; ++round) {
+    Freeze("g0");
+    RunFor(seconds(12));
+    Raise("worker/w1");
+    RunFor(seconds(13));
+    Thaw("g0");
+    Check();
+    RunFor(seconds(2));
+    EXPECT_TRUE(AllTrusted());
+  }
+}
+
+TEST_P(ChannelFleetTest, FrozenRelayCannotLengthenTrust) {
+  AddGateway("r0", true);
+  AddGateway("r1", true, "r0");  // a second level
+  AddGateway("g0", false, "r1");
+  AddGateway("g1", false, "r0", /*aggregate=*/true);
+  RunFor(seconds(5));
+  ASSERT_TRUE(AllTrusted());
+  for (const char* relay : {"r0", "r1"}) {
+    for (int round = 0; round < 3; ++round) {
+      Freeze(relay);
+      RunFor(milliseconds(900));
+      Raise("worker/w1");
+      Raise("tenant/t");
+      RunFor(seconds(24));
+      Thaw(relay);
+      RunFor(seconds(5));
+      EXPECT_TRUE(AllTrusted());
+    }
+  }
+}
+
+TEST_P(ChannelFleetTest, RelayWhoseUpstreamIsCutStopsRenewing) {
+  AddGateway("r0", true);
+  AddGateway("g0", false, "r0");
+  AddGateway("g1", false, "r0", /*aggregate=*/true);
+  RunFor(seconds(5));
+  ASSERT_TRUE(AllTrusted());
+  for (const bool towards_relay : {true, false}) {
+    for (int i = 0; i < kControllers; ++i) {
+      const std::string controller = absl::StrCat("c", i);
+      world_.Cut(towards_relay ? controller : "r0", towards_relay ? "r0" : controller);
+    }
+    Raise("worker/w2");
+    RunFor(seconds(40));
+    const ObjectVersion newest = truth_.objects["worker/w2"].back().version;
+    EXPECT_FALSE(Find("g0")->subscriptions->IsFresh("worker/w2", newest));
+    EXPECT_FALSE(Find("g1")->subscriptions->IsFresh("worker/w2", newest));
+    world_.HealAll();
+    RunFor(seconds(10));
+    EXPECT_TRUE(AllTrusted());
+  }
+}
+
+TEST_P(ChannelFleetTest, KilledRelayIsReplacedByTheServer) {
+  AddGateway("r0", true);
+  RunFor(seconds(1));  // subscribers are redirected to relay points that are registered
+  for (int i = 0; i < 6; ++i) AddGateway(absl::StrCat("g", i), false);
+  RunFor(seconds(5));
+  ASSERT_GT(Find("r0")->relay->registration_count(), 0u);
+  gateways_.erase(gateways_.begin());
+  world_.FindHost("r0")->Crash();
+  Raise("worker/w1");
+  RunFor(seconds(6));
+  EXPECT_TRUE(AllTrusted());
+}
+
+TEST_P(ChannelFleetTest, RandomFaultsNeverLengthenTrust) {
+  AddGateway("r0", true);
+  AddGateway("r1", true, "r0");
+  AddGateway("g0", false, "r1");
+  AddGateway("g1", false, "r0", /*aggregate=*/true);
+  for (int i = 2; i < 6; ++i) AddGateway(absl::StrCat("g", i), false);
+  std::vector<std::string> hosts = gateways_;
+  for (int i = 0; i < kControllers; ++i) hosts.push_back(absl::StrCat("c", i));
+  runtime::Random* random = world_.random();
+  const auto any_host = [&] { return hosts[random->Uniform(hosts.size())]; };
+  for (int step = 0; step < 400; ++step) {
+    const std::string host = any_host();
+    const uint64_t fault = random->Uniform(12);
+    if (fault == 0 && frozen_.size() < 3) Freeze(host);
+    if (fault == 1 && !frozen_.empty()) Thaw(*frozen_.begin());
+    if (fault == 2) world_.Cut(host, any_host());
+    if (fault == 3) world_.HealAll();
+    if (fault == 4) world_.FindHost(host)->JumpWallClock(seconds(step - 200));
+    if (fault == 5 && Usable(host)) world_.FindHost(host)->Crash();
+    if (fault == 6) world_.SlowLink(any_host(), host, milliseconds(random->Uniform(3000)));
+    if (fault == 7) world_.SetNetwork({milliseconds(0), milliseconds(50), 0.02, 0.02, 0.02});
+    if (!world_.FindHost(host)->running() && random->Chance(0.7)) world_.FindHost(host)->Start();
+    const std::string candidate = absl::StrCat("c", random->Uniform(kControllers));
+    // Another leader only after the former one's right to serve has ended.
+    if (world_.Now() > truth_.lease_end && Usable(candidate)) Elect(candidate);
+    if (fault >= 7) Raise(std::next(truth_.objects.begin(), random->Uniform(5))->first);
+    RunFor(milliseconds(random->Uniform(1500)));
+  }
+  EXPECT_GT(examined_, 10000u);
+  EXPECT_GT(stale_but_trusted_, 100u) << "too few cases came near the bound";
+  EXPECT_GT(trusted_ * 4, examined_) << "hardly anything was ever trusted";
+  RecordProperty("examined", std::to_string(examined_));
+  RecordProperty("stale_but_trusted", std::to_string(stale_but_trusted_));
+  RecordProperty("longest_ms", std::to_string(runtime::ToMilliseconds(longest_)));
+}
+
+}  // namespace
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/fake_runtime-test.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "posthatch/channels/channels.pb.h"
+#include "posthatch/runtime/runtime.h"
+
+// For tests: a runtime whose time moves only when told to, and whose messages are kept.
+namespace posthatch::channels {
+
+class FakeClock : public runtime::Clock {
+ public:
+  runtime::MonotonicTime Now() const override { return now; }
+  int64_t WallNanoseconds() const override { return wall; }
+  runtime::MonotonicTime now = runtime::FromNanoseconds(1'000'000'000'000);
+  int64_t wall = 0;
+};
+
+class FakeTimers : public runtime::TimerService {
+ public:
+  explicit FakeTimers(FakeClock* clock) : clock_(clock) {}
+  runtime::TimerId Schedule(runtime::Duration delay, std::function<void()> callback) override {
+    timers_[{clock_->now + delay, ++last_id_}] = std::move(callback);
+    return last_id_;
+  }
+  void Cancel(runtime::TimerId id) override {
+    std::erase_if(timers_, [id](const auto& timer) { return timer.first.second == id; });
+  }
+  // Moves the clock and runs what is due, in order.
+  void Advance(runtime::Duration duration) {
+    const runtime::MonotonicTime end = clock_->now + duration;
+    while (!timers_.empty() && timers_.begin()->first.first <= end) {
+      auto timer = timers_.extract(timers_.begin());
+      clock_->now = std::max(clock_->now, timer.key().first);
+      timer.mapped()();
+    }
+    clock_->now = end;
+  }
+  // Moves the clock without running anything, as a stopped process sees it.
+  void Freeze(runtime::Duration duration) { clock_->now += duration; }
+
+ private:
+  FakeClock* const clock_;
+  std::map<std::pair<runtime::MonotonicTime, runtime::TimerId>, std::function<void()>> timers_;
+  runtime::TimerId last_id_ = 0;
+};
+
+class FakeTransport : public runtime::Transport {
+ public:
+  struct Sent {
+    std::string to;
+    runtime::Service service;
+    std::string payload;
+  };
+  const std::string& endpoint() const override { return own_endpoint; }
+  const std::string& node_id() const override { return own_node; }
+  uint64_t incarnation() const override { return 7; }
+  void SetReceiver(runtime::Service service, Receiver receiver) override {
+    receivers[service] = std::move(receiver);
+  }
+  void Send(const std::string& to, runtime::Service service, std::string payload,
+            runtime::Delivery) override {
+    sent.push_back({to, service, std::move(payload)});
+  }
+  std::string own_endpoint = "10.0.0.1:7000";
+  std::string own_node = "self";
+  std::vector<Sent> sent;
+  std::map<runtime::Service, Receiver> receivers;
+};
+
+struct FakeRuntime {
+  FakeRuntime() {
+    runtime.clock = &clock;
+    runtime.timers = &timers;
+    runtime.random = &random;
+    runtime.transport = &transport;
+  }
+  // What was sent on the channels since the last call, to `to` or to all.
+  std::vector<ChannelEnvelope> TakeSent(const std::string& to = "") {
+    std::vector<ChannelEnvelope> taken;
+    for (const auto& sent : transport.sent) {
+      if (!to.empty() && sent.to != to) continue;
+      taken.emplace_back().ParseFromString(sent.payload);
+    }
+    transport.sent.clear();
+    return taken;
+  }
+  void Deliver(const std::string& from, const ChannelEnvelope& content, uint64_t incarnation = 1) {
+    runtime::Envelope envelope;
+    envelope.set_service(runtime::SERVICE_CHANNELS);
+    envelope.set_from_node(from);
+    envelope.set_from_endpoint(from);
+    envelope.set_from_incarnation(incarnation);
+    envelope.set_payload(content.SerializeAsString());
+    transport.receivers[runtime::SERVICE_CHANNELS](envelope);
+  }
+
+  FakeClock clock;
+  FakeTimers timers{&clock};
+  runtime::Random random{1};
+  FakeTransport transport;
+  runtime::Runtime runtime;
+};
+
+}  // namespace posthatch::channels
--- /dev/null
+++ b/src/posthatch/channels/invalidation_server-test.cc
@@ -0,0 +1,254 @@
+#include "posthatch/channels/invalidation_server.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "posthatch/channels/channel_names.h"
+#include "posthatch/channels/fake_runtime-test.h"
+
+namespace posthatch::channels {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FakeObjects : public ObjectSource {
+ public:
+  std::vector<RegisteredObject> Objects() const override {
+    std::vector<RegisteredObject> all;
+    for (const auto& [name, version] : versions) {
+      all.emplace_back().set_object(name);
+      *all.back().mutable_version() = version;
+    }
+    return all;
+  }
+  bool Find(const std::string& object, ObjectVersion* version) const override {
+    const auto found = versions.find(object);
+    if (found == versions.end()) return false;
+    *version = found->second;
+    return true;
+  }
+  void AddListener(Listener listener) override { listeners.push_back(std::move(listener)); }
+  void Raise(const std::string& object) {
+    ObjectVersion& version = versions[object];
+    version.set_epoch(version.epoch() + 1);
+    for (const Listener& listener : listeners) listener(object, version);
+  }
+  std::map<std::string, ObjectVersion> versions;
+  std::vector<Listener> listeners;
+};
+
+class InvalidationServerTest : public testing::Test {
+ protected:
+  InvalidationServerTest() {
+    for (const char* object : {"model/a", "model/b", "tenant/t"}) objects_.Raise(object);
+    options_.publisher.max_direct_registrations = 3;
+    server_ = std::make_unique<InvalidationServer>(&fake_.runtime, options_, &objects_, [this] {
+      return ServingState{serving_ && fake_.clock.now < lease_end_, epoch_};
+    });
+  }
+  RegistrationRequest Request(uint64_t number) {
+    RegistrationRequest request;
+    request.set_channel("models");
+    request.set_registration(number);
+    request.set_lifetime_ms(10000);
+    request.set_heartbeat_ms(5000);
+    request.set_base(RegistrationRequest::INCLUDE_ALL);
+    request.set_zone("z1");
+    request.set_sent_ns(42);
+    return request;
+  }
+  // Sends a request and returns the answers; there may be messages among them.
+  std::vector<ChannelEnvelope> Ask(const RegistrationRequest& request,
+                                   const std::string& from = "sub:1") {
+    ChannelEnvelope envelope;
+    *envelope.mutable_request() = request;
+    fake_.Deliver(from, envelope);
+    return fake_.TakeSent(from);
+  }
+  std::vector<ChannelEnvelope> After(runtime::Duration duration, const std::string& to = "sub:1") {
+    fake_.timers.Advance(duration);
+    return fake_.TakeSent(to);
+  }
+
+  FakeRuntime fake_;
+  FakeObjects objects_;
+  InvalidationServerOptions options_;
+  bool serving_ = true;
+  uint64_t epoch_ = 5;
+  runtime::MonotonicTime lease_end_ = runtime::MonotonicTime::max();
+  std::unique_ptr<InvalidationServer> server_;
+};
+
+TEST_F(InvalidationServerTest, AnswerStatesLifetimeHeartbeatAndFreshness) {
+  RegistrationRequest request = Request(1);
+  request.set_lifetime_ms(3'600'000);
+  const auto include = [&request](const char* object, uint64_t epoch) {
+    RegisteredObject* included = request.add_include();
+    included->set_object(object);
+    *included->mutable_version() = MakeVersion(epoch, 0);
+  };
+  include("model/a", 1);
+  include("tenant/t", 1);  // not this channel's
+  const RegistrationResponse response = Ask(request)[0].response();
+  EXPECT_EQ(response.status(), RegistrationResponse::OK);
+  EXPECT_EQ(response.request_sent_ns(), 42);
+  EXPECT_EQ(response.server_epoch(), 5u);
+  EXPECT_LE(response.lifetime_ms(), request.lifetime_ms());
+  EXPECT_LT(milliseconds(response.heartbeat_ms()), LowestGuarantee("models"));
+  ASSERT_EQ(response.objects_size(), 3);
+  EXPECT_EQ(response.objects(0).freshness(), FRESH);
+  EXPECT_EQ(response.objects(1).freshness(), UNKNOWN);
+  EXPECT_EQ(response.objects(1).version().epoch(), 1u) << "the newest version all the same";
+  EXPECT_EQ(response.objects(2).freshness(), EXCLUDED);
+}
+
+TEST_F(InvalidationServerTest, TargetedSubscribersGetOnlyWhatTheyAskedFor) {
+  RegistrationRequest request = Request(1);
+  request.set_base(RegistrationRequest::EXCLUDE_ALL);
+  request.add_include()->set_object("model/b");
+  EXPECT_EQ(Ask(request)[0].response().objects(0).freshness(), STALE);
+  objects_.Raise("model/a");
+  EXPECT_TRUE(After(milliseconds(30)).empty());
+  RegistrationRequest increment = Request(1);
+  increment.set_base(RegistrationRequest::INCREMENT);
+  increment.set_increment(1);
+  increment.add_include()->set_object("model/a");
+  increment.add_exclude("model/b");
+  const RegistrationResponse response = Ask(increment)[0].response();
+  EXPECT_EQ(response.increment(), 1u);
+  EXPECT_EQ(response.objects(0).version().epoch(), 2u);
+  objects_.Raise("model/a");
+  objects_.Raise("model/b");
+  const auto messages = After(milliseconds(30));
+  ASSERT_EQ(messages.size(), 1u);
+  ASSERT_EQ(messages[0].message().objects_size(), 1);
+  EXPECT_EQ(messages[0].message().objects(0).object(), "model/a");
+  increment.set_registration(99);
+  EXPECT_EQ(Ask(increment)[0].response().status(), RegistrationResponse::REFUSED);
+}
+
+TEST_F(InvalidationServerTest, InvalidationsAreBatchedAndNumbered) {
+  Ask(Request(1));
+  objects_.Raise("model/a");
+  objects_.Raise("model/b");
+  objects_.Raise("tenant/t");
+  EXPECT_TRUE(After(milliseconds(19)).empty());
+  const auto messages = After(milliseconds(2));
+  ASSERT_EQ(messages.size(), 1u);
+  EXPECT_EQ(messages[0].message().objects_size(), 2);
+  EXPECT_EQ(messages[0].message().sequence(), 1u);
+  EXPECT_EQ(messages[0].message().server_epoch(), 5u);
+  EXPECT_LE(messages[0].message().remaining_lifetime_ms(), 9980u);
+  const auto heartbeats = After(milliseconds(1400));
+  ASSERT_EQ(heartbeats.size(), 1u);
+  EXPECT_EQ(heartbeats[0].message().sequence(), 2u) << "the next invalidation's number";
+  EXPECT_EQ(heartbeats[0].message().server_ns() - messages[0].message().server_ns(), 1'000'000'000)
+      << "each proves its own sending time";
+}
+
+TEST_F(InvalidationServerTest, NoHeartbeatOvertakesAWaitingInvalidation) {
+  Ask(Request(1));
+  const uint32_t heartbeat_ms = 1000;
+  fake_.timers.Advance(milliseconds(heartbeat_ms - 5));
+  fake_.TakeSent();
+  objects_.Raise("model/a");  // its batch ends 15 ms after the heartbeat is due
+  const auto messages = After(milliseconds(10));
+  ASSERT_GE(messages.size(), 1u);
+  EXPECT_EQ(messages[0].message().objects_size(), 1);
+}
+
+TEST_F(InvalidationServerTest, RegistrationDoesNotOvertakeAWaitingInvalidationEither) {
+  Ask(Request(1));
+  objects_.Raise("model/a");
+  ChannelEnvelope envelope;
+  *envelope.mutable_request() = Request(1);
+  fake_.Deliver("sub:2", envelope);
+  const auto sent = fake_.TakeSent();
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_TRUE(sent[0].has_message());
+  EXPECT_EQ(sent[1].response().objects(0).version().epoch(), 2u);
+}
+
+TEST_F(InvalidationServerTest, SendsNothingOnceTheLeaseHasRunOut) {
+  Ask(Request(1));
+  lease_end_ = fake_.clock.now + milliseconds(500);
+  fake_.timers.Freeze(seconds(3));  // stopped, and woken
+  objects_.Raise("model/a");
+  EXPECT_TRUE(After(seconds(3)).empty());
+  EXPECT_EQ(Ask(Request(2), "sub:2")[0].response().status(), RegistrationResponse::REFUSED);
+}
+
+TEST_F(InvalidationServerTest, KeepsInvalidationsWhileItMayNotServeAndSendsThemFirst) {
+  Ask(Request(1));
+  serving_ = false;
+  objects_.Raise("model/a");
+  EXPECT_TRUE(After(milliseconds(1500)).empty());
+  serving_ = true;
+  const auto messages = After(milliseconds(1500));
+  ASSERT_GE(messages.size(), 1u);
+  EXPECT_EQ(messages[0].message().objects_size(), 1);
+}
+
+TEST_F(InvalidationServerTest, RegistrationsOfAnEarlierEpochGetNothing) {
+  Ask(Request(1));
+  epoch_ = 6;
+  objects_.Raise("model/a");
+  EXPECT_TRUE(After(seconds(2)).empty());
+  EXPECT_EQ(server_->registration_count(), 0u);
+}
+
+TEST_F(InvalidationServerTest, StateOfADeadSubscriberEndsWithItsLifetime) {
+  RegistrationRequest request = Request(1);
+  request.set_lifetime_ms(3000);
+  Ask(request);
+  EXPECT_EQ(server_->registration_count(), 1u);
+  fake_.timers.Advance(seconds(5));
+  EXPECT_EQ(server_->registration_count(), 0u);
+  fake_.TakeSent();
+  EXPECT_TRUE(After(seconds(5)).empty());
+}
+
+TEST_F(InvalidationServerTest, DoubledAndOvertakenRequestsChangeNothing) {
+  Ask(Request(2));
+  objects_.Raise("model/a");
+  EXPECT_EQ(After(milliseconds(30)).size(), 1u);
+  EXPECT_TRUE(Ask(Request(2)).empty()) << "its sequence must not start anew";
+  EXPECT_TRUE(Ask(Request(1)).empty());
+  objects_.Raise("model/a");
+  const auto messages = After(milliseconds(30));
+  ASSERT_EQ(messages.size(), 1u);
+  EXPECT_EQ(messages[0].message().sequence(), 2u);
+}
+
+TEST_F(InvalidationServerTest, LifetimeZeroKeepsNoState) {
+  RegistrationRequest request = Request(1);
+  request.set_lifetime_ms(0);
+  const RegistrationResponse response = Ask(request)[0].response();
+  EXPECT_EQ(response.status(), RegistrationResponse::OK);
+  EXPECT_EQ(response.lifetime_ms(), 0u);
+  EXPECT_EQ(server_->registration_count(), 0u);
+}
+
+TEST_F(InvalidationServerTest, SubscribersBeyondTheLimitGoToARelayOfTheirZone) {
+  RegistrationRequest relay = Request(1);
+  relay.set_relay(true);
+  Ask(relay, "relay:1");
+  Ask(Request(1), "sub:2");
+  Ask(Request(1), "sub:3");
+  const RegistrationResponse redirected = Ask(Request(1), "sub:4")[0].response();
+  EXPECT_EQ(redirected.status(), RegistrationResponse::REDIRECT);
+  EXPECT_EQ(redirected.redirect_to(), "relay:1");
+  RegistrationRequest elsewhere = Request(1);
+  elsewhere.set_zone("z2");
+  EXPECT_EQ(Ask(elsewhere, "sub:5")[0].response().status(), RegistrationResponse::OK);
+  RegistrationRequest avoiding = Request(2);
+  avoiding.add_avoid("relay:1");
+  EXPECT_EQ(Ask(avoiding, "sub:4")[0].response().status(), RegistrationResponse::OK);
+  relay.set_registration(2);
+  EXPECT_EQ(Ask(relay, "relay:1")[0].response().status(), RegistrationResponse::OK);
+}
+
+}  // namespace
+}  // namespace posthatch::channels
