Test worker stand-in and stream reader in the simulator

Cause: a chain just inserted had its head as the oldest block, so eviction broke it at the front and the rest was useless; seen by LeastRecentlyUsedBlocksGoFirstAndChainsLoseTheirTail. The chain now counts as used from its tail to its head after insertion, in worker and store.

--- /dev/null
+++ b/src/posthatch/standins/answer_reader-test.cc
@@ -0,0 +1,115 @@
+#include "posthatch/standins/answer_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "absl/strings/match.h"
+#include "posthatch/standins/answer_mixer.h"
+#include "posthatch/standins/json_body.h"
+
+namespace posthatch::standins {
+namespace {
+
+std::string Piece(uint32_t number, const std::string& run = "r", const std::string& nonce = "n") {
+  return R"(data: {"id":")" + run + R"(","request_id":")" + nonce + R"(","piece":)" +
+         std::to_string(number) + R"(,"choices":[{"index":0,"text":")" + PieceText(run, number) +
+         "\"}]}\n\n";
+}
+
+const std::string kEnd = "data: [DONE]\n\n";
+
+AnswerFindings Read(const std::string& stream, size_t chunk, uint32_t expected = 3) {
+  StreamReader reader("n", expected);
+  for (size_t start = 0; start < stream.size(); start += chunk) {
+    reader.Take(std::string_view(stream).substr(start, chunk));
+  }
+  reader.End();
+  return reader.findings();
+}
+
+TEST(StreamReaderTest, WholeStreamIsIntactHoweverItIsCutIntoChunks) {
+  const std::string stream = Piece(0) + ": comment\n\n" + Piece(1) + Piece(2) + kEnd;
+  for (size_t chunk = 1; chunk <= stream.size(); ++chunk) {
+    const AnswerFindings findings = Read(stream, chunk);
+    EXPECT_TRUE(findings.intact) << findings.fault;
+    EXPECT_TRUE(findings.done);
+    EXPECT_EQ(findings.pieces, (std::vector<uint32_t>{0, 1, 2}));
+    EXPECT_EQ(findings.piece_runs, std::vector<std::string>{"r"});
+    EXPECT_EQ(findings.echoed_nonce, "n");
+  }
+}
+
+struct BrokenStream {
+  const char* name;
+  std::string stream;
+  std::string fault;
+};
+
+class BrokenStreamTest : public ::testing::TestWithParam<BrokenStream> {};
+
+TEST_P(BrokenStreamTest, FaultIsNamedAndTheAnswerIsNotIntact) {
+  for (const size_t chunk : {1u, 7u, 10000u}) {
+    const AnswerFindings findings = Read(GetParam().stream, chunk);
+    EXPECT_FALSE(findings.intact);
+    EXPECT_EQ(findings.fault, GetParam().fault);
+  }
+}
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, BrokenStreamTest,
+    ::testing::Values(
+        BrokenStream{"Skipped", Piece(0) + Piece(2) + kEnd, "piece 2 in place 1"},
+        BrokenStream{"Repeated", Piece(0) + Piece(0) + kEnd, "piece 0 in place 1"},
+        BrokenStream{"Joined", Piece(0) + Piece(1, "s") + Piece(2, "s") + kEnd,
+                     "pieces of two runs"},
+        BrokenStream{"Crossed", Piece(0, "s", "m") + kEnd, "another request's id"},
+        BrokenStream{"CutAfterPiece", Piece(0) + Piece(1), "end without [DONE]"},
+        BrokenStream{"CutInPiece", Piece(0) + Piece(1).substr(0, 20), "event cut in the middle"},
+        BrokenStream{"LastPieceMissing", Piece(0) + Piece(1) + kEnd, "2 pieces of 3"},
+        BrokenStream{"PieceAfterEnd", Piece(0) + kEnd + Piece(1), "event after [DONE]"},
+        BrokenStream{"TextChanged", Replaced(Piece(0), "r.0", "r.9") + kEnd,
+                     "text is not what the run said"},
+        BrokenStream{"NotJson", "data: {\n\n" + kEnd, "event that is not a JSON object"},
+        BrokenStream{"StrayLine", "hello\n\n" + kEnd, "line that is neither data nor event"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(StreamReaderTest, ErrorEventEndsTheStreamWithItsCode) {
+  const AnswerFindings findings =
+      Read(Piece(0) +
+               "event: error\ndata: {\"error\":{\"code\":\"backend_failed\",\"executed\":"
+               "\"unknown\"}}\n\n",
+           5);
+  EXPECT_EQ(findings.code, "backend_failed");
+  EXPECT_EQ(findings.executed, "unknown");
+  EXPECT_FALSE(findings.intact);
+  EXPECT_FALSE(findings.done);
+}
+
+TEST(WholeAnswerTest, ChecksumNonceAndLengthAreChecked) {
+  const auto body = [](const std::string& text, const std::string& checked) {
+    return R"({"id":"r","request_id":"n","choices":[{"index":0,"text":")" + text +
+           R"("}],"checksum":")" + Checksum(checked) + "\"}";
+  };
+  const std::string text = AnswerText("r", 3);
+  EXPECT_TRUE(ReadWholeAnswer(200, body(text, text), "n", 3).intact);
+  EXPECT_FALSE(ReadWholeAnswer(200, body(text + "x", text), "n", 3).intact);
+  EXPECT_FALSE(ReadWholeAnswer(200, body(text, text), "n", 4).intact);
+  EXPECT_EQ(ReadWholeAnswer(200, body(text, text), "m", 3).fault, "another request's id");
+  EXPECT_NE(ReadWholeAnswer(200, body(text, text).substr(0, 30), "n", 3).fault, "");
+}
+
+TEST(WholeAnswerTest, RefusalsCarryCodeAndExecuted) {
+  const http::Response refusal = NotExecuted(503, "no_lease", "text");
+  const AnswerFindings findings = ReadWholeAnswer(503, refusal.body, "n", 3);
+  EXPECT_EQ(findings.code, "no_lease");
+  EXPECT_EQ(findings.executed, "no");
+  EXPECT_EQ(ReadWholeAnswer(503, "{}", "n", 3).fault, "refusal without a code");
+}
+
+}  // namespace
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/standin_world.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/history/recorders.h"
+#include "posthatch/simulation/sim_world.h"
+#include "posthatch/standins/json_body.h"
+#include "posthatch/standins/json_client.h"
+#include "posthatch/standins/recorded_call.h"
+#include "posthatch/standins/worker_standin.h"
+
+// Shared by the tests of this folder: a simulated network with stand-ins on hosts of their own and
+// one client host that calls them.
+namespace posthatch::standins {
+
+class StandInWorld : public ::testing::Test {
+ protected:
+  using Milliseconds = std::chrono::milliseconds;
+
+  explicit StandInWorld(uint64_t seed = 1) : world(seed) {
+    client = AddHost("client");
+    client->SetBoot([](runtime::Runtime*) { return std::make_shared<int>(0); });
+    client->Start();
+  }
+
+  simulation::SimHost* AddHost(const std::string& name) {
+    return world.AddHost(name, "zone-1", "10.0.0." + std::to_string(++hosts_));
+  }
+
+  // Starts `StandIn` on a host of its own; `settings.listen` is filled in. The pointer holds until
+  // the host stops.
+  template <typename StandIn, typename Settings>
+  StandIn* Boot(const std::string& name, Settings settings, simulation::SimHost** host = nullptr) {
+    simulation::SimHost* const own_host = AddHost(name);
+    settings.listen = own_host->http_endpoint();
+    auto booted = std::make_shared<StandIn*>(nullptr);
+    own_host->SetBoot([this, settings, name, booted](runtime::Runtime* runtime) {
+      recorders_.push_back(
+          std::make_unique<rehearse::MemoryHistoryRecorder>(runtime->clock, name, &events));
+      auto standin = std::make_shared<StandIn>(runtime, settings, recorders_.back().get());
+      EXPECT_TRUE(standin->Start().ok());
+      *booted = standin.get();
+      return standin;
+    });
+    own_host->Start();
+    world.RunFor(Milliseconds(1));
+    if (host != nullptr) *host = own_host;
+    return *booted;
+  }
+
+  WorkerStandIn* BootWorker(WorkerSettings settings = {}, simulation::SimHost** host = nullptr) {
+    if (settings.id.empty()) settings.id = "worker-" + std::to_string(hosts_);
+    return Boot<WorkerStandIn>(settings.id, settings, host);
+  }
+
+  // Sends a request from the client host and waits for its end.
+  http::Response Send(const std::string& endpoint, http::Request request) {
+    JsonClient json_client(client->runtime());
+    absl::StatusOr<http::Response> result = absl::UnknownError("no end");
+    json_client.Send(endpoint, std::move(request), {},
+                     [&result](absl::StatusOr<http::Response> answer) { result = answer; });
+    world.RunUntil([&json_client] { return json_client.in_flight() == 0; },
+                   std::chrono::minutes(2));
+    http::Response broken;
+    broken.status = 0;
+    return result.ok() ? *result : broken;
+  }
+  http::Response SendJson(const std::string& endpoint, const std::string& method,
+                          const std::string& target, const std::string& body) {
+    return Send(endpoint, JsonRequest(method, target, body));
+  }
+  boost::json::object Get(const std::string& endpoint, const std::string& target) {
+    return *ParseObject(SendJson(endpoint, "GET", target, "").body);
+  }
+
+  // A caller's plan for a completion straight at a worker.
+  CallPlan Completion(const std::string& endpoint, const std::string& prompt, uint32_t tokens,
+                      bool stream) {
+    CallPlan plan;
+    plan.target = "/v1/completions";
+    plan.body = R"({"prompt":")" + prompt + R"(","max_tokens":)" + std::to_string(tokens) +
+                R"(,"stream":)" + (stream ? "true}" : "false}");
+    plan.sent.set_gateway(endpoint);
+    plan.sent.set_call(++calls_);
+    plan.sent.set_nonce("nonce-" + std::to_string(calls_));
+    plan.sent.set_stream(stream);
+    plan.sent.set_expected_pieces(tokens);
+    return plan;
+  }
+
+  // Makes the planned calls at the same time and returns how they ended, in the order of `plans`.
+  std::vector<rehearse::CallEnded> Run(std::vector<CallPlan> plans) {
+    std::vector<rehearse::CallEnded> ended(plans.size());
+    std::vector<std::unique_ptr<RecordedCall>> running;
+    size_t open = plans.size();
+    rehearse::MemoryHistoryRecorder recorder(client->runtime()->clock, "client", &events);
+    for (size_t i = 0; i < plans.size(); ++i) {
+      running.push_back(std::make_unique<RecordedCall>(client->runtime(), &recorder, plans[i],
+                                                       [&, i](const rehearse::CallEnded& end) {
+                                                         ended[i] = end;
+                                                         --open;
+                                                       }));
+      running.back()->Start();
+    }
+    EXPECT_TRUE(world.RunUntil([&open] { return open == 0; }, std::chrono::minutes(2)));
+    return ended;
+  }
+
+  // The events of one kind so far, in order of time.
+  std::vector<rehearse::HistoryEvent> EventsOf(rehearse::HistoryEvent::EventCase kind) const {
+    std::vector<rehearse::HistoryEvent> found;
+    for (const rehearse::HistoryEvent& event : events) {
+      if (event.event_case() == kind) found.push_back(event);
+    }
+    return found;
+  }
+  std::vector<rehearse::RunStarted> Starts() const {
+    std::vector<rehearse::RunStarted> starts;
+    for (const auto& event : EventsOf(rehearse::HistoryEvent::kRunStarted)) {
+      starts.push_back(event.run_started());
+    }
+    return starts;
+  }
+
+  simulation::SimWorld world;
+  simulation::SimHost* client = nullptr;
+  std::vector<rehearse::HistoryEvent> events;
+
+ private:
+  int hosts_ = 0;
+  uint64_t calls_ = 0;
+  std::vector<std::unique_ptr<rehearse::MemoryHistoryRecorder>> recorders_;
+};
+
+}  // namespace posthatch::standins
--- a/src/posthatch/standins/store_standin.cc
+++ b/src/posthatch/standins/store_standin.cc
@@ -79,6 +79,7 @@
   for (size_t i = 0; i < blocks.size(); ++i) {
     cache_.Insert(blocks[i], i < makers.size() ? makers[i] : BlockMaker{});
   }
+  cache_.Lookup(blocks);  // counts the chain as used, its tail as the oldest part
   writer->SendWhole(JsonResponse(200, json::object{{"epoch", epoch_}, {"blocks", blocks.size()}}));
 }
 
--- a/src/posthatch/standins/worker_run.cc
+++ b/src/posthatch/standins/worker_run.cc
@@ -130,6 +130,7 @@
     }
     stored.push_back(chain_[i]);
   }
+  state_->cache.Lookup(chain_);  // counts the chain as used, its tail as the oldest part
   state_->events.Stored(stored, own_blocks_, request_.attempt, state_->behaviour);
   state_->events.Removed(removed, state_->behaviour);
   if (!state_->settings.store_endpoint.empty()) PushToStore();
--- /dev/null
+++ b/src/posthatch/standins/worker_standin-test.cc
@@ -0,0 +1,406 @@
+#include "posthatch/standins/worker_standin.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "posthatch/standins/standin_world.h"
+#include "posthatch/standins/store_standin.h"
+
+namespace posthatch::standins {
+namespace {
+
+using rehearse::HistoryEvent;
+using ::testing::ElementsAre;
+
+constexpr size_t kBlockBytes = 64;  // 16 tokens of 4 bytes
+
+std::string Blocks(char letter, size_t count) { return std::string(count * kBlockBytes, letter); }
+
+class WorkerStandInTest : public StandInWorld {
+ protected:
+  // A completion with header fields as a gateway sends them.
+  http::Response Ask(const std::string& endpoint, const std::string& prompt,
+                     const std::map<std::string, std::string>& fields = {}) {
+    http::Request request =
+        JsonRequest("POST", "/v1/completions", R"({"max_tokens":1,"prompt":")" + prompt + "\"}");
+    for (const auto& [name, value] : fields) request.headers.Add(name, value);
+    return Send(endpoint, request);
+  }
+  http::Response Order(const std::string& endpoint, uint64_t revision, uint64_t token,
+                       const std::string& holder) {
+    http::Request request = JsonRequest(
+        "POST", "/admin/load_weights",
+        R"({"model":"race-7b","weights":"w","revision":)" + std::to_string(revision) + "}");
+    request.headers.Add("X-Posthatch-Fencing-Token", std::to_string(token));
+    request.headers.Add("X-Posthatch-Gateway", holder);
+    return Send(endpoint, request);
+  }
+  // Numbers ("seq") and types of the events after `after`, as "1stored 2removed".
+  std::string EventsAfter(const WorkerStandIn& worker, uint64_t after, uint64_t wait_ms = 0) {
+    const boost::json::object answer =
+        Get(worker.endpoint(), "/kv_events?epoch=" + std::to_string(worker.epoch()) + "&after=" +
+                                   std::to_string(after) + "&wait_ms=" + std::to_string(wait_ms));
+    std::string text;
+    for (const auto& event : answer.at("events").as_array()) {
+      text += (text.empty() ? "" : " ") + std::to_string(NumberField(event.as_object(), "seq")) +
+              TextField(event.as_object(), "type");
+    }
+    return text;
+  }
+  static uint32_t ReusedBy(const rehearse::RunStarted& run) {
+    uint32_t blocks = 0;
+    for (const auto& reused : run.reused()) blocks += reused.blocks();
+    return blocks;
+  }
+  std::vector<double> RunMilliseconds() const {
+    std::map<std::string, int64_t> started;
+    std::vector<double> times;
+    for (const HistoryEvent& event : events) {
+      if (event.has_run_started()) started[event.run_started().run()] = event.time_ns();
+      if (event.has_run_ended()) {
+        times.push_back((event.time_ns() - started[event.run_ended().run()]) / 1e6);
+      }
+    }
+    return times;
+  }
+};
+
+TEST_F(WorkerStandInTest, TimesFollowTheModel) {
+  WorkerStandIn* worker = BootWorker();
+  const std::string prompt = Blocks('a', 10) + "rest";  // 10 blocks and a part of one
+  Run({Completion(worker->endpoint(), prompt, 4, true)});
+  Run({Completion(worker->endpoint(), prompt, 4, false)});
+  WorkerBehaviour slow;
+  slow.slow_factor = 3;
+  worker->SetBehaviour(slow);
+  Run({Completion(worker->endpoint(), prompt, 4, true)});
+  // 11 blocks at 8 ms and 4 tokens at 10 ms; then only the rest is prefilled; then three times
+  // that.
+  EXPECT_THAT(RunMilliseconds(), ElementsAre(88 + 40, 8 + 40, 3 * 48));
+}
+
+TEST_F(WorkerStandInTest, OtherRunsSlowDecoding) {
+  WorkerStandIn* worker = BootWorker();
+  Run({Completion(worker->endpoint(), "a", 20, true),
+       Completion(worker->endpoint(), "b", 20, true)});
+  for (const double time : RunMilliseconds()) EXPECT_NEAR(time, 8 + 20 * 10.5, 1.0);
+}
+
+TEST_F(WorkerStandInTest, ReuseNamesTheMakerAndSaltsKeepBlocksApart) {
+  WorkerStandIn* worker = BootWorker();
+  const std::string prompt = Blocks('a', 5);
+  const auto ask = [&](const std::string& tenant, const std::string& salt) {
+    Ask(worker->endpoint(), prompt,
+        {{"X-Posthatch-Tenant", tenant}, {"X-Posthatch-Cache-Salt", salt}});
+  };
+  ask("maker", "s1");
+  ask("other", "s1");
+  ask("other", "s2");
+  EXPECT_EQ(ReusedBy(Starts()[0]), 0u);
+  ASSERT_EQ(Starts()[1].reused_size(), 1);
+  EXPECT_EQ(Starts()[1].reused(0).made_by_tenant(), "maker");
+  EXPECT_EQ(Starts()[1].reused(0).blocks(), 5u);
+  EXPECT_EQ(ReusedBy(Starts()[2]), 0u);
+
+  WorkerBehaviour ignoring;
+  ignoring.ignore_salt = true;
+  worker->SetBehaviour(ignoring);
+  ask("third", "s3");
+  ask("fourth", "s4");
+  EXPECT_EQ(ReusedBy(Starts()[4]), 5u);  // the fence is gone, and the history shows it
+  EXPECT_EQ(Starts()[4].reused(0).made_by_tenant(), "third");
+}
+
+TEST_F(WorkerStandInTest, LeastRecentlyUsedBlocksGoFirstAndChainsLoseTheirTail) {
+  WorkerSettings settings;
+  settings.cache_blocks = 10;
+  WorkerStandIn* worker = BootWorker(settings);
+  Ask(worker->endpoint(), Blocks('a', 6));
+  Ask(worker->endpoint(), Blocks('b', 4));
+  Ask(worker->endpoint(), Blocks('a', 6));  // used again: now b is the oldest
+  Ask(worker->endpoint(), Blocks('c', 2));
+  EXPECT_EQ(worker->kept_blocks(), 10u);
+  EXPECT_EQ(EventsAfter(*worker, 0), "1stored 2stored 3stored 4removed");
+  Ask(worker->endpoint(), Blocks('a', 6));
+  Ask(worker->endpoint(), Blocks('b', 4));
+  EXPECT_EQ(ReusedBy(Starts()[4]), 6u);
+  EXPECT_EQ(ReusedBy(Starts()[5]), 2u);  // the first two of b's chain are still there
+}
+
+TEST_F(WorkerStandInTest, FullQueueRefusesAndNothingRuns) {
+  WorkerSettings settings;
+  settings.max_running = 2;
+  settings.max_waiting = 3;
+  WorkerStandIn* worker = BootWorker(settings);
+  std::vector<CallPlan> plans;
+  for (int i = 0; i < 8; ++i) plans.push_back(Completion(worker->endpoint(), "p", 5, false));
+  std::map<uint32_t, int> statuses;
+  for (const auto& ended : Run(plans)) {
+    ++statuses[ended.status()];
+    EXPECT_EQ(ended.executed(), ended.status() == 429 ? "no" : "");
+  }
+  EXPECT_EQ(statuses, (std::map<uint32_t, int>{{200, 5}, {429, 3}}));
+  EXPECT_EQ(Starts().size(), 5u);
+  for (const auto& run : Starts()) EXPECT_LE(run.running(), 2u);
+}
+
+TEST_F(WorkerStandInTest, RunEndsWhenItsCallerLeaves) {
+  WorkerStandIn* worker = BootWorker();
+  CallPlan plan = Completion(worker->endpoint(), "p", 100, true);
+  plan.leave_after = Milliseconds(200);
+  EXPECT_TRUE(Run({plan})[0].caller_left());
+  world.RunFor(Milliseconds(50));
+  const auto ends = EventsOf(HistoryEvent::kRunEnded);
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_FALSE(ends[0].run_ended().completed());
+  EXPECT_EQ(ends[0].run_ended().reason(), "caller_gone");
+}
+
+TEST_F(WorkerStandInTest, EveryStartAndLossOfTheCacheBeginsAHigherEpoch) {
+  simulation::SimHost* host = nullptr;
+  WorkerStandIn* worker = BootWorker({}, &host);
+  std::vector<uint64_t> epochs = {worker->epoch()};
+  SendJson(worker->endpoint(), "PUT", "/debug/behaviour", R"({"cold":true})");
+  epochs.push_back(worker->epoch());
+  Ask(worker->endpoint(), Blocks('a', 2));
+  host->Crash();
+  host->Start();
+  world.RunFor(Milliseconds(10));  // the client learns that its kept connection broke
+  epochs.push_back(NumberField(Get(host->http_endpoint(), "/status"), "epoch"));
+  EXPECT_LT(epochs[0], epochs[1]);
+  EXPECT_LT(epochs[1], epochs[2]);
+  // A reader of the former epoch is told of the new one at once.
+  const auto answer = Get(host->http_endpoint(), "/kv_events?epoch=" + std::to_string(epochs[1]) +
+                                                     "&after=1&wait_ms=1000");
+  EXPECT_EQ(NumberField(answer, "epoch"), epochs[2]);
+  EXPECT_TRUE(answer.at("events").as_array().empty());
+  Ask(host->http_endpoint(), Blocks('a', 2));
+  EXPECT_EQ(ReusedBy(Starts().back()), 0u);
+}
+
+TEST_F(WorkerStandInTest, OlderAndForeignFencingTokensAreRefused) {
+  WorkerStandIn* worker = BootWorker();
+  EXPECT_EQ(Order(worker->endpoint(), 1, 7, "g1").status, 202);
+  EXPECT_EQ(Order(worker->endpoint(), 2, 6, "g2").status, 409);
+  EXPECT_EQ(Order(worker->endpoint(), 2, 7, "g2").status, 409);
+  EXPECT_EQ(SendJson(worker->endpoint(), "POST", "/admin/load_weights", R"({"revision":9})").status,
+            400);
+  world.RunFor(std::chrono::seconds(4));
+  EXPECT_EQ(worker->model_revision(), 1u);
+  EXPECT_EQ(Order(worker->endpoint(), 1, 7, "g1").status, 200);
+
+  WorkerBehaviour careless;
+  careless.check_fencing_tokens = false;
+  worker->SetBehaviour(careless);
+  EXPECT_EQ(Order(worker->endpoint(), 2, 6, "g2").status, 202);
+  std::string obeyed;
+  for (const auto& event : EventsOf(HistoryEvent::kOrderSeen)) {
+    obeyed += event.order_seen().obeyed() ? '+' : '-';
+  }
+  EXPECT_EQ(obeyed, "+--++");
+}
+
+TEST_F(WorkerStandInTest, LoadingCutsRunsDropsBlocksAndRefusesProvably) {
+  WorkerStandIn* worker = BootWorker();
+  Ask(worker->endpoint(), Blocks('a', 3));
+  const uint64_t epoch = worker->epoch();
+  JsonClient orderer(client->runtime());
+  world.At(Milliseconds(100), [&] {
+    http::Request request =
+        JsonRequest("POST", "/admin/load_weights", R"({"model":"race-7b","revision":5})");
+    request.headers.Add("X-Posthatch-Fencing-Token", "1");
+    orderer.Send(worker->endpoint(), request, {}, [](const absl::StatusOr<http::Response>&) {});
+  });
+  const auto cut = Run({Completion(worker->endpoint(), "p", 100, true)})[0];
+  EXPECT_FALSE(cut.complete());
+  EXPECT_GT(cut.pieces_size(), 0);
+  EXPECT_EQ(worker->kept_blocks(), 0u);
+  EXPECT_GT(worker->epoch(), epoch);
+
+  const http::Response loading = Ask(worker->endpoint(), "p");
+  EXPECT_EQ(loading.status, 503);
+  EXPECT_EQ(ReadWholeAnswer(503, loading.body, "", 1).code, "loading");
+  world.RunFor(std::chrono::seconds(3));
+  EXPECT_EQ(worker->model_revision(), 5u);
+  const http::Response wrong = Ask(worker->endpoint(), "p", {{"X-Posthatch-Model-Revision", "4"}});
+  EXPECT_EQ(wrong.status, 409);
+  EXPECT_EQ(ReadWholeAnswer(409, wrong.body, "", 1).executed, "no");
+  EXPECT_EQ(Ask(worker->endpoint(), "p", {{"X-Posthatch-Model-Revision", "5"}}).status, 200);
+  EXPECT_EQ(Starts().size(), 3u);
+  EXPECT_EQ(EventsOf(HistoryEvent::kRevisionServed).back().revision_served().revision(), 5u);
+}
+
+TEST_F(WorkerStandInTest, EventsGoWrongAsAsked) {
+  struct Case {
+    double WorkerBehaviour::*share;
+    std::string seen;  // of three "stored" events
+  };
+  for (const Case& wrong : {Case{&WorkerBehaviour::events_lost_share, ""},
+                            Case{&WorkerBehaviour::events_silent_share, ""},
+                            Case{&WorkerBehaviour::events_doubled_share,
+                                 "1stored 1stored 2stored 2stored 3stored 3stored"},
+                            Case{&WorkerBehaviour::events_lost_mark_share, "1lost 2lost 3lost"}}) {
+    WorkerStandIn* worker = BootWorker();
+    WorkerBehaviour behaviour;
+    behaviour.*wrong.share = 1;
+    worker->SetBehaviour(behaviour);
+    for (const char letter : {'a', 'b', 'c'}) Ask(worker->endpoint(), Blocks(letter, 1));
+    EXPECT_EQ(EventsAfter(*worker, 0), wrong.seen);
+    worker->SetBehaviour({});
+    Ask(worker->endpoint(), Blocks('d', 1));
+    const bool silent = wrong.share == &WorkerBehaviour::events_silent_share;
+    EXPECT_EQ(EventsAfter(*worker, silent ? 0 : 3), silent ? "1stored" : "4stored");
+  }
+}
+
+TEST_F(WorkerStandInTest, EventsComeLateReorderedAndBeyondTheKeptOnesWithALostMark) {
+  WorkerSettings settings;
+  settings.kept_events = 2;
+  WorkerStandIn* worker = BootWorker(settings);
+  WorkerBehaviour behaviour;
+  behaviour.events_reordered_share = 1;
+  worker->SetBehaviour(behaviour);
+  Ask(worker->endpoint(), Blocks('a', 1));
+  EXPECT_EQ(EventsAfter(*worker, 0), "");
+  behaviour = {};
+  behaviour.events_late_ms = 500;
+  worker->SetBehaviour(behaviour);
+  Ask(worker->endpoint(), Blocks('b', 1));
+  EXPECT_EQ(EventsAfter(*worker, 1), "");
+  const auto before = world.Now();
+  EXPECT_EQ(EventsAfter(*worker, 1, 5000), "2stored 1stored");
+  EXPECT_GT(world.Now() - before, Milliseconds(400));
+  worker->SetBehaviour({});
+  Ask(worker->endpoint(), Blocks('c', 1));
+  EXPECT_EQ(EventsAfter(*worker, 0), "1lost 2stored 1stored 3stored");
+  // Nothing new: the poll waits as long as it was asked to.
+  const auto waiting = world.Now();
+  EXPECT_EQ(EventsAfter(*worker, 3, 700), "");
+  EXPECT_GE(world.Now() - waiting, Milliseconds(700));
+}
+
+struct WrongAnswer {
+  const char* name;
+  double WorkerBehaviour::*share;
+  std::string stream_fault;
+  std::string whole_fault;
+};
+
+class WrongAnswerTest : public WorkerStandInTest,
+                        public ::testing::WithParamInterface<WrongAnswer> {};
+
+TEST_P(WrongAnswerTest, CallerSeesIt) {
+  for (const bool stream : {true, false}) {
+    WorkerStandIn* worker = BootWorker();
+    Run({Completion(worker->endpoint(), "first", 6, stream)});
+    WorkerBehaviour behaviour;
+    behaviour.*GetParam().share = 1;
+    behaviour.cut_at_piece = 3;
+    worker->SetBehaviour(behaviour);
+    Run({Completion(worker->endpoint(), "second", 6, stream)});
+    const auto ended = Run({Completion(worker->endpoint(), "third", 6, stream)})[0];
+    const std::string& expected = stream ? GetParam().stream_fault : GetParam().whole_fault;
+    if (expected.empty()) {
+      EXPECT_TRUE(ended.body_intact());
+    } else if (expected == "cut") {
+      EXPECT_FALSE(ended.complete());
+      EXPECT_EQ(ended.status(), 200u);
+    } else {
+      EXPECT_THAT(ended.fault(), ::testing::HasSubstr(expected));
+      EXPECT_FALSE(ended.body_intact() && ended.echoed_nonce() == ended.nonce());
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, WrongAnswerTest,
+    ::testing::Values(
+        WrongAnswer{"Twice", &WorkerBehaviour::answers_twice_share, "another request's id",
+                    "another request's id"},
+        WrongAnswer{"Crossed", &WorkerBehaviour::answers_crossed_share, "another request's id",
+                    "another request's id"},
+        WrongAnswer{"CrossedBody", &WorkerBehaviour::answers_crossed_body_share,
+                    "another request's id", "another request's id"},
+        WrongAnswer{"Cut", &WorkerBehaviour::cut_share, "cut", "cut"},
+        WrongAnswer{"CutClean", &WorkerBehaviour::cut_clean_share, "end without [DONE]", ""},
+        WrongAnswer{"Repeated", &WorkerBehaviour::repeated_piece_share, "in place", ""},
+        WrongAnswer{"Skipped", &WorkerBehaviour::skipped_piece_share, "piece", ""}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(WorkerStandInTest, CrossedAnswersEchoTheOtherAttemptUnlessOnlyTheBodyIsCrossed) {
+  WorkerStandIn* worker = BootWorker();
+  for (const bool whole : {true, false}) {
+    worker->SetBehaviour({});
+    Ask(worker->endpoint(), "first", {{"X-Posthatch-Attempt", "a1"}, {"X-Request-Id", "q1"}});
+    WorkerBehaviour behaviour;
+    behaviour.answers_crossed_share = whole ? 1 : 0;
+    behaviour.answers_crossed_body_share = whole ? 0 : 1;
+    worker->SetBehaviour(behaviour);
+    const http::Response answer =
+        Ask(worker->endpoint(), "second", {{"X-Posthatch-Attempt", "a2"}, {"X-Request-Id", "q2"}});
+    EXPECT_EQ(answer.headers.Get("X-Posthatch-Attempt") == "a2", !whole);
+  }
+}
+
+TEST_F(WorkerStandInTest, LateAnswersComeLate) {
+  WorkerStandIn* worker = BootWorker();
+  SendJson(worker->endpoint(), "PUT", "/debug/behaviour",
+           R"({"answers_late_ms":2000,"answers_late_share":1})");
+  const auto before = world.Now();
+  EXPECT_TRUE(Run({Completion(worker->endpoint(), "p", 2, true)})[0].body_intact());
+  EXPECT_GT(world.Now() - before, std::chrono::seconds(2));
+  EXPECT_EQ(
+      SendJson(worker->endpoint(), "PUT", "/debug/behaviour", R"({"answers_late_ms":0,"typo":1})")
+          .status,
+      400);
+  EXPECT_EQ(worker->behaviour().answers_late_ms, 2000u);  // all or nothing
+}
+
+TEST_F(WorkerStandInTest, MissingBlocksAreFetchedFromPeerOrStore) {
+  StoreSettings store_settings;
+  store_settings.id = "store";
+  StoreStandIn* store = Boot<StoreStandIn>("store", store_settings);
+  WorkerSettings settings;
+  settings.id = "maker";
+  settings.store_endpoint = store->endpoint();
+  settings.timing.kv_bytes_per_block = 1000;
+  settings.timing.link_bytes_per_second = 10000;  // 100 ms a block
+  WorkerStandIn* maker = BootWorker(settings);
+  settings.id = "fetcher";
+  settings.store_endpoint.clear();
+  WorkerStandIn* fetcher = BootWorker(settings);
+  const std::string prompt = Blocks('a', 4);
+  Ask(maker->endpoint(), prompt, {{"X-Posthatch-Tenant", "t1"}, {"X-Posthatch-Cache-Salt", "s"}});
+  world.RunFor(Milliseconds(10));
+  EXPECT_EQ(store->kept_blocks(), 4u);
+
+  const auto fetch = [&](const std::string& source) {
+    const auto before = world.Now();
+    Ask(fetcher->endpoint(), prompt,
+        {{"X-Posthatch-Tenant", "t2"},
+         {"X-Posthatch-Cache-Salt", "s"},
+         {"X-Posthatch-Kv-Source", source},
+         {"X-Posthatch-Kv-Blocks", "3"}});
+    return world.Now() - before;
+  };
+  EXPECT_GT(fetch(maker->endpoint()), Milliseconds(300));
+  ASSERT_EQ(Starts().back().reused_size(), 1);
+  EXPECT_EQ(Starts().back().reused(0).fetched_from(), "maker");
+  EXPECT_EQ(Starts().back().reused(0).made_by_tenant(), "t1");
+  EXPECT_EQ(Starts().back().reused(0).blocks(), 3u);
+
+  fetcher->GoCold();
+  fetch(store->endpoint());
+  EXPECT_EQ(Starts().back().reused(0).fetched_from(), "store");
+  fetcher->GoCold();
+  store->GoCold();
+  fetch(store->endpoint());
+  EXPECT_EQ(Starts().back().reused_size(), 0);
+  fetcher->GoCold();
+  fetch("10.9.9.9:1");  // nobody there: prefilled instead
+  EXPECT_EQ(Starts().back().reused_size(), 0);
+  EXPECT_EQ(EventsOf(HistoryEvent::kRunEnded).size(), 5u);
+}
+
+}  // namespace
+}  // namespace posthatch::standins
