--- /dev/null
+++ b/src/posthatch/standins/backends_standin-test.cc
@@ -0,0 +1,155 @@
+// The application service and the platform inventory.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "posthatch/standins/inventory_standin.h"
+#include "posthatch/standins/service_standin.h"
+#include "posthatch/standins/standin_world.h"
+
+namespace posthatch::standins {
+namespace {
+
+using rehearse::HistoryEvent;
+
+class ServiceStandInTest : public StandInWorld {
+ protected:
+  ServiceStandInTest() {
+    ServiceSettings settings;
+    settings.id = "service";
+    service = Boot<ServiceStandIn>("service", settings);
+  }
+  CallPlan Place(const std::string& key) {
+    CallPlan plan = Completion(service->endpoint(), "", 0, false);
+    plan.target = "/operations/place";
+    plan.body = "{}";
+    plan.sent.set_idempotency_key(key);
+    return plan;
+  }
+
+  ServiceStandIn* service;
+};
+
+TEST_F(ServiceStandInTest, EachStartIsRecordedAndDoublesAreNotRemoved) {
+  for (int i = 0; i < 2; ++i) EXPECT_TRUE(Run({Place("k")})[0].body_intact());
+  ASSERT_EQ(Starts().size(), 2u);
+  EXPECT_EQ(Starts()[0].operation(), "lobby/place");
+  EXPECT_EQ(Starts()[1].idempotency_key(), "k");
+  EXPECT_NE(Starts()[0].run(), Starts()[1].run());
+}
+
+TEST_F(ServiceStandInTest, LostAnswersWereExecutedAndLostRequestsWereNot) {
+  ServiceBehaviour behaviour;
+  behaviour.answers_lost_share = 1;
+  service->SetBehaviour(behaviour);
+  EXPECT_EQ(Run({Place("k1")})[0].status(), 0u);
+  EXPECT_EQ(Starts().size(), 1u);
+  behaviour = {};
+  behaviour.requests_lost_share = 1;
+  service->SetBehaviour(behaviour);
+  EXPECT_EQ(Run({Place("k2")})[0].status(), 0u);
+  EXPECT_EQ(Starts().size(), 1u);
+}
+
+TEST_F(ServiceStandInTest, LateStartHappensThoughTheCallerHasGone) {
+  ServiceBehaviour behaviour;
+  behaviour.start_late_ms = 500;
+  behaviour.start_late_share = 1;
+  service->SetBehaviour(behaviour);
+  CallPlan plan = Place("k");
+  plan.leave_after = Milliseconds(100);
+  Run({plan});
+  EXPECT_TRUE(Starts().empty());
+  world.RunFor(Milliseconds(600));
+  EXPECT_EQ(Starts().size(), 1u);
+  EXPECT_EQ(EventsOf(HistoryEvent::kRunEnded).size(), 1u);
+}
+
+TEST_F(ServiceStandInTest, AnswersAreCrossedCutAndRepeated) {
+  for (const auto share :
+       {&ServiceBehaviour::answers_crossed_share, &ServiceBehaviour::answers_crossed_body_share,
+        &ServiceBehaviour::answers_twice_share}) {
+    service->SetBehaviour({});
+    Run({Place("first")});
+    ServiceBehaviour behaviour;
+    behaviour.*share = 1;
+    service->SetBehaviour(behaviour);
+    Run({Place("second")});
+    EXPECT_EQ(Run({Place("third")})[0].fault(), "another request's id");
+  }
+  ServiceBehaviour cutting;
+  cutting.answers_cut_share = 1;
+  service->SetBehaviour(cutting);
+  EXPECT_FALSE(Run({Place("cut")})[0].complete());
+}
+
+class InventoryStandInTest : public StandInWorld {
+ protected:
+  InventoryStandInTest() {
+    InventorySettings settings;
+    settings.backends = {
+        {"w1", "worker", "10.0.0.7:1", "z1", "race-7b", "", {{"rack", "r"}}, false},
+        {"w2", "worker", "10.0.0.8:1", "z2", "race-7b", "", {}, false}};
+    inventory = Boot<InventoryStandIn>("inventory", settings);
+  }
+  // "id" of each back end, with "!" when draining; "429 <ms>" when capped.
+  std::string Read() {
+    const http::Response answer = SendJson(inventory->endpoint(), "GET", "/v1/inventory", "");
+    if (answer.status != 200) {
+      return std::to_string(answer.status) + " " +
+             std::string(answer.headers.Get("Retry-After-Ms"));
+    }
+    const boost::json::object body = *ParseObject(answer.body);
+    std::string text;
+    for (const auto& entry : body.at("backends").as_array()) {
+      text += TextField(entry.as_object(), "id");
+      if (FlagField(entry.as_object(), "draining")) text += "!";
+    }
+    return text;
+  }
+
+  InventoryStandIn* inventory;
+};
+
+TEST_F(InventoryStandInTest, ChangesCanBeReadLateAndAreRecordedThen) {
+  EXPECT_EQ(Read(), "w1w2");
+  const auto changed = world.Now();
+  SendJson(inventory->endpoint(), "PUT", "/debug/draining", R"({"id":"w2","draining":true})");
+  EXPECT_EQ(Read(), "w1w2");
+  EXPECT_TRUE(EventsOf(HistoryEvent::kDrainingShown).empty());
+  world.RunFor(std::chrono::seconds(1));
+  EXPECT_EQ(Read(), "w1w2!");
+  const auto shown = EventsOf(HistoryEvent::kDrainingShown);
+  ASSERT_EQ(shown.size(), 1u);
+  EXPECT_EQ(shown[0].draining_shown().backend(), "w2");
+  const auto late = runtime::FromNanoseconds(shown[0].time_ns()) - changed;
+  EXPECT_GE(late, Milliseconds(500));
+  EXPECT_LE(late, Milliseconds(1010));
+
+  SendJson(inventory->endpoint(), "PUT", "/debug/behaviour", R"({"lateness_ms":0})");
+  SendJson(inventory->endpoint(), "PUT", "/debug/backends",
+           R"({"backends":[{"id":"w3","kind":"worker","labels":{"a":"b"}}]})");
+  EXPECT_EQ(Read(), "w3");
+  EXPECT_EQ(SendJson(inventory->endpoint(), "PUT", "/debug/draining", R"({"id":"w1"})").status,
+            400);
+}
+
+TEST_F(InventoryStandInTest, ReadsBeyondTheRateAreRefusedWithAWait) {
+  SendJson(inventory->endpoint(), "PUT", "/debug/behaviour", R"({"reads_per_second":2})");
+  world.RunFor(std::chrono::seconds(5));
+  int answered = 0;
+  std::string refusal;
+  const auto until = world.Now() + std::chrono::seconds(10);
+  while (world.Now() < until) {
+    const std::string read = Read();
+    if (read == "w1w2")
+      ++answered;
+    else
+      refusal = read;
+    world.RunFor(Milliseconds(50));
+  }
+  EXPECT_NEAR(answered, 2 + 20, 1);
+  EXPECT_THAT(refusal, ::testing::StartsWith("429 "));
+}
+
+}  // namespace
+}  // namespace posthatch::standins
--- a/src/posthatch/standins/inventory_standin.cc
+++ b/src/posthatch/standins/inventory_standin.cc
@@ -89,7 +89,7 @@
   rehearse::HistoryRecorder* const recorder_;
   runtime::Duration lateness_;
   double reads_per_second_;
-  double read_tokens_ = 1;
+  double read_tokens_ = 0;
   runtime::MonotonicTime tokens_as_of_;
   std::vector<InventoryBackend> newest_;
   std::deque<Pending> pending_;
@@ -101,6 +101,7 @@
 
 absl::Status InventoryStandIn::Impl::Start() {
   tokens_as_of_ = runtime_->clock->Now();
+  read_tokens_ = std::max(1.0, reads_per_second_);
   server_.Route("GET", "/v1/inventory",
                 [this](const RoutedRequest&, const WriterPointer& writer) { Read(writer); });
   server_.Route("PUT", "/debug/backends",
