--- a/src/posthatch/rehearse/checks/history_builder.h
+++ b/src/posthatch/rehearse/checks/history_builder.h
@@ -132,9 +132,7 @@
   }
 
   // The result of `check` over what was built so far.
-  CheckResult Examine(const Check& check) const {
-    return check.Run(RecordedHistory(Events()));
-  }
+  CheckResult Examine(const Check& check) const { return check.Run(RecordedHistory(Events())); }
 
   std::vector<HistoryEvent> Events() const {
     std::vector<HistoryEvent> events;
--- a/src/posthatch/rehearse/checks/recorded_history.h
+++ b/src/posthatch/rehearse/checks/recorded_history.h
@@ -84,8 +84,8 @@
   std::vector<const RunRecord*> RunsOf(const std::string& nonce) const;
   const RunRecord* FindRun(const std::string& run) const;  // null if no back end recorded it
 
-  // Times during which "ON=value" was certainly in force: from `grace_ns` after the acknowledgement of
-  // a change whose detail says `on`=value, until a change that says `off`=value was first sent.
+  // Times during which "ON=value" was certainly in force: from `grace_ns` after the acknowledgement
+  // of a change whose detail says `on`=value, until a change that says `off`=value was first sent.
   std::vector<Period> CertainPeriods(std::string_view on, std::string_view off,
                                      const std::string& value, int64_t grace_ns) const;
   // All values that any change's detail gives for `name`.
--- a/src/posthatch/rehearse/fault_injector.cc
+++ b/src/posthatch/rehearse/fault_injector.cc
@@ -169,12 +169,11 @@
                         fault.peer.zone.empty() && fault.peer.label.empty();
   // Processes that the same fault cuts off stay together.
   const std::vector<ProcessInfo> inside = ResolveTarget(fault.target, all, leader, random);
-  for (const ProcessInfo& peer :
-       everyone ? all : ResolveTarget(fault.peer, all, leader, random)) {
+  for (const ProcessInfo& peer : everyone ? all : ResolveTarget(fault.peer, all, leader, random)) {
     const bool picked = fault.target.name == "random" || fault.target.name == "leader";
-    const bool together = !picked && std::any_of(inside.begin(), inside.end(), [&](const auto& one) {
-      return one.name == peer.name;
-    });
+    const bool together =
+        !picked && std::any_of(inside.begin(), inside.end(),
+                               [&](const auto& one) { return one.name == peer.name; });
     if (peer.name == process.name || (everyone && together)) continue;
     active->links.emplace_back(process.name, peer.name);
     if (!fault.one_way) active->links.emplace_back(peer.name, process.name);
@@ -210,14 +209,14 @@
 }
 
 void FaultInjector::SetBehaviour(const ProcessInfo& process, const std::string& json) {
-  environment_.control->Put(process.http_endpoint, "/debug/behaviour", json,
-                            [this, name = process.name](const absl::Status& status,
-                                                        const std::string& /*body*/) {
-                              if (status.ok()) return;
-                              Fault fault;
-                              fault.kind = FaultKind::kAnswers;
-                              AddOutcome(fault, name, "failed: " + TextOf(status));
-                            });
+  environment_.control->Put(
+      process.http_endpoint, "/debug/behaviour", json,
+      [this, name = process.name](const absl::Status& status, const std::string& /*body*/) {
+        if (status.ok()) return;
+        Fault fault;
+        fault.kind = FaultKind::kAnswers;
+        AddOutcome(fault, name, "failed: " + TextOf(status));
+      });
 }
 
 void FaultInjector::End(const std::shared_ptr<ActiveFault>& active) {
@@ -242,8 +241,8 @@
     case FaultKind::kCut:
     case FaultKind::kSlowLink:
       for (const auto& [from, to] : active->links) {
-        status.Update(ChangeLink(from, to, active->fault.kind == FaultKind::kCut,
-                                 active->fault.amount, -1));
+        status.Update(
+            ChangeLink(from, to, active->fault.kind == FaultKind::kCut, active->fault.amount, -1));
       }
       break;
     case FaultKind::kEvents:
--- a/src/posthatch/rehearse/fault_injector.h
+++ b/src/posthatch/rehearse/fault_injector.h
@@ -19,8 +19,8 @@
 struct FaultOutcome {
   std::string kind;
   std::string target;
-  double at_s = 0;      // since the timeline's start
-  std::string result;   // "injected", "not applicable: ...", "skipped: ...", "failed: ..."
+  double at_s = 0;     // since the timeline's start
+  std::string result;  // "injected", "not applicable: ...", "skipped: ...", "failed: ..."
 };
 
 // Carries out a scenario's timeline of faults. Event loop thread only; owned by the rehearsal.
--- a/src/posthatch/rehearse/fleet.h
+++ b/src/posthatch/rehearse/fleet.h
@@ -60,8 +60,7 @@
   virtual absl::Status ClearDisk(const std::string& name) = 0;
   virtual absl::Status SetDiskDelay(const std::string& name, runtime::Duration per_sync) = 0;
   virtual absl::Status JumpClock(const std::string& name, runtime::Duration delta) = 0;
-  virtual absl::Status SetLink(const std::string& from, const std::string& to,
-                               LinkState state) = 0;
+  virtual absl::Status SetLink(const std::string& from, const std::string& to, LinkState state) = 0;
   // Kills the process for good and starts another with a new name and an empty data folder.
   virtual absl::StatusOr<ProcessInfo> Replace(const std::string& name) = 0;
   // Starts a process that is down at another address, with its data folder.
--- a/src/posthatch/rehearse/fleet_plan.h
+++ b/src/posthatch/rehearse/fleet_plan.h
@@ -13,7 +13,7 @@
 
 // One process to start.
 struct PlannedProcess {
-  std::string name;    // "gateway-1", "worker-3", "inventory"
+  std::string name;  // "gateway-1", "worker-3", "inventory"
   Role role = Role::kAny;
   uint32_t number = 1;  // within its role, from 1
   std::string zone;     // "z1"
@@ -22,7 +22,8 @@
   std::string service;  // application services
 };
 
-// Every process of the fleet, in the order of starting: inventory, back ends, controllers, gateways.
+// Every process of the fleet, in the order of starting: inventory, back ends, controllers,
+// gateways.
 std::vector<PlannedProcess> PlanFleet(const Scenario& scenario);
 // The process numbered `number` of `role`, as for PlanFleet; for replacements.
 PlannedProcess PlanProcess(const Scenario& scenario, Role role, uint32_t number);
--- a/src/posthatch/rehearse/report.cc
+++ b/src/posthatch/rehearse/report.cc
@@ -75,29 +75,28 @@
 json::object ReportObject(const RehearsalReport& report) {
   const Statistics& statistics = report.statistics;
   const RequestCounts& requests = statistics.requests;
-  json::object object = {
-      {"scenario", report.scenario},
-      {"mode", report.mode},
-      {"seed", report.seed},
-      {"duration_s", report.duration_s},
-      {"passed", Passed(report)},
-      {"failure", report.failure},
-      {"requests", json::object{{"sent", requests.sent},
-                                {"completed", requests.completed},
-                                {"refused", requests.refused},
-                                {"unknown", requests.unknown},
-                                {"left", requests.left}}},
-      {"invariants", InvariantsJson(report)},
-      {"latency_ms", PercentilesJson(statistics.latency_ms)},
-      {"first_token_ms", PercentilesJson(statistics.first_token_ms)},
-      {"token_gap_ms", PercentilesJson(statistics.token_gap_ms)},
-      {"prefix_hit_ratio", statistics.prefix_hit_ratio},
-      {"retry_ratio", statistics.retry_ratio},
-      {"config_in_force_ms", PercentilesJson(statistics.config_in_force_ms)},
-      {"revision_in_force_ms", PercentilesJson(statistics.revision_in_force_ms)},
-      {"faults", OutcomesJson(report.faults)},
-      {"operations", OutcomesJson(report.operations)},
-      {"goodput_after_faults", GoodputJson(statistics)}};
+  json::object object = {{"scenario", report.scenario},
+                         {"mode", report.mode},
+                         {"seed", report.seed},
+                         {"duration_s", report.duration_s},
+                         {"passed", Passed(report)},
+                         {"failure", report.failure},
+                         {"requests", json::object{{"sent", requests.sent},
+                                                   {"completed", requests.completed},
+                                                   {"refused", requests.refused},
+                                                   {"unknown", requests.unknown},
+                                                   {"left", requests.left}}},
+                         {"invariants", InvariantsJson(report)},
+                         {"latency_ms", PercentilesJson(statistics.latency_ms)},
+                         {"first_token_ms", PercentilesJson(statistics.first_token_ms)},
+                         {"token_gap_ms", PercentilesJson(statistics.token_gap_ms)},
+                         {"prefix_hit_ratio", statistics.prefix_hit_ratio},
+                         {"retry_ratio", statistics.retry_ratio},
+                         {"config_in_force_ms", PercentilesJson(statistics.config_in_force_ms)},
+                         {"revision_in_force_ms", PercentilesJson(statistics.revision_in_force_ms)},
+                         {"faults", OutcomesJson(report.faults)},
+                         {"operations", OutcomesJson(report.operations)},
+                         {"goodput_after_faults", GoodputJson(statistics)}};
   if (report.round_robin_hit_ratio) {
     object["round_robin_prefix_hit_ratio"] = *report.round_robin_hit_ratio;
   }
@@ -181,9 +180,9 @@
   const RequestCounts& requests = statistics.requests;
   std::string table = fmt::format("\n{} ({}, seed {}, {:.0f} s)\n", report.scenario, report.mode,
                                   report.seed, report.duration_s);
-  table += fmt::format("  requests: {} sent, {} completed, {} refused, {} unknown, {} left by callers\n",
-                       requests.sent, requests.completed, requests.refused, requests.unknown,
-                       requests.left);
+  table += fmt::format(
+      "  requests: {} sent, {} completed, {} refused, {} unknown, {} left by callers\n",
+      requests.sent, requests.completed, requests.refused, requests.unknown, requests.left);
   table += PercentilesLine("latency ms", statistics.latency_ms);
   table += PercentilesLine("first token ms", statistics.first_token_ms);
   table += PercentilesLine("between tokens ms", statistics.token_gap_ms);
@@ -208,8 +207,9 @@
   std::string findings;
   for (const CheckResult& check : report.checks) {
     if (CheckPassed(report, check)) continue;
-    findings += check.violations() > 0 ? fmt::format(" {}:{} violations", check.id(), check.violations())
-                                       : fmt::format(" {}:saw nothing", check.id());
+    findings += check.violations() > 0
+                    ? fmt::format(" {}:{} violations", check.id(), check.violations())
+                    : fmt::format(" {}:saw nothing", check.id());
   }
   if (!report.failure.empty()) findings += " failure: " + report.failure;
   if (!report.deterministic) findings += " not deterministic";
--- a/src/posthatch/rehearse/scenario.h
+++ b/src/posthatch/rehearse/scenario.h
@@ -11,20 +11,20 @@
 namespace posthatch::rehearse {
 
 enum class FaultKind {
-  kKill,        // the process dies at once and starts again
-  kStop,        // asked to end (SIGTERM: drains), and starts again
-  kFreeze,      // no instruction runs until woken
-  kDiskLoss,    // dies, and starts again with an empty data folder
-  kPowerLoss,   // dies and loses every write that was not synced, and starts again
-  kSlowDisk,    // each sync takes longer
-  kClockJump,   // the wall clock jumps
-  kCut,         // messages and connections are lost, one way or both
-  kSlowLink,    // everything takes longer on the way
-  kEvents,      // a worker's cache events are late, lost, reordered or doubled
-  kAnswers,     // a back end answers late, twice or crossed
-  kLostAck,     // answers to operators are lost
-  kReplace,     // dies for good; a new process with another id takes its place
-  kMoveSeed,    // stops, and starts again at another address
+  kKill,       // the process dies at once and starts again
+  kStop,       // asked to end (SIGTERM: drains), and starts again
+  kFreeze,     // no instruction runs until woken
+  kDiskLoss,   // dies, and starts again with an empty data folder
+  kPowerLoss,  // dies and loses every write that was not synced, and starts again
+  kSlowDisk,   // each sync takes longer
+  kClockJump,  // the wall clock jumps
+  kCut,        // messages and connections are lost, one way or both
+  kSlowLink,   // everything takes longer on the way
+  kEvents,     // a worker's cache events are late, lost, reordered or doubled
+  kAnswers,    // a back end answers late, twice or crossed
+  kLostAck,    // answers to operators are lost
+  kReplace,    // dies for good; a new process with another id takes its place
+  kMoveSeed,   // stops, and starts again at another address
 };
 
 enum class OperationKind {
@@ -46,7 +46,7 @@
   Role role = Role::kAny;
   std::string name;
   std::string zone;
-  std::string label;  // "key=value" of the inventory's labels; back ends only
+  std::string label;   // "key=value" of the inventory's labels; back ends only
   uint32_t count = 1;  // how many "random" picks
 };
 
@@ -56,24 +56,24 @@
   // How long it lasts; for those that end a process, how long it stays down.
   runtime::Duration duration = std::chrono::seconds(2);
   Target target;
-  Target peer;                        // cut, slow_link: the other side; unset: everything else
-  bool one_way = false;               // cut: only from target to peer
-  runtime::Duration amount{};         // slow_disk, slow_link, clock_jump, late events and answers
-  std::string mode;                   // events: late, lost, ...; answers: late, twice, crossed
-  double probability = 1.0;           // events, answers, lost_ack
+  Target peer;                 // cut, slow_link: the other side; unset: everything else
+  bool one_way = false;        // cut: only from target to peer
+  runtime::Duration amount{};  // slow_disk, slow_link, clock_jump, late events and answers
+  std::string mode;            // events: late, lost, ...; answers: late, twice, crossed
+  double probability = 1.0;    // events, answers, lost_ack
 };
 
 struct Operation {
   OperationKind kind = OperationKind::kConfigurationChange;
   runtime::Duration at{};
-  uint32_t repeat = 1;                 // how often in a row
+  uint32_t repeat = 1;  // how often in a row
   runtime::Duration every = std::chrono::seconds(1);
-  std::string zone;                    // evacuate, lift
-  std::string backend;                 // drain_mark: id or "random"
-  bool draining = true;                // drain_mark
-  std::string model;                   // model_revision; empty: the first
-  std::string tenant;                  // key_rotation, isolation_change; empty: the first
-  bool isolated = true;                // isolation_change
+  std::string zone;      // evacuate, lift
+  std::string backend;   // drain_mark: id or "random"
+  bool draining = true;  // drain_mark
+  std::string model;     // model_revision; empty: the first
+  std::string tenant;    // key_rotation, isolation_change; empty: the first
+  bool isolated = true;  // isolation_change
 };
 
 // Faults drawn from `kinds` by the seed, each at a random process that the kind fits.
@@ -104,11 +104,11 @@
 
 // Shares of the traffic, of a total that need not be 1.
 struct TrafficShares {
-  double completions = 0;     // long shared prefixes, whole answers
-  double streams = 0;         // the same, streamed
-  double chat = 0;            // streamed chat
-  double placements = 0;      // non-repeatable service operation
-  double questions = 0;       // small repeatable service operation
+  double completions = 0;  // long shared prefixes, whole answers
+  double streams = 0;      // the same, streamed
+  double chat = 0;         // streamed chat
+  double placements = 0;   // non-repeatable service operation
+  double questions = 0;    // small repeatable service operation
 };
 
 struct Traffic {
@@ -132,7 +132,7 @@
 };
 
 struct NotExamined {
-  std::string check;   // "N1" ... "N11"
+  std::string check;  // "N1" ... "N11"
   std::string reason;
 };
 
@@ -147,11 +147,11 @@
   Traffic traffic;
   WorkerModel worker;
   InventoryModel inventory;
-  std::vector<Fault> faults;           // by time
-  std::vector<Operation> operations;   // by time
+  std::vector<Fault> faults;          // by time
+  std::vector<Operation> operations;  // by time
   std::optional<Chaos> chaos;
   std::vector<NotExamined> not_examined;
-  bool round_robin_baseline = false;   // run the same traffic with round-robin routing as well
+  bool round_robin_baseline = false;  // run the same traffic with round-robin routing as well
 };
 
 }  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/scenario_loader.cc
+++ b/src/posthatch/rehearse/scenario_loader.cc
@@ -202,8 +202,8 @@
     if (const auto kind = FromName(kFaultKindNames, word)) {
       chaos.kinds.push_back(*kind);
     } else {
-      reader.Fail("kinds", fmt::format("unknown \"{}\" (allowed: {})", word,
-                                       AllowedNames(kFaultKindNames)));
+      reader.Fail("kinds",
+                  fmt::format("unknown \"{}\" (allowed: {})", word, AllowedNames(kFaultKindNames)));
     }
   }
   if (kinds.empty()) reader.Fail("kinds", "names no kind of fault");
@@ -238,8 +238,8 @@
   for (uint32_t number = 1; number <= scenario.fleet.zones; ++number) {
     if (zone == fmt::format("z{}", number)) return;
   }
-  reader->Fail(path, fmt::format("no such zone \"{}\" (allowed: z1 to z{})", zone,
-                                 scenario.fleet.zones));
+  reader->Fail(path,
+               fmt::format("no such zone \"{}\" (allowed: z1 to z{})", zone, scenario.fleet.zones));
 }
 
 void ReadTimeline(TableReader* reader, Scenario* scenario) {
@@ -310,8 +310,8 @@
     const toml::table root = toml::parse(toml_text, file_name);
     ReadScenario(TableReader(&root, "", &file_name, &loaded.errors), &loaded.scenario);
   } catch (const toml::parse_error& error) {
-    loaded.errors.push_back(fmt::format("{}:{}: not TOML: {}", file_name,
-                                        error.source().begin.line, error.description()));
+    loaded.errors.push_back(fmt::format("{}:{}: not TOML: {}", file_name, error.source().begin.line,
+                                        error.description()));
   }
   return loaded;
 }
--- a/src/posthatch/rehearse/statistics.h
+++ b/src/posthatch/rehearse/statistics.h
@@ -44,8 +44,8 @@
   Percentiles token_gap_ms;        // between pieces of a stream
   Percentiles config_in_force_ms;  // from an acknowledgement to the last sign of the state before
   Percentiles revision_in_force_ms;
-  double prefix_hit_ratio = 0;     // prompt blocks that were not prefilled, of all prompt blocks
-  double retry_ratio = 0;          // attempts beyond the first, of first attempts
+  double prefix_hit_ratio = 0;  // prompt blocks that were not prefilled, of all prompt blocks
+  double retry_ratio = 0;       // attempts beyond the first, of first attempts
   std::vector<Goodput> goodput;
 };
 
