--- a/src/posthatch/rehearse/checks/bounds.h
+++ b/src/posthatch/rehearse/checks/bounds.h
@@ -19,7 +19,7 @@
 
 // A read shows at least what was acknowledged before this.
 inline int64_t AskedAt(const HistoryEvent& event) {
-  const int64_t asked_ns = event.state_read().asked_ns();
+  const int64_t asked_ns = event.state_read().started_ns();
   return asked_ns > 0 ? asked_ns : event.time_ns() - kLongestReadNs;
 }
 
