--- /dev/null
+++ b/src/posthatch/rehearse/inventory_publisher.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/stand_in_control.h"
+
+namespace posthatch::rehearse {
+
+// Tells the inventory stand-in which back ends there are, when one is replaced or moved. The list it
+// starts with comes from its settings. Event loop thread only.
+class InventoryPublisher {
+ public:
+  InventoryPublisher(StandInControl* control, const Scenario* scenario)
+      : control_(control), scenario_(scenario) {}
+
+  // Sends the list if it differs from the last one.
+  void Publish(const std::vector<ProcessInfo>& processes);
+
+ private:
+  StandInControl* const control_;
+  const Scenario* const scenario_;
+  std::string last_;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/leader_watch.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/stand_in_control.h"
+
+namespace posthatch::rehearse {
+
+// Asks a controller now and then who leads, for faults that aim at the leader. A hint: by the time a
+// fault begins another one may lead. Event loop thread only.
+class LeaderWatch {
+ public:
+  LeaderWatch(StandInControl* control, runtime::Runtime* runtime, Fleet* fleet);
+  LeaderWatch(const LeaderWatch&) = delete;
+  LeaderWatch& operator=(const LeaderWatch&) = delete;
+
+  // Name of the leading controller; empty if unknown.
+  const std::string& leader() const { return leader_; }
+
+ private:
+  void Ask();
+
+  StandInControl* const control_;
+  runtime::Runtime* const runtime_;
+  Fleet* const fleet_;
+  std::string leader_;
+  runtime::Timer timer_;
+};
+
+// The leader's node id in the body of GET /admin/v1/controllers; empty if it names none.
+std::string LeaderIn(const std::string& controllers_json);
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/operation_runner.cc
@@ -0,0 +1,173 @@
+#include "posthatch/rehearse/operation_runner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "posthatch/rehearse/names.h"
+#include "posthatch/rehearse/target_resolver.h"
+#include "posthatch/standins/traffic_mix.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+// A tenant without keys, whose label counts the harmless changes.
+constexpr const char* kNotesTenant = "rehearsal-notes";
+constexpr const char* kIsolatedLabel = "isolated";
+
+control::ConfigurationPatch NotePatch(const std::string& note) {
+  control::ConfigurationPatch patch;
+  control::Tenant* tenant = patch.mutable_upsert()->add_tenants();
+  tenant->set_name(kNotesTenant);
+  (*tenant->mutable_labels())["note"] = note;
+  return patch;
+}
+
+}  // namespace
+
+control::ConfigurationPatch InitialPatch(const control::Configuration& configuration) {
+  control::ConfigurationPatch patch;
+  *patch.mutable_upsert() = configuration;
+  return patch;
+}
+
+std::string InitialDetail(const standins::TrafficMix& mix) {
+  std::string detail;
+  for (const standins::TenantTraffic& tenant : mix.tenants) {
+    detail += fmt::format("accept={} ", tenant.key_id);
+    if (tenant.isolated) detail += fmt::format("isolate={} ", tenant.name);
+  }
+  return detail;
+}
+
+OperationRunner::OperationRunner(Environment environment) : environment_(std::move(environment)) {}
+
+void OperationRunner::Start(const std::vector<Operation>& operations) {
+  runtime::Runtime* runtime = environment_.fleet->runtime();
+  started_ = runtime->clock->Now();
+  for (const Operation& operation : operations) {
+    for (uint32_t turn = 0; turn < operation.repeat; ++turn) {
+      timers_.push_back(std::make_unique<runtime::Timer>(runtime->timers));
+      timers_.back()->Start(operation.at + operation.every * turn,
+                            [this, operation] { Carry(operation); });
+    }
+  }
+}
+
+void OperationRunner::Carry(const Operation& operation) {
+  switch (operation.kind) {
+    case OperationKind::kConfigurationChange:
+      return ChangeConfiguration();
+    case OperationKind::kRacingChange:
+      return RaceForVersion();
+    case OperationKind::kKeyRotation:
+      if (!std::exchange(rotating_, true)) environment_.rotating_operator->Start();
+      return AddOutcome(operation.kind, "", "rotating from now on");
+    case OperationKind::kEvacuate:
+    case OperationKind::kLift:
+      // Named after its zone: the checks find it by that name.
+      return environment_.first_operator->Evacuate(operation.zone, operation.zone,
+                                                   operation.kind == OperationKind::kLift,
+                                                   Report(operation, operation.zone));
+    case OperationKind::kDrainMark:
+      return SetDrainMark(operation);
+    case OperationKind::kModelRevision:
+      return ReviseModel(operation.model.empty() ? environment_.first_model : operation.model);
+    case OperationKind::kIsolationChange:
+      return ChangeIsolation(operation);
+  }
+}
+
+void OperationRunner::ChangeConfiguration() {
+  Operation operation;
+  const std::string note = fmt::format("change-{}", ++changes_);
+  environment_.first_operator->PatchConfiguration(NotePatch(note), 0, "", Report(operation, note));
+}
+
+// Both operators expect the newest version that either has seen. Before anything was acknowledged
+// there is none to race for: the first change then only learns it.
+void OperationRunner::RaceForVersion() {
+  Operation operation;
+  operation.kind = OperationKind::kRacingChange;
+  const uint64_t expected = newest_version_;
+  const std::string note = fmt::format("race-{}", ++changes_);
+  environment_.first_operator->PatchConfiguration(NotePatch(note + "-first"), expected, "",
+                                                  Report(operation, note + "-first"));
+  if (expected == 0) return;
+  environment_.second_operator->PatchConfiguration(NotePatch(note + "-second"), expected, "",
+                                                   Report(operation, note + "-second"));
+}
+
+void OperationRunner::SetDrainMark(const Operation& operation) {
+  Target target;
+  target.role = operation.backend == "random" ? Role::kWorker : Role::kAny;
+  target.name = operation.backend;
+  const std::vector<ProcessInfo> processes = environment_.fleet->processes();
+  const auto backends =
+      ResolveTarget(target, processes, "", environment_.fleet->runtime()->random);
+  const auto inventory =
+      std::find_if(processes.begin(), processes.end(),
+                   [](const ProcessInfo& process) { return process.role == Role::kInventory; });
+  if (backends.empty() || inventory == processes.end()) {
+    return AddOutcome(operation.kind, operation.backend, "skipped: no such back end");
+  }
+  const std::string& name = backends.front().name;
+  const boost::json::object body = {{"id", name}, {"draining", operation.draining}};
+  environment_.control->Put(
+      inventory->http_endpoint, "/debug/draining", boost::json::serialize(body),
+      [this, name, operation](const absl::Status& status, const std::string& /*body*/) {
+        AddOutcome(operation.kind, name,
+                   status.ok() ? "marked" : "failed: " + std::string(util::ToStd(status.message())));
+      });
+}
+
+void OperationRunner::ReviseModel(const std::string& model) {
+  Operation operation;
+  operation.kind = OperationKind::kModelRevision;
+  environment_.first_operator->SetModelRevision(model, fmt::format("weights-{}", ++revisions_),
+                                                Report(operation, model));
+}
+
+void OperationRunner::ChangeIsolation(const Operation& operation) {
+  control::ConfigurationPatch patch;
+  auto* tenants = environment_.configuration.mutable_tenants();
+  const auto found = std::find_if(tenants->begin(), tenants->end(), [&](const auto& tenant) {
+    return operation.tenant.empty() || tenant.name() == operation.tenant;
+  });
+  if (found == tenants->end()) {
+    return AddOutcome(operation.kind, operation.tenant, "skipped: no such tenant");
+  }
+  (*found->mutable_labels())[kIsolatedLabel] = operation.isolated ? "yes" : "no";
+  *patch.mutable_upsert()->add_tenants() = *found;
+  const std::string detail =
+      fmt::format("{}={}", operation.isolated ? "isolate" : "share", found->name());
+  environment_.first_operator->PatchConfiguration(patch, 0, detail, Report(operation, detail));
+}
+
+standins::OperatorStandIn::ChangeDone OperationRunner::Report(const Operation& operation,
+                                                              const std::string& target) {
+  return [this, kind = operation.kind, target](const standins::ChangeOutcome& outcome) {
+    const bool configuration = kind == OperationKind::kConfigurationChange ||
+                               kind == OperationKind::kRacingChange ||
+                               kind == OperationKind::kIsolationChange;
+    if (configuration) newest_version_ = std::max(newest_version_, outcome.version);
+    if (outcome.acknowledged) {
+      AddOutcome(kind, target, fmt::format("acknowledged as {}", outcome.version));
+    } else {
+      AddOutcome(kind, target, outcome.refused ? "refused: " + outcome.code : "no answer");
+    }
+  };
+}
+
+void OperationRunner::AddOutcome(OperationKind kind, const std::string& target,
+                                 const std::string& result) {
+  const runtime::Duration since = environment_.fleet->runtime()->clock->Now() - started_;
+  outcomes_.push_back({std::string(ToName(kOperationKindNames, kind)), target,
+                       std::chrono::duration<double>(since).count(), result});
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/operation_runner.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/control/configuration.pb.h"
+#include "posthatch/rehearse/fault_injector.h"
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/scenario.h"
+#include "posthatch/rehearse/stand_in_control.h"
+#include "posthatch/standins/operator_standin.h"
+
+namespace posthatch::rehearse {
+
+// Carries out a scenario's timeline of operators' and the platform's doings. Event loop thread
+// only; owned by the rehearsal.
+class OperationRunner {
+ public:
+  struct Environment {
+    Fleet* fleet = nullptr;
+    StandInControl* control = nullptr;
+    standins::OperatorStandIn* first_operator = nullptr;
+    standins::OperatorStandIn* second_operator = nullptr;  // the rival in racing changes
+    // Rotates the probe tenant's key from its Start on.
+    standins::OperatorStandIn* rotating_operator = nullptr;
+    // As applied at the start: tenants are changed from it.
+    control::Configuration configuration;
+    std::string first_model;
+  };
+
+  explicit OperationRunner(Environment environment);
+  OperationRunner(const OperationRunner&) = delete;
+  OperationRunner& operator=(const OperationRunner&) = delete;
+
+  // Times count from now.
+  void Start(const std::vector<Operation>& operations);
+  // Begins nothing new.
+  void Stop() { timers_.clear(); }
+  const std::vector<FaultOutcome>& outcomes() const { return outcomes_; }
+
+ private:
+  void Carry(const Operation& operation);
+  void ChangeConfiguration();
+  void RaceForVersion();
+  void SetDrainMark(const Operation& operation);
+  void ReviseModel(const std::string& model);
+  void ChangeIsolation(const Operation& operation);
+  standins::OperatorStandIn::ChangeDone Report(const Operation& operation,
+                                               const std::string& target);
+  void AddOutcome(OperationKind kind, const std::string& target, const std::string& result);
+
+  Environment environment_;
+  runtime::MonotonicTime started_{};
+  uint64_t newest_version_ = 0;
+  uint64_t changes_ = 0;
+  uint64_t revisions_ = 0;
+  bool rotating_ = false;
+  std::vector<std::unique_ptr<runtime::Timer>> timers_;
+  std::vector<FaultOutcome> outcomes_;
+};
+
+// The configuration patch that brings `configuration` about, and the detail that the checks read:
+// which keys are accepted and which tenants isolated.
+control::ConfigurationPatch InitialPatch(const control::Configuration& configuration);
+std::string InitialDetail(const standins::TrafficMix& mix);
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/readiness_watch.cc
@@ -0,0 +1,39 @@
+#include "posthatch/rehearse/readiness_watch.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr runtime::Duration kAskInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
+ReadinessWatch::ReadinessWatch(StandInControl* control, runtime::Runtime* runtime)
+    : control_(control), timer_(runtime->timers) {}
+
+void ReadinessWatch::Start(const std::vector<ProcessInfo>& processes) {
+  processes_ = processes;
+  for (const ProcessInfo& process : processes) state_->waiting.insert(process.name);
+  Ask();
+}
+
+void ReadinessWatch::Ask() {
+  for (const ProcessInfo& process : processes_) {
+    if (state_->waiting.count(process.name) == 0) continue;
+    control_->Get(process.http_endpoint, "/readyz",
+                  [state = state_, name = process.name](const absl::Status& status,
+                                                        const std::string& /*body*/) {
+                    if (status.ok()) state->waiting.erase(name);
+                  });
+  }
+  timer_.Start(kAskInterval, [this] { Ask(); });
+}
+
+std::string ReadinessWatch::NotReady() const {
+  return fmt::format("{}", fmt::join(state_->waiting, ", "));
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/readiness_watch.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/stand_in_control.h"
+
+namespace posthatch::rehearse {
+
+// Asks every process for /readyz until each has answered 200 once. Event loop thread only.
+class ReadinessWatch {
+ public:
+  ReadinessWatch(StandInControl* control, runtime::Runtime* runtime);
+  ReadinessWatch(const ReadinessWatch&) = delete;
+  ReadinessWatch& operator=(const ReadinessWatch&) = delete;
+
+  void Start(const std::vector<ProcessInfo>& processes);
+  bool AllReady() const { return state_->waiting.empty(); }
+  // Names of those that are not ready, for messages.
+  std::string NotReady() const;
+
+ private:
+  // Outlives the watch while answers are on their way.
+  struct State {
+    std::set<std::string> waiting;
+  };
+  void Ask();
+
+  StandInControl* const control_;
+  std::shared_ptr<State> state_ = std::make_shared<State>();
+  std::vector<ProcessInfo> processes_;
+  runtime::Timer timer_;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/rehearsal.cc
@@ -0,0 +1,273 @@
+#include "posthatch/rehearse/rehearsal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/rehearse/answer_losing_client.h"
+#include "posthatch/rehearse/fault_injector.h"
+#include "posthatch/rehearse/fleet_plan.h"
+#include "posthatch/rehearse/inventory_publisher.h"
+#include "posthatch/rehearse/leader_watch.h"
+#include "posthatch/rehearse/operation_runner.h"
+#include "posthatch/rehearse/readiness_watch.h"
+#include "posthatch/rehearse/target_resolver.h"
+#include "posthatch/standins/caller_load.h"
+#include "posthatch/standins/key_probe.h"
+#include "posthatch/standins/operator_standin.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr runtime::Duration kStep = std::chrono::milliseconds(100);
+constexpr runtime::Duration kProgressInterval = std::chrono::seconds(1);
+constexpr runtime::Duration kReadyLimit = std::chrono::seconds(60);
+constexpr runtime::Duration kConfigurationLimit = std::chrono::seconds(30);
+constexpr runtime::Duration kLoadEndLimit = std::chrono::seconds(60);
+constexpr runtime::Duration kFinalReadLimit = std::chrono::seconds(20);
+constexpr runtime::Duration kReadInterval = std::chrono::seconds(2);
+constexpr runtime::Duration kRotationInterval = std::chrono::seconds(3);
+constexpr const char* kProbeTenant = "key-probe";
+
+std::vector<std::string> EndpointsOf(const std::vector<ProcessInfo>& processes,
+                                     const std::vector<Role>& roles) {
+  std::vector<std::string> endpoints;
+  for (const ProcessInfo& process : processes) {
+    if (std::find(roles.begin(), roles.end(), process.role) != roles.end()) {
+      endpoints.push_back(process.http_endpoint);
+    }
+  }
+  return endpoints;
+}
+
+standins::OperatorOptions OperatorNamed(const std::string& name, runtime::Duration rotation,
+                                        runtime::Duration reads) {
+  standins::OperatorOptions options;
+  options.name = name;
+  options.probe_tenant = kProbeTenant;
+  options.rotation_interval = rotation;
+  options.read_interval = reads;
+  return options;
+}
+
+}  // namespace
+
+class Rehearsal::Impl {
+ public:
+  Impl(const Scenario* scenario, Fleet* fleet, RehearsalOptions options)
+      : scenario_(*scenario), fleet_(fleet), options_(std::move(options)) {}
+
+  void Run(RehearsalReport* report);
+
+ private:
+  std::string Prepare();
+  std::string ApplyConfiguration();
+  std::string DriveLoad();
+  std::string EndLoad();
+  void ReadFinalState();
+  void MakeActors();
+  void ProcessesChanged();
+  // Runs the fleet until `condition` holds; false after `limit` or an interruption.
+  bool RunUntil(const std::function<bool()>& condition, runtime::Duration limit);
+  bool Interrupted() const { return options_.interrupted && options_.interrupted(); }
+  void Progress(runtime::Duration elapsed);
+
+  const Scenario& scenario_;
+  Fleet* const fleet_;
+  const RehearsalOptions options_;
+  standins::TrafficMix mix_;
+  control::Configuration configuration_;
+  std::unique_ptr<AnswerLosingClient> operators_client_;
+  runtime::Runtime operators_runtime_;
+  std::unique_ptr<StandInControl> control_;
+  std::unique_ptr<InventoryPublisher> inventory_;
+  std::unique_ptr<LeaderWatch> leader_watch_;
+  std::unique_ptr<standins::OperatorStandIn> first_operator_;
+  std::unique_ptr<standins::OperatorStandIn> second_operator_;
+  std::unique_ptr<standins::OperatorStandIn> rotating_operator_;
+  std::unique_ptr<standins::CallerLoad> load_;
+  std::unique_ptr<standins::KeyProbe> probe_;
+  std::unique_ptr<FaultInjector> faults_;
+  std::unique_ptr<OperationRunner> operations_;
+};
+
+void Rehearsal::Impl::Run(RehearsalReport* report) {
+  report->scenario = scenario_.name;
+  report->duration_s = std::chrono::duration<double>(scenario_.duration).count();
+  report->failure = Prepare();
+  if (report->failure.empty()) report->failure = DriveLoad();
+  if (load_ != nullptr) {
+    const std::string unfinished = EndLoad();
+    if (report->failure.empty()) report->failure = unfinished;
+    if (report->failure.empty()) ReadFinalState();
+    report->faults = faults_->outcomes();
+    report->operations = operations_->outcomes();
+  }
+  absl::StatusOr<std::vector<HistoryEvent>> events = fleet_->TakeHistory();
+  if (!events.ok()) {
+    if (report->failure.empty()) report->failure = events.status().ToString();
+    return;
+  }
+  report->trace_hash = fleet_->trace_hash();
+  const RecordedHistory history(*std::move(events));
+  ExamineHistory(scenario_, history, report);
+}
+
+std::string Rehearsal::Impl::Prepare() {
+  mix_ = PlanTraffic(scenario_);
+  configuration_ = standins::ConfigurationFor(mix_, scenario_.worker.block_tokens);
+  const absl::Status started = fleet_->Start();
+  if (!started.ok()) return "the fleet did not start: " + started.ToString();
+  MakeActors();
+  inventory_->Publish(fleet_->processes());
+  ReadinessWatch readiness(control_.get(), fleet_->runtime());
+  readiness.Start(fleet_->processes());
+  if (!RunUntil([&] { return readiness.AllReady(); }, kReadyLimit)) {
+    const std::string failure = fleet_->Failure();
+    return failure.empty() ? "not ready in time: " + readiness.NotReady() : failure;
+  }
+  return ApplyConfiguration();
+}
+
+void Rehearsal::Impl::MakeActors() {
+  runtime::Runtime* runtime = fleet_->runtime();
+  control_ = std::make_unique<StandInControl>(runtime);
+  inventory_ = std::make_unique<InventoryPublisher>(control_.get(), &scenario_);
+  leader_watch_ = std::make_unique<LeaderWatch>(control_.get(), runtime, fleet_);
+  operators_client_ = std::make_unique<AnswerLosingClient>(runtime->http_client, runtime->random);
+  operators_runtime_ = *runtime;
+  operators_runtime_.http_client = operators_client_.get();
+  const auto make_operator = [&](const std::string& name, runtime::Duration rotation,
+                                 runtime::Duration reads) {
+    return std::make_unique<standins::OperatorStandIn>(
+        &operators_runtime_, OperatorNamed(name, rotation, reads), fleet_->recorder());
+  };
+  first_operator_ = make_operator("operator-1", {}, kReadInterval);
+  second_operator_ = make_operator("operator-2", {}, {});
+  rotating_operator_ = make_operator("operator-3", kRotationInterval, {});
+  standins::CallerLoadOptions load;
+  load.mix = mix_;
+  load_ = std::make_unique<standins::CallerLoad>(runtime, load, fleet_->recorder());
+  standins::KeyProbeOptions probe;
+  probe.tenant = kProbeTenant;
+  probe.model = scenario_.models.front();
+  probe.newest_generation = [this] { return rotating_operator_->newest_generation(); };
+  probe_ = std::make_unique<standins::KeyProbe>(runtime, probe, fleet_->recorder());
+  faults_ = std::make_unique<FaultInjector>(FaultInjector::Environment{
+      fleet_, control_.get(), operators_client_.get(), [this] { return leader_watch_->leader(); },
+      [this] { ProcessesChanged(); }});
+  operations_ = std::make_unique<OperationRunner>(OperationRunner::Environment{
+      fleet_, control_.get(), first_operator_.get(), second_operator_.get(),
+      rotating_operator_.get(), configuration_, scenario_.models.front()});
+  ProcessesChanged();
+}
+
+void Rehearsal::Impl::ProcessesChanged() {
+  const std::vector<ProcessInfo> processes = fleet_->processes();
+  const std::vector<std::string> gateways = EndpointsOf(processes, {Role::kGateway});
+  const std::vector<std::string> nodes =
+      EndpointsOf(processes, {Role::kGateway, Role::kController});
+  load_->SetGateways(gateways);
+  probe_->SetGateways(gateways);
+  for (const auto& one : {&first_operator_, &second_operator_, &rotating_operator_}) {
+    (*one)->SetNodes(nodes);
+  }
+  inventory_->Publish(processes);
+}
+
+std::string Rehearsal::Impl::ApplyConfiguration() {
+  bool done = false;
+  standins::ChangeOutcome outcome;
+  first_operator_->PatchConfiguration(InitialPatch(configuration_), 0, InitialDetail(mix_),
+                                      [&](const standins::ChangeOutcome& result) {
+                                        outcome = result;
+                                        done = true;
+                                      });
+  if (!RunUntil([&] { return done; }, kConfigurationLimit)) {
+    return "the configuration was not acknowledged in time";
+  }
+  if (!outcome.acknowledged) return "the configuration was refused: " + outcome.code;
+  return "";
+}
+
+std::string Rehearsal::Impl::DriveLoad() {
+  first_operator_->Start();
+  load_->Start();
+  probe_->Start();
+  if (options_.with_timeline) {
+    faults_->Start(scenario_.faults);
+    if (scenario_.chaos) {
+      faults_->StartChaos(DrawChaos(*scenario_.chaos, fleet_->runtime()->random));
+    }
+    operations_->Start(scenario_.operations);
+  }
+  for (runtime::Duration elapsed{}; elapsed < scenario_.duration; elapsed += kProgressInterval) {
+    fleet_->RunFor(std::min(kProgressInterval, scenario_.duration - elapsed));
+    Progress(elapsed + kProgressInterval);
+    if (Interrupted()) return "interrupted";
+    if (const std::string failure = fleet_->Failure(); !failure.empty()) return failure;
+  }
+  return "";
+}
+
+void Rehearsal::Impl::Progress(runtime::Duration elapsed) {
+  if (!options_.on_progress) return;
+  const standins::CallerLoadCounts counts = load_->counts();
+  options_.on_progress(fmt::format(
+      "{:>4.0f} s  sent {}  completed {}  refused {}  unknown {}  in flight {}  faults {}",
+      std::chrono::duration<double>(elapsed).count(), counts.sent, counts.completed,
+      counts.refused, counts.unknown, counts.in_flight, faults_->outcomes().size()));
+}
+
+std::string Rehearsal::Impl::EndLoad() {
+  operations_->Stop();
+  faults_->EndAll();
+  probe_->Stop();
+  int open = 0;
+  const auto ended = [&open] { --open; };
+  open = 4;
+  load_->Stop(ended);
+  first_operator_->Stop(ended);
+  second_operator_->Stop(ended);
+  rotating_operator_->Stop(ended);
+  if (RunUntil([&] { return open == 0; }, kLoadEndLimit)) return "";
+  // Late callbacks must not find `open` gone.
+  load_.reset();
+  first_operator_.reset();
+  second_operator_.reset();
+  rotating_operator_.reset();
+  return "calls or changes did not end in time";
+}
+
+// Each node's view after everything: whatever was acknowledged has to be there.
+void Rehearsal::Impl::ReadFinalState() {
+  auto reader = std::make_unique<standins::OperatorStandIn>(
+      fleet_->runtime(), OperatorNamed("final-reader", {}, {}), fleet_->recorder());
+  size_t open = 0;
+  for (const std::string& node :
+       EndpointsOf(fleet_->processes(), {Role::kGateway, Role::kController})) {
+    ++open;
+    reader->ReadState(node, [&open](bool) { --open; });
+  }
+  RunUntil([&] { return open == 0; }, kFinalReadLimit);
+}
+
+bool Rehearsal::Impl::RunUntil(const std::function<bool()>& condition, runtime::Duration limit) {
+  for (runtime::Duration waited{}; waited < limit; waited += kStep) {
+    if (condition()) return true;
+    if (Interrupted() || !fleet_->Failure().empty()) return false;
+    fleet_->RunFor(kStep);
+  }
+  return condition();
+}
+
+Rehearsal::Rehearsal(const Scenario* scenario, Fleet* fleet, RehearsalOptions options)
+    : impl_(std::make_unique<Impl>(scenario, fleet, std::move(options))) {}
+
+Rehearsal::~Rehearsal() = default;
+
+void Rehearsal::Run(RehearsalReport* report) { impl_->Run(report); }
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/rehearsal.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/report.h"
+#include "posthatch/rehearse/scenario.h"
+
+namespace posthatch::rehearse {
+
+struct RehearsalOptions {
+  bool with_timeline = true;  // false: load only, for the baseline
+  // Gets a short line about every second of the load.
+  std::function<void(const std::string&)> on_progress;
+  // Looked at about every second: true ends the rehearsal early, as failed.
+  std::function<bool()> interrupted;
+};
+
+// Takes a fleet through a scenario: starts it, waits until it serves, applies the configuration,
+// drives load and timeline, reads the state back, and gives the history. The same for real and
+// simulated fleets.
+class Rehearsal {
+ public:
+  // All outlive the rehearsal. The fleet is new.
+  Rehearsal(const Scenario* scenario, Fleet* fleet, RehearsalOptions options);
+  ~Rehearsal();
+  Rehearsal(const Rehearsal&) = delete;
+  Rehearsal& operator=(const Rehearsal&) = delete;
+
+  // Carries it all out and examines the history. `report` gets the failure if it can't.
+  void Run(RehearsalReport* report);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace posthatch::rehearse
