--- /dev/null
+++ b/src/posthatch/rehearse/child_process.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace posthatch::rehearse {
+
+// A process that this tool started. It never outlives the object: the destructor kills it and waits
+// for its end. Every child is also known to KillAllChildren.
+class ChildProcess {
+ public:
+  // Starts `arguments[0]` with the rest as its arguments; output goes to the end of `log_file`.
+  // Errors: Internal with the system's reason.
+  static absl::StatusOr<std::unique_ptr<ChildProcess>> Start(
+      const std::vector<std::string>& arguments, const std::string& log_file);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  // Whether it has not ended yet; notices an end at once.
+  bool running();
+  absl::Status Signal(int signal_number);
+  // Kills it, also if it is stopped, and waits for its end.
+  void Kill();
+  // "exit code 3" or "signal 11"; empty while it runs.
+  const std::string& end() const { return end_; }
+  pid_t pid() const { return pid_; }
+
+ private:
+  explicit ChildProcess(pid_t pid) : pid_(pid) {}
+  void TakeEnd(int wait_status);
+
+  const pid_t pid_;
+  bool ended_ = false;
+  std::string end_;
+};
+
+// Kills every running child. May be called from a signal handler.
+void KillAllChildren();
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/command_line.cc
@@ -0,0 +1,200 @@
+#include "posthatch/rehearse/command_line.h"
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+#include <utility>
+
+#include "posthatch/rehearse/checks/check.h"
+#include "posthatch/rehearse/interruption.h"
+#include "posthatch/rehearse/names.h"
+#include "posthatch/rehearse/real_run.h"
+#include "posthatch/rehearse/report.h"
+#include "posthatch/rehearse/scenario_loader.h"
+#include "posthatch/rehearse/seed_runner.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr uint32_t kMostThreads = 4;
+constexpr uint64_t kMostSeeds = 100000;
+// Start, end of load and final reads of a real run, on top of its duration.
+constexpr uint32_t kRunOverheadSeconds = 300;
+
+struct Arguments {
+  std::string folder = "scenarios";
+  std::string scenario_file;
+  std::string report_file;
+  std::string run_folder;
+  std::string posthatchd;
+  std::string posthatch_standin;
+  std::string seeds = "1-20";
+  uint64_t seed = 0;
+  double duration_s = 0;
+  uint32_t threads = kMostThreads;
+  bool verify_determinism = false;
+  bool keep = false;
+  bool no_baseline = false;
+};
+
+int ReportErrors(const std::vector<std::string>& errors) {
+  for (const std::string& error : errors) std::cerr << error << "\n";
+  return kExitBadInput;
+}
+
+int List(const Arguments& arguments) {
+  std::error_code error;
+  std::vector<fs::path> files;
+  for (const auto& entry : fs::directory_iterator(arguments.folder, error)) {
+    if (entry.path().extension() == ".toml") files.push_back(entry.path());
+  }
+  if (error) return ReportErrors({arguments.folder + ": " + error.message()});
+  std::sort(files.begin(), files.end());
+  int exit_code = kExitPassed;
+  for (const fs::path& file : files) {
+    const LoadedScenario loaded = LoadScenarioFile(file.string());
+    if (!loaded.ok()) exit_code = ReportErrors(loaded.errors);
+    std::cout << fmt::format("{:<44} {:>5.0f} s  {}\n", file.string(),
+                             std::chrono::duration<double>(loaded.scenario.duration).count(),
+                             loaded.scenario.summary);
+  }
+  std::cout << "\nfaults: " << AllowedNames(kFaultKindNames)
+            << "\noperations: " << AllowedNames(kOperationKindNames)
+            << "\nThe grammar is in docs/REHEARSAL.md.\n";
+  return exit_code;
+}
+
+int WriteReport(const Arguments& arguments, const std::string& text, bool passed) {
+  if (!arguments.report_file.empty()) {
+    const absl::Status written = WriteFile(arguments.report_file, text);
+    if (!written.ok()) return ReportErrors({std::string(written.message())});
+    std::cout << "report: " << arguments.report_file << "\n";
+  }
+  return passed ? kExitPassed : kExitFailed;
+}
+
+int RunReal(const Arguments& arguments, Scenario scenario) {
+  if (arguments.seed != 0) scenario.seed = arguments.seed;
+  if (arguments.no_baseline) scenario.round_robin_baseline = false;
+  const auto seconds = std::chrono::duration<double>(scenario.duration).count();
+  InstallInterruption(kRunOverheadSeconds + static_cast<uint32_t>(2 * seconds));
+  RealRunOptions options;
+  options.posthatchd = arguments.posthatchd;
+  options.posthatch_standin = arguments.posthatch_standin;
+  options.run_folder = arguments.run_folder;
+  options.keep_run_folder = arguments.keep;
+  options.on_progress = [](const std::string& line) { std::cerr << line << std::endl; };
+  options.interrupted = Interrupted;
+  const absl::StatusOr<RehearsalReport> report = RunRealScenario(scenario, options);
+  if (!report.ok()) return ReportErrors({report.status().ToString()});
+  std::cout << SummaryTable(*report);
+  return WriteReport(arguments, ReportJson(*report), Passed(*report));
+}
+
+bool ParseSeeds(const std::string& text, SeedRunOptions* options) {
+  unsigned long long first = 0;  // NOLINT(google-runtime-int): sscanf's type
+  unsigned long long last = 0;   // NOLINT(google-runtime-int): sscanf's type
+  char rest = 0;
+  const int found = std::sscanf(text.c_str(), "%llu-%llu%c", &first, &last, &rest);
+  if (found == 1) last = first;
+  const bool whole = found == 2 || (found == 1 && text.find('-') == std::string::npos);
+  options->first_seed = first;
+  options->last_seed = last;
+  return whole && first <= last && last - first < kMostSeeds;
+}
+
+int Simulate(const Arguments& arguments, const Scenario& scenario,
+             daemon::ProcessFactory* factory) {
+  SeedRunOptions options;
+  if (!ParseSeeds(arguments.seeds, &options)) {
+    return ReportErrors({fmt::format("--seeds {}: must be A-B or A (allowed: at most {} seeds)",
+                                     arguments.seeds, kMostSeeds)});
+  }
+  InstallInterruption(0);
+  options.threads = arguments.threads;
+  options.verify_determinism = arguments.verify_determinism;
+  options.interrupted = Interrupted;
+  options.on_report = [](const RehearsalReport& report) {
+    std::cout << SeedLine(report) << std::flush;
+  };
+  const std::vector<RehearsalReport> reports = SimulateSeeds(scenario, options, factory);
+  const bool passed = std::all_of(reports.begin(), reports.end(), Passed);
+  const auto failed = std::find_if(reports.begin(), reports.end(),
+                                   [](const RehearsalReport& report) { return !Passed(report); });
+  // One whole table: of the first failure, or else of the last seed.
+  std::cout << SummaryTable(failed == reports.end() ? reports.back() : *failed);
+  std::cout << fmt::format("{} of {} seeds passed\n",
+                           std::count_if(reports.begin(), reports.end(), Passed), reports.size());
+  return WriteReport(arguments, SeedsJson(reports), passed);
+}
+
+void AddCommonOptions(CLI::App* command, Arguments* arguments) {
+  command->add_option("scenario", arguments->scenario_file, "Scenario file (docs/REHEARSAL.md)")
+      ->required();
+  command->add_option("--report", arguments->report_file, "Where the JSON report goes");
+  command->add_option("--duration", arguments->duration_s,
+                      "Seconds of load, in place of the scenario's; later entries are left out")
+      ->check(CLI::Range(1.0, 86400.0));
+}
+
+// Entries of the timeline that don't fit into a shorter run are left out.
+void SetDuration(double seconds, Scenario* scenario) {
+  scenario->duration = std::chrono::duration_cast<runtime::Duration>(
+      std::chrono::duration<double>(seconds));
+  const auto beyond = [&](const auto& entry) { return entry.at >= scenario->duration; };
+  scenario->faults.erase(
+      std::remove_if(scenario->faults.begin(), scenario->faults.end(), beyond),
+      scenario->faults.end());
+  scenario->operations.erase(
+      std::remove_if(scenario->operations.begin(), scenario->operations.end(), beyond),
+      scenario->operations.end());
+  if (scenario->chaos) scenario->chaos->until = std::min(scenario->chaos->until, scenario->duration);
+}
+
+}  // namespace
+
+int RunCommandLine(int argc, const char* const* argv, daemon::ProcessFactory* factory) {
+  CLI::App app("Rehearses a posthatch fleet: load, faults, checks N1 to N11", "posthatch-rehearse");
+  app.require_subcommand(1);
+  Arguments arguments;
+  const fs::path program = fs::read_symlink("/proc/self/exe");
+  const fs::path programs = program.parent_path().parent_path();
+  arguments.posthatchd = (programs / "daemon" / "posthatchd").string();
+  arguments.posthatch_standin = (programs / "standins" / "posthatch-standin").string();
+  CLI::App* list = app.add_subcommand("list", "Scenarios of a folder");
+  list->add_option("folder", arguments.folder, "Folder of scenario files")->capture_default_str();
+  CLI::App* run = app.add_subcommand("run", "A fleet of real processes on this machine");
+  AddCommonOptions(run, &arguments);
+  run->add_option("--seed", arguments.seed, "In place of the scenario's seed");
+  run->add_option("--run-folder", arguments.run_folder, "Settings, data and logs; must not exist");
+  run->add_option("--posthatchd", arguments.posthatchd, "Path of the program");
+  run->add_option("--posthatch-standin", arguments.posthatch_standin, "Path of the program");
+  run->add_flag("--keep", arguments.keep, "Keep the run folder also after a pass");
+  run->add_flag("--no-baseline", arguments.no_baseline, "Leave out the round-robin run");
+  CLI::App* simulate = app.add_subcommand("simulate", "The simulator, many seeds");
+  AddCommonOptions(simulate, &arguments);
+  simulate->add_option("--seeds", arguments.seeds, "First and last seed, A-B")
+      ->capture_default_str();
+  simulate->add_option("--threads", arguments.threads, "Seeds at once")
+      ->check(CLI::Range(1u, kMostThreads));
+  simulate->add_flag("--verify-determinism", arguments.verify_determinism,
+                     "Run each seed twice and compare the trace hashes");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitPassed : kExitBadInput;
+  }
+  if (list->parsed()) return List(arguments);
+  LoadedScenario loaded = LoadScenarioFile(arguments.scenario_file);
+  if (!loaded.ok()) return ReportErrors(loaded.errors);
+  if (arguments.duration_s > 0) SetDuration(arguments.duration_s, &loaded.scenario);
+  if (run->parsed()) return RunReal(arguments, std::move(loaded.scenario));
+  return Simulate(arguments, loaded.scenario, factory);
+}
+
+}  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/fleet_plan.h
+++ b/src/posthatch/rehearse/fleet_plan.h
@@ -22,6 +22,9 @@
   std::string service;  // application services
 };
 
+// Settings take up to three seed addresses.
+inline constexpr size_t kMostSeeds = 3;
+
 // Every process of the fleet, in the order of starting: inventory, back ends, controllers,
 // gateways.
 std::vector<PlannedProcess> PlanFleet(const Scenario& scenario);
--- /dev/null
+++ b/src/posthatch/rehearse/free_port.cc
@@ -0,0 +1,61 @@
+#include "posthatch/rehearse/free_port.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace posthatch::rehearse {
+
+namespace {
+
+constexpr int kTries = 50;
+
+class Socket {
+ public:
+  explicit Socket(int type) : descriptor_(socket(AF_INET, type | SOCK_CLOEXEC, 0)) {}
+  ~Socket() {
+    if (descriptor_ >= 0) close(descriptor_);
+  }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+
+  bool Bind(const sockaddr_in& address) const {
+    return bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+  }
+  uint16_t BoundPort() const {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &length);
+    return ntohs(address.sin_port);
+  }
+
+ private:
+  const int descriptor_;
+};
+
+}  // namespace
+
+absl::StatusOr<uint16_t> FreePort(const std::string& address) {
+  sockaddr_in wanted{};
+  wanted.sin_family = AF_INET;
+  if (inet_pton(AF_INET, address.c_str(), &wanted.sin_addr) != 1) {
+    return absl::InvalidArgumentError("not an address: " + address);
+  }
+  for (int tries = 0; tries < kTries; ++tries) {
+    const Socket stream(SOCK_STREAM);
+    wanted.sin_port = 0;
+    if (!stream.Bind(wanted)) {
+      return absl::InternalError(address + ": " + std::strerror(errno));
+    }
+    wanted.sin_port = htons(stream.BoundPort());
+    const Socket datagram(SOCK_DGRAM);
+    if (datagram.Bind(wanted)) return stream.BoundPort();
+  }
+  return absl::ResourceExhaustedError(address + ": no free port");
+}
+
+}  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/inventory_publisher.cc
+++ b/src/posthatch/rehearse/inventory_publisher.cc
@@ -1,6 +1,8 @@
 #include "posthatch/rehearse/inventory_publisher.h"
 
 #include <boost/json.hpp>
+#include <cstdlib>
+#include <utility>
 
 #include "posthatch/rehearse/fleet_plan.h"
 
@@ -10,12 +12,12 @@
 
 namespace json = boost::json;
 
-json::object EntryJson(const standins::InventoryBackend& backend) {
+json::object EntryJson(const standins::InventoryBackend& backend, bool draining) {
   json::object labels;
   for (const auto& [key, value] : backend.labels) labels[key] = value;
   return {{"id", backend.id},           {"kind", backend.kind},   {"endpoint", backend.endpoint},
           {"zone", backend.zone},       {"model", backend.model}, {"service", backend.service},
-          {"labels", std::move(labels)}, {"draining", false}};
+          {"labels", std::move(labels)}, {"draining", draining}};
 }
 
 uint32_t NumberOf(const std::string& name) {
@@ -26,18 +28,30 @@
 
 void InventoryPublisher::Publish(const std::vector<ProcessInfo>& processes) {
   json::array backends;
-  std::string inventory_endpoint;
   for (const ProcessInfo& process : processes) {
-    if (process.role == Role::kInventory) inventory_endpoint = process.http_endpoint;
+    if (process.role == Role::kInventory) inventory_endpoint_ = process.http_endpoint;
     if (!IsBackend(process.role)) continue;
-    const PlannedProcess plan = PlanProcess(*scenario_, process.role, NumberOf(process.name));
-    backends.push_back(EntryJson(InventoryEntry(plan, process.http_endpoint)));
+    PlannedProcess plan = PlanProcess(*scenario_, process.role, NumberOf(process.name));
+    plan.zone = process.zone;
+    backends.push_back(EntryJson(InventoryEntry(plan, process.http_endpoint),
+                                 draining_.count(process.name) > 0));
   }
   const std::string body = json::serialize(json::object{{"backends", std::move(backends)}});
-  if (body == last_ || inventory_endpoint.empty()) return;
+  if (body == last_ || inventory_endpoint_.empty()) return;
   const bool first = last_.empty();
   last_ = body;
-  if (!first) control_->Put(inventory_endpoint, "/debug/backends", body, nullptr);
+  if (!first) control_->Put(inventory_endpoint_, "/debug/backends", body, nullptr);
+}
+
+void InventoryPublisher::SetDraining(const std::string& backend, bool draining,
+                                     StandInControl::Done done) {
+  if (draining) {
+    draining_.insert(backend);
+  } else {
+    draining_.erase(backend);
+  }
+  const json::object body = {{"id", backend}, {"draining", draining}};
+  control_->Put(inventory_endpoint_, "/debug/draining", json::serialize(body), std::move(done));
 }
 
 }  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/inventory_publisher.h
+++ b/src/posthatch/rehearse/inventory_publisher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,10 +18,14 @@
 
   // Sends the list if it differs from the last one.
   void Publish(const std::vector<ProcessInfo>& processes);
+  // Marks a back end as draining or not; later lists keep the mark.
+  void SetDraining(const std::string& backend, bool draining, StandInControl::Done done);
 
  private:
   StandInControl* const control_;
   const Scenario* const scenario_;
+  std::set<std::string> draining_;
+  std::string inventory_endpoint_;
   std::string last_;
 };
 
--- a/src/posthatch/rehearse/operation_runner.cc
+++ b/src/posthatch/rehearse/operation_runner.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <utility>
 
 #include "posthatch/rehearse/names.h"
@@ -106,19 +105,14 @@
   Target target;
   target.role = operation.backend == "random" ? Role::kWorker : Role::kAny;
   target.name = operation.backend;
-  const std::vector<ProcessInfo> processes = environment_.fleet->processes();
-  const auto backends =
-      ResolveTarget(target, processes, "", environment_.fleet->runtime()->random);
-  const auto inventory =
-      std::find_if(processes.begin(), processes.end(),
-                   [](const ProcessInfo& process) { return process.role == Role::kInventory; });
-  if (backends.empty() || inventory == processes.end()) {
+  const auto backends = ResolveTarget(target, environment_.fleet->processes(), "",
+                                      environment_.fleet->runtime()->random);
+  if (backends.empty()) {
     return AddOutcome(operation.kind, operation.backend, "skipped: no such back end");
   }
   const std::string& name = backends.front().name;
-  const boost::json::object body = {{"id", name}, {"draining", operation.draining}};
-  environment_.control->Put(
-      inventory->http_endpoint, "/debug/draining", boost::json::serialize(body),
+  environment_.inventory->SetDraining(
+      name, operation.draining,
       [this, name, operation](const absl::Status& status, const std::string& /*body*/) {
         AddOutcome(operation.kind, name,
                    status.ok() ? "marked" : "failed: " + std::string(util::ToStd(status.message())));
--- a/src/posthatch/rehearse/operation_runner.h
+++ b/src/posthatch/rehearse/operation_runner.h
@@ -8,8 +8,9 @@
 #include "posthatch/rehearse/fault_injector.h"
 #include "posthatch/rehearse/fleet.h"
 #include "posthatch/rehearse/scenario.h"
-#include "posthatch/rehearse/stand_in_control.h"
+#include "posthatch/rehearse/inventory_publisher.h"
 #include "posthatch/standins/operator_standin.h"
+#include "posthatch/standins/traffic_mix.h"
 
 namespace posthatch::rehearse {
 
@@ -19,7 +20,7 @@
  public:
   struct Environment {
     Fleet* fleet = nullptr;
-    StandInControl* control = nullptr;
+    InventoryPublisher* inventory = nullptr;
     standins::OperatorStandIn* first_operator = nullptr;
     standins::OperatorStandIn* second_operator = nullptr;  // the rival in racing changes
     // Rotates the probe tenant's key from its Start on.
--- /dev/null
+++ b/src/posthatch/rehearse/real_fleet.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "posthatch/asio/asio_runtime.h"
+#include "posthatch/rehearse/child_process.h"
+#include "posthatch/rehearse/fleet.h"
+#include "posthatch/rehearse/fleet_plan.h"
+#include "posthatch/rehearse/history/recorders.h"
+#include "posthatch/rehearse/node_plan.h"
+#include "posthatch/rehearse/stand_in_control.h"
+
+namespace posthatch::rehearse {
+
+struct RealFleetOptions {
+  std::string posthatchd;         // path of the program
+  std::string posthatch_standin;  // path of the program
+  std::string run_folder;         // settings, data, logs and histories go below it
+  uint64_t seed = 1;              // of callers, operators and random faults
+  bool round_robin = false;
+};
+
+// A fleet of real processes on loopback addresses, one address a process. The only part of posthatch
+// that starts processes; all end with the object.
+class RealFleet : public Fleet {
+ public:
+  // `scenario` outlives the fleet.
+  RealFleet(const Scenario* scenario, RealFleetOptions options);
+  ~RealFleet() override;
+
+  absl::Status Start() override;
+  void RunFor(runtime::Duration duration) override;
+  runtime::Runtime* runtime() override { return &runtime_; }
+  HistoryRecorder* recorder() override { return recorder_.get(); }
+  std::vector<ProcessInfo> processes() const override;
+  std::string Failure() override;
+
+  absl::Status Kill(const std::string& name) override;
+  absl::Status Stop(const std::string& name) override;
+  absl::Status Restart(const std::string& name) override;
+  absl::Status Freeze(const std::string& name) override;
+  absl::Status Thaw(const std::string& name) override;
+  absl::Status PowerOff(const std::string& name) override;
+  absl::Status ClearDisk(const std::string& name) override;
+  absl::Status SetDiskDelay(const std::string& name, runtime::Duration per_sync) override;
+  absl::Status JumpClock(const std::string& name, runtime::Duration delta) override;
+  absl::Status SetLink(const std::string& from, const std::string& to, LinkState state) override;
+  absl::StatusOr<ProcessInfo> Replace(const std::string& name) override;
+  absl::StatusOr<ProcessInfo> Move(const std::string& name) override;
+  absl::StatusOr<std::vector<HistoryEvent>> TakeHistory() override;
+
+ private:
+  struct Member;
+
+  absl::Status AddMember(const PlannedProcess& plan);
+  absl::Status PlaceMember(Member* member, uint32_t move);
+  absl::Status Launch(Member* member);
+  std::string SettingsOf(const Member& member) const;
+  std::vector<standins::InventoryBackend> Backends() const;
+  FleetAddresses Addresses() const;
+  Member* Find(const std::string& name) const;
+  ProcessInfo InfoOf(const Member& member) const;
+  // Sends a posthatch process the faults that hold for it now, until it has taken them.
+  void SendFaults(const std::string& name, int tries);
+  std::string FaultsJson(const Member& member) const;
+
+  const Scenario& scenario_;
+  const RealFleetOptions options_;
+  std::unique_ptr<asio::AsioRuntime> asio_runtime_;
+  runtime::Runtime runtime_;  // the real one, with random numbers by the seed
+  std::unique_ptr<runtime::Random> random_;
+  std::vector<HistoryEvent> events_;
+  std::unique_ptr<MemoryHistoryRecorder> recorder_;
+  std::unique_ptr<StandInControl> control_;
+  std::vector<std::unique_ptr<Member>> members_;
+  std::vector<std::string> histories_;  // files, also of processes that were replaced
+  std::map<Role, uint32_t> newest_number_;
+  std::map<std::pair<std::string, std::string>, LinkState> links_;
+  std::vector<std::unique_ptr<runtime::Timer>> timers_;
+};
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/real_run.cc
@@ -0,0 +1,81 @@
+#include "posthatch/rehearse/real_run.h"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+#include "posthatch/rehearse/real_fleet.h"
+#include "posthatch/rehearse/rehearsal.h"
+
+namespace posthatch::rehearse {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+absl::StatusOr<std::string> MakeRunFolder(const std::string& wanted) {
+  std::error_code error;
+  if (!wanted.empty()) {
+    if (!fs::create_directories(wanted, error)) {
+      return absl::FailedPreconditionError(wanted + ": exists, or can't be made");
+    }
+    return fs::absolute(wanted).string();
+  }
+  std::string pattern = (fs::temp_directory_path() / "posthatch-rehearse-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) return absl::InternalError(pattern + ": can't be made");
+  return pattern;
+}
+
+// One fleet from start to end; its history goes into `report`.
+void RunFleet(const Scenario& scenario, const RealRunOptions& options,
+              const std::string& run_folder, bool round_robin, RehearsalReport* report) {
+  RealFleetOptions fleet_options;
+  fleet_options.posthatchd = options.posthatchd;
+  fleet_options.posthatch_standin = options.posthatch_standin;
+  fleet_options.run_folder = run_folder;
+  fleet_options.seed = scenario.seed;
+  fleet_options.round_robin = round_robin;
+  RealFleet fleet(&scenario, fleet_options);
+  RehearsalOptions rehearsal_options;
+  rehearsal_options.with_timeline = !round_robin;
+  rehearsal_options.on_progress = options.on_progress;
+  rehearsal_options.interrupted = options.interrupted;
+  Rehearsal(&scenario, &fleet, rehearsal_options).Run(report);
+}
+
+}  // namespace
+
+absl::StatusOr<RehearsalReport> RunRealScenario(const Scenario& scenario,
+                                                const RealRunOptions& options) {
+  for (const std::string& program : {options.posthatchd, options.posthatch_standin}) {
+    if (!fs::exists(program)) return absl::NotFoundError(program + ": no such program");
+  }
+  const absl::StatusOr<std::string> folder = MakeRunFolder(options.run_folder);
+  if (!folder.ok()) return folder.status();
+  std::error_code error;
+  fs::create_directory(*folder + "/fleet", error);
+  fs::create_directory(*folder + "/baseline", error);
+  RehearsalReport report;
+  report.mode = "run";
+  report.seed = scenario.seed;
+  RunFleet(scenario, options, *folder + "/fleet", /*round_robin=*/false, &report);
+  if (scenario.round_robin_baseline && report.failure.empty()) {
+    if (options.on_progress) options.on_progress("the same traffic with round-robin routing:");
+    RehearsalReport baseline;
+    RunFleet(scenario, options, *folder + "/baseline", /*round_robin=*/true, &baseline);
+    if (baseline.failure.empty()) {
+      report.round_robin_hit_ratio = baseline.statistics.prefix_hit_ratio;
+    } else {
+      report.failure = "baseline: " + baseline.failure;
+    }
+  }
+  if (Passed(report) && !options.keep_run_folder) {
+    fs::remove_all(*folder, error);
+  } else if (options.on_progress) {
+    options.on_progress("settings, data and logs are kept in " + *folder);
+  }
+  return report;
+}
+
+}  // namespace posthatch::rehearse
--- /dev/null
+++ b/src/posthatch/rehearse/real_run.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "posthatch/rehearse/report.h"
+#include "posthatch/rehearse/scenario.h"
+
+namespace posthatch::rehearse {
+
+struct RealRunOptions {
+  std::string posthatchd;
+  std::string posthatch_standin;
+  // New folder for settings, data, logs and histories; empty: one below the system's temporary
+  // folder. It is removed after a pass unless kept.
+  std::string run_folder;
+  bool keep_run_folder = false;
+  std::function<void(const std::string&)> on_progress;
+  std::function<bool()> interrupted;
+};
+
+// The scenario with real processes, and after it the baseline if the scenario asks for one. Errors:
+// the run folder can't be made, or a program is missing; everything else is in the report.
+absl::StatusOr<RehearsalReport> RunRealScenario(const Scenario& scenario,
+                                                const RealRunOptions& options);
+
+}  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/rehearsal.cc
+++ b/src/posthatch/rehearse/rehearsal.cc
@@ -159,7 +159,7 @@
       fleet_, control_.get(), operators_client_.get(), [this] { return leader_watch_->leader(); },
       [this] { ProcessesChanged(); }});
   operations_ = std::make_unique<OperationRunner>(OperationRunner::Environment{
-      fleet_, control_.get(), first_operator_.get(), second_operator_.get(),
+      fleet_, inventory_.get(), first_operator_.get(), second_operator_.get(),
       rotating_operator_.get(), configuration_, scenario_.models.front()});
   ProcessesChanged();
 }
--- /dev/null
+++ b/src/posthatch/rehearse/seed_runner.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "posthatch/daemon/process_factory.h"
+#include "posthatch/rehearse/report.h"
+#include "posthatch/rehearse/scenario.h"
+
+namespace posthatch::rehearse {
+
+struct SeedRunOptions {
+  uint64_t first_seed = 1;
+  uint64_t last_seed = 1;
+  uint32_t threads = 4;              // seeds at once, each in a world of its own
+  bool verify_determinism = false;   // each seed twice: the trace hashes must agree
+  // Called as each seed ends, one at a time, from any thread.
+  std::function<void(const RehearsalReport&)> on_report;
+  // Looked at before and during each seed.
+  std::function<bool()> interrupted;
+};
+
+// One seed of a scenario in the simulator.
+RehearsalReport SimulateSeed(const Scenario& scenario, uint64_t seed,
+                             daemon::ProcessFactory* factory,
+                             const std::function<bool()>& interrupted);
+
+// All seeds, by rising seed in the result. `factory` is used by several threads at once.
+std::vector<RehearsalReport> SimulateSeeds(const Scenario& scenario, const SeedRunOptions& options,
+                                           daemon::ProcessFactory* factory);
+
+}  // namespace posthatch::rehearse
