Run replicas over the simulator under mixed faults, check their histories

Each run mixes kills, power loss of one and of all right after an acknowledgement, lost disks, freezes, slow and full disks, clock jumps, one-way and two-way cuts and rolling restarts; the checks look for lost or doubled commands, diverging replicas, two leaders in a term, two quorums at once and reads or appends out of real-time order. Found by it and mended: the log's folder was not synced into its parent, so power loss of all replicas after the first acknowledgements lost the whole log; a disk that was full at start ended the replica.

--- /dev/null
+++ b/src/posthatch/consensus/log_history-test.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace posthatch::consensus {
+
+// What clients and replicas of a replicated log saw in one run, and the checks on it. The log of
+// commands itself is the object: an append's answer is its position, a read's answer is how many
+// commands it saw. Positions give the order, so linearizability is that no operation that ended
+// before another began comes after it in that order.
+class LogHistory {
+ public:
+  struct Operation {
+    bool is_read = false;
+    std::string command;  // of appends
+    int64_t begin_ns = 0;
+    std::optional<int64_t> end_ns;  // not set: no answer, or an uncertain one
+    uint64_t position = 0;          // of an answered append, or commands seen by a read
+  };
+
+  void AddOperation(Operation operation) { operations_.push_back(std::move(operation)); }
+
+  // A replica applied `command` as the `position`-th.
+  void OnApplied(const std::string& replica, uint64_t position, const std::string& command) {
+    const auto [known, is_new] = applied_.emplace(position, command);
+    if (!is_new && known->second != command) {
+      violations_.push_back(replica + " applied another command at " + std::to_string(position));
+    }
+    if (is_new && !commands_.emplace(command, position).second) {
+      violations_.push_back("command " + command + " applied twice");
+    }
+  }
+
+  void OnLeader(const std::string& replica, uint64_t term) {
+    const auto [known, is_new] = leaders_.emplace(term, replica);
+    if (!is_new && known->second != replica) {
+      violations_.push_back("two leaders in term " + std::to_string(term));
+    }
+  }
+
+  // Several replicas said at one moment that a majority is theirs.
+  void OnTwoQuorums() { violations_.push_back("two replicas have a quorum at the same time"); }
+
+  // All violations. `final_length`: how many commands the replicas hold in the end.
+  std::vector<std::string> Check(uint64_t final_length) const {
+    std::vector<std::string> violations = violations_;
+    CheckAcknowledged(final_length, &violations);
+    CheckOrder(&violations);
+    return violations;
+  }
+
+  size_t acknowledged() const {
+    return static_cast<size_t>(
+        std::count_if(operations_.begin(), operations_.end(),
+                      [](const Operation& op) { return !op.is_read && op.end_ns.has_value(); }));
+  }
+  size_t reads() const {
+    return static_cast<size_t>(
+        std::count_if(operations_.begin(), operations_.end(),
+                      [](const Operation& op) { return op.is_read && op.end_ns.has_value(); }));
+  }
+  size_t leaders() const { return leaders_.size(); }
+
+ private:
+  void CheckAcknowledged(uint64_t final_length, std::vector<std::string>* violations) const {
+    for (const Operation& operation : operations_) {
+      if (operation.is_read || !operation.end_ns.has_value()) continue;
+      const auto found = commands_.find(operation.command);
+      if (found == commands_.end() || found->second != operation.position ||
+          operation.position > final_length) {
+        violations->push_back("acknowledged command " + operation.command + " is lost");
+      }
+    }
+  }
+
+  // Rank of an operation in the order of the log: a read stands behind the append it saw last.
+  static std::pair<uint64_t, bool> Rank(const Operation& operation) {
+    return {operation.position, operation.is_read};
+  }
+
+  void CheckOrder(std::vector<std::string>* violations) const {
+    std::vector<Operation> finished;
+    for (const Operation& operation : operations_) {
+      if (operation.end_ns.has_value()) finished.push_back(operation);
+      const auto found = commands_.find(operation.command);
+      const bool took_effect = !operation.is_read && found != commands_.end();
+      if (operation.end_ns.has_value() || !took_effect) continue;
+      // Unanswered but in the log: it began before any operation that saw it ended.
+      Operation effective = operation;
+      effective.position = found->second;
+      finished.push_back(effective);
+    }
+    std::vector<const Operation*> by_begin;
+    std::vector<const Operation*> by_end;
+    for (const Operation& operation : finished) {
+      by_begin.push_back(&operation);
+      if (operation.end_ns.has_value()) by_end.push_back(&operation);
+    }
+    std::sort(by_begin.begin(), by_begin.end(),
+              [](const Operation* a, const Operation* b) { return a->begin_ns < b->begin_ns; });
+    std::sort(by_end.begin(), by_end.end(),
+              [](const Operation* a, const Operation* b) { return *a->end_ns < *b->end_ns; });
+    std::pair<uint64_t, bool> highest_ended{0, false};
+    size_t ended = 0;
+    for (const Operation* operation : by_begin) {
+      while (ended < by_end.size() && *by_end[ended]->end_ns < operation->begin_ns) {
+        highest_ended = std::max(highest_ended, Rank(*by_end[ended++]));
+      }
+      // Reads of equal length may follow each other; an append must come after everything.
+      if (Rank(*operation) < highest_ended) {
+        violations->push_back((operation->is_read ? "read of " : "append at ") +
+                              std::to_string(operation->position) + " began after " +
+                              std::to_string(highest_ended.first) + " was seen");
+      }
+    }
+  }
+
+  std::vector<Operation> operations_;
+  std::map<uint64_t, std::string> applied_;   // by position
+  std::map<std::string, uint64_t> commands_;  // position of each
+  std::map<uint64_t, std::string> leaders_;   // by term
+  std::vector<std::string> violations_;
+};
+
+}  // namespace posthatch::consensus
--- a/src/posthatch/storage/log_recovery.cc
+++ b/src/posthatch/storage/log_recovery.cc
@@ -165,6 +165,18 @@
   return std::optional<Snapshot>(*std::move(snapshot));
 }
 
+// Creates the folder and makes it durable, that is, its entry in its parent and so on up to the
+// data folder.
+std::vector<FileOperation> FolderCreation(const std::string& folder) {
+  std::vector<FileOperation> operations{{FileOperation::Kind::kCreateDirectory, folder, "", "", 0}};
+  for (std::string path = folder; !path.empty();) {
+    const size_t slash = path.rfind('/');
+    path = slash == std::string::npos ? std::string() : path.substr(0, slash);
+    operations.push_back({FileOperation::Kind::kSyncDirectory, path, "", "", 0});
+  }
+  return operations;
+}
+
 }  // namespace
 
 std::string SegmentPath(const std::string& folder, uint64_t sequence) {
@@ -238,8 +250,8 @@
   absl::StatusOr<RecoveredLog> log = RecoverLog(folder, *files, metadata);
   if (!log.ok()) return log.status();
   // A killed process may have renamed a snapshot without syncing the folder, or left a part of one.
-  log->repairs.insert(log->repairs.begin(),
-                      {FileOperation::Kind::kCreateDirectory, folder, "", "", 0});
+  const std::vector<FileOperation> creation = FolderCreation(folder);
+  log->repairs.insert(log->repairs.begin(), creation.begin(), creation.end());
   for (const std::string& name : names) {
     if (absl::EndsWith(name, kTemporarySuffix)) {
       log->repairs.push_back(
--- a/src/posthatch/storage/log_writer.cc
+++ b/src/posthatch/storage/log_writer.cc
@@ -29,14 +29,20 @@
 
 void LogWriter::Open(Done done) {
   writing_ = true;
-  std::vector<FileOperation> operations = repairs_;
-  file_system_->Submit(std::move(operations),
-                       Guard([this, done = std::move(done)](const absl::Status& status) {
-                         writing_ = false;
-                         if (!status.ok()) failure_ = status;
-                         done(status);
-                         if (!writing_) WriteNext();
-                       }));
+  write_started_ = clock_->Now();
+  std::vector<FileOperation> operations = repairs_;  // all of them may be done again
+  file_system_->Submit(
+      std::move(operations), Guard([this, done = std::move(done)](const absl::Status& status) {
+        disk_full_ = absl::IsResourceExhausted(status);
+        if (disk_full_) {
+          retry_timer_.Start(options_.full_disk_retry, [this, done] { Open(done); });
+          return;
+        }
+        writing_ = false;
+        if (!status.ok()) failure_ = status;
+        done(status);
+        if (!writing_) WriteNext();
+      }));
 }
 
 void LogWriter::Append(LogBatch batch, Done done) {
