Add posthatch-standin: worker, store, service and inventory as processes

Settings come from a TOML file, from flags, or both (flags override); the file's keys are handed to CLI11 as flags, so that there is one table of settings.

--- /dev/null
+++ b/src/posthatch/standins/fault_route.cc
@@ -0,0 +1,41 @@
+#include "posthatch/standins/fault_route.h"
+
+#include <utility>
+
+#include "posthatch/standins/json_body.h"
+#include "posthatch/util/string_view.h"
+
+namespace posthatch::standins {
+
+absl::StatusOr<std::unique_ptr<http::HttpServer>> FaultRoute::Listen(const std::string& endpoint,
+                                                                     http::ServerLimits limits,
+                                                                     http::Handler handler) {
+  http::HttpServerFactory* const servers = asio_runtime_->runtime()->http_servers;
+  if (asio_runtime_->faults() == nullptr) {
+    return servers->Listen(endpoint, limits, std::move(handler));
+  }
+  return servers->Listen(endpoint, limits,
+                         [this, handler = std::move(handler)](
+                             http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+                           if (request.method == "PUT" && request.target == "/debug/faults") {
+                             SetFaults(request, writer.get());
+                           } else {
+                             handler(std::move(request), std::move(writer));
+                           }
+                         });
+}
+
+void FaultRoute::SetFaults(const http::Request& request, http::ResponseWriter* writer) {
+  absl::StatusOr<asio::FaultRules> rules = asio::ParseFaultRules(request.body);
+  if (!rules.ok()) {
+    writer->SendWhole(NotExecuted(400, "bad_request", util::ToStd(rules.status().message())));
+    return;
+  }
+  writer->SendWhole(JsonResponse(200, boost::json::object{{"acknowledged", true}}));
+  // After the answer to this call has gone out: it may cut its own caller off.
+  asio_runtime_->Post([this, rules = *std::move(rules)]() mutable {
+    asio_runtime_->faults()->SetRules(std::move(rules));
+  });
+}
+
+}  // namespace posthatch::standins
--- /dev/null
+++ b/src/posthatch/standins/main.cc
@@ -0,0 +1,87 @@
+// posthatch-standin: one stand-in as a process, for rehearsals.
+#include <iostream>
+#include <memory>
+
+#include "posthatch/asio/asio_runtime.h"
+#include "posthatch/rehearse/history/recorders.h"
+#include "posthatch/standins/fault_route.h"
+#include "posthatch/standins/program_options.h"
+#include "posthatch/standins/worker_standin.h"
+
+namespace posthatch::standins {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitStartFailed = 1;
+
+int ReportStartFailure(const absl::Status& status) {
+  std::cerr << "posthatch-standin: not started: " << status.ToString() << "\n";
+  return kExitStartFailed;
+}
+
+// Serves until SIGTERM or SIGINT. Runs in progress are cut then, as by any worker that is stopped.
+template <typename StandIn, typename Settings>
+int Serve(asio::AsioRuntime* asio_runtime, const std::string& id, const Settings& settings,
+          const std::string& history) {
+  FaultRoute fault_route(asio_runtime);
+  runtime::Runtime runtime = *asio_runtime->runtime();
+  runtime.http_servers = &fault_route;
+  const auto recorder = rehearse::JsonlHistoryRecorder::Open(runtime.clock, id, history);
+  if (!recorder.ok()) return ReportStartFailure(recorder.status());
+  StandIn standin(&runtime, settings, recorder->get());
+  const absl::Status started = standin.Start();
+  if (!started.ok()) return ReportStartFailure(started);
+  runtime.trace->Event(runtime::Severity::kInfo, "StandInStarted",
+                       {{"id", id}, {"endpoint", standin.endpoint()}});
+  asio_runtime->OnTerminationSignal([asio_runtime] { asio_runtime->Stop(); });
+  asio_runtime->Run();
+  runtime.trace->Event(runtime::Severity::kInfo, "StandInStopped",
+                       {{"id", id}, {"lost_history_events", (*recorder)->lost_events()}});
+  return kExitOk;
+}
+
+std::string IdOf(const ProgramOptions& options) {
+  switch (options.role) {
+    case StandInRole::kWorker:
+      return options.worker.id;
+    case StandInRole::kStore:
+      return options.store.id;
+    case StandInRole::kService:
+      return options.service.id;
+    case StandInRole::kInventory:
+      break;
+  }
+  return "inventory";
+}
+
+int Run(const ProgramOptions& options) {
+  const std::string id = IdOf(options);
+  asio::AsioRuntimeOptions runtime_options;
+  runtime_options.node_id = id;
+  runtime_options.log_file = options.log_file;
+  runtime_options.enable_fault_injection = options.enable_fault_injection;
+  const auto asio_runtime = asio::AsioRuntime::Create(runtime_options);
+  if (!asio_runtime.ok()) return ReportStartFailure(asio_runtime.status());
+  asio::AsioRuntime* const running = asio_runtime->get();
+  switch (options.role) {
+    case StandInRole::kWorker:
+      return Serve<WorkerStandIn>(running, id, options.worker, options.history);
+    case StandInRole::kStore:
+      return Serve<StoreStandIn>(running, id, options.store, options.history);
+    case StandInRole::kService:
+      return Serve<ServiceStandIn>(running, id, options.service, options.history);
+    case StandInRole::kInventory:
+      return Serve<InventoryStandIn>(running, id, options.inventory, options.history);
+  }
+  return kExitStartFailed;
+}
+
+}  // namespace
+}  // namespace posthatch::standins
+
+int main(int argc, char** argv) {
+  const auto result = posthatch::standins::ReadProgramOptions(argc, argv);
+  if (result.run) return posthatch::standins::Run(result.options);
+  (result.exit_code == 0 ? std::cout : std::cerr) << result.message;
+  return result.exit_code;
+}
--- /dev/null
+++ b/src/posthatch/standins/program_options.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "posthatch/standins/inventory_standin.h"
+#include "posthatch/standins/service_standin.h"
+#include "posthatch/standins/store_standin.h"
+#include "posthatch/standins/worker_settings.h"
+
+namespace posthatch::standins {
+
+enum class StandInRole { kWorker, kStore, kService, kInventory };
+
+// What `posthatch-standin` was asked to be.
+struct ProgramOptions {
+  StandInRole role = StandInRole::kWorker;
+  std::string history;   // file that events are appended to
+  std::string log_file;  // empty: stderr
+  bool enable_fault_injection = false;
+  // Only the one of `role` is filled in.
+  WorkerSettings worker;
+  StoreSettings store;
+  ServiceSettings service;
+  InventorySettings inventory;
+};
+
+// How reading the command line ended: with options, or with a text to print and an exit code.
+struct ProgramOptionsResult {
+  bool run = false;
+  ProgramOptions options;
+  int exit_code = 0;
+  std::string message;
+};
+
+// Reads `posthatch-standin ROLE [--config FILE] [flags]`. The file is TOML with the flags' names in
+// snake_case (and [[backends]] for the inventory); flags override it. Wrong ones: exit code 2.
+ProgramOptionsResult ReadProgramOptions(int argc, const char* const* argv);
+
+}  // namespace posthatch::standins
