--- a/src/posthatch/rehearse/checks/bounds.h
+++ b/src/posthatch/rehearse/checks/bounds.h
@@ -19,8 +19,8 @@
 
 // A read shows at least what was acknowledged before this.
 inline int64_t AskedAt(const HistoryEvent& event) {
-  const int64_t asked_ns = event.state_read().started_ns();
-  return asked_ns > 0 ? asked_ns : event.time_ns() - kLongestReadNs;
+  const int64_t started_ns = event.state_read().started_ns();
+  return started_ns > 0 ? started_ns : event.time_ns() - kLongestReadNs;
 }
 
 }  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/checks/durability_check.cc
+++ b/src/posthatch/rehearse/checks/durability_check.cc
@@ -63,9 +63,9 @@
   for (const HistoryEvent& event : history.events()) {
     if (!event.has_state_read()) continue;
     const StateRead& read = event.state_read();
-    const int64_t asked_ns = AskedAt(event);
+    const int64_t started_ns = AskedAt(event);
     for (const ChangeRecord& change : history.changes()) {
-      if (change.acknowledged_ns() >= asked_ns) continue;
+      if (change.acknowledged_ns() >= started_ns) continue;
       result.Examine();
       const auto missing = MissingIn(history, change, read, event.time_ns());
       if (!missing || !reported.insert(change.request_id).second) continue;
