Add posthatchctl

Command line by CLI11, requests of docs/API.md, targets tried in turn with one request id, exit codes 0 done, 1 refused, 2 usage, 3 uncertain; a selector that matches nothing or everything must be confirmed. The inventory view has the form of the platform's list, so that one reader serves both.

--- a/src/posthatch/control/state_views.cc
+++ b/src/posthatch/control/state_views.cc
@@ -3,11 +3,13 @@
 #include <google/protobuf/util/json_util.h>
 
 #include <boost/json.hpp>
+#include <map>
 #include <vector>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "posthatch/control/configuration_patch.h"
+#include "posthatch/control/selector.h"
 #include "posthatch/util/string_view.h"
 
 namespace posthatch::control {
@@ -99,10 +101,24 @@
   return Found(boost::json::object{{"isolation", std::move(domains)}});
 }
 
+// In the form of the platform's own list (docs/BACKENDS.md).
 View InventoryView(const ControlState& state) {
   boost::json::array backends;
   for (const Backend& backend : state.fleet().inventory().backends()) {
-    backends.push_back(ToJson(backend));
+    boost::json::object labels;
+    const std::map<std::string, std::string> sorted(backend.labels().begin(),
+                                                    backend.labels().end());
+    for (const auto& [key, value] : sorted) labels[key] = value;
+    const LabelMap all_labels = BackendLabels(backend);
+    const auto kind = all_labels.find("kind");
+    backends.push_back(boost::json::object{{"id", backend.id()},
+                                           {"kind", kind == all_labels.end() ? "" : kind->second},
+                                           {"endpoint", backend.endpoint()},
+                                           {"zone", backend.zone()},
+                                           {"model", backend.model()},
+                                           {"service", backend.service()},
+                                           {"labels", std::move(labels)},
+                                           {"draining", backend.draining()}});
   }
   return Found(boost::json::object{{"version", state.fleet().inventory().version()},
                                    {"backends", std::move(backends)}});
--- /dev/null
+++ b/src/posthatch/ctl/invocation.cc
@@ -0,0 +1,174 @@
+#include "posthatch/ctl/invocation.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
+namespace posthatch::ctl {
+namespace {
+
+bool ReadFile(const std::string& path, std::string* content) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return false;
+  std::ostringstream buffer;
+  buffer << file.rdbuf();
+  *content = buffer.str();
+  return true;
+}
+
+// The command line's grammar; values go straight into the invocation.
+class CommandLine {
+ public:
+  CommandLine() : app_("Operates a posthatch fleet from any of its gateways or controllers") {
+    app_.require_subcommand(1);
+    AddOptions();
+    AddConfigCommands();
+    AddEvacuationCommands();
+    AddModelCommands();
+    AddViews();
+  }
+
+  ParseOutcome Parse(int argument_count, const char* const* arguments) {
+    ParseOutcome outcome;
+    try {
+      app_.parse(argument_count, arguments);
+    } catch (const CLI::ParseError& error) {
+      std::ostringstream text;
+      const int code = app_.exit(error, text, text);
+      outcome.exit_code = code == 0 ? ExitCode::kOk : ExitCode::kUsage;
+      outcome.message = text.str();
+      return outcome;
+    }
+    outcome.message = ReadFiles();
+    outcome.run = outcome.message.empty();
+    outcome.exit_code = outcome.run ? ExitCode::kOk : ExitCode::kUsage;
+    outcome.invocation = invocation_;
+    return outcome;
+  }
+
+ private:
+  CLI::App* Add(CLI::App* parent, const std::string& name, const std::string& help,
+                CommandKind kind) {
+    CLI::App* command = parent->add_subcommand(name, help);
+    command->callback([this, kind] { invocation_.command = kind; });
+    return command;
+  }
+
+  void AddOptions() {
+    app_.fallthrough();
+    app_.add_option("--target", invocation_.targets, "HTTP addresses ip:port, tried in turn")
+        ->required()
+        ->delimiter(',');
+    const std::map<std::string, OutputFormat> formats = {{"json", OutputFormat::kJson},
+                                                         {"table", OutputFormat::kTable}};
+    app_.add_option("-o,--output", invocation_.output, "json or table (default)")
+        ->transform(CLI::CheckedTransformer(formats));
+    app_.add_option("--token-file", token_file_, "File with the operators' bearer token");
+    app_.add_option(
+            "--request-id", invocation_.request_id,
+            "Id of the change, 1 to 128 characters: give the printed one again to resend it")
+        ->check([](const std::string& text) {
+          return text.empty() || text.size() > 128 ? std::string("1 to 128 characters")
+                                                   : std::string();
+        });
+    app_.add_option("--timeout-ms", invocation_.timeout_ms,
+                    "How long to try for, all targets together")
+        ->check(CLI::Range(100, 600000));
+    app_.add_flag("--yes", invocation_.confirmed,
+                  "Confirms a selector that matches nothing or everything");
+  }
+
+  void AddConfigCommands() {
+    CLI::App* config = app_.add_subcommand("config", "The operators' configuration");
+    config->require_subcommand(1);
+    CLI::App* apply =
+        Add(config, "apply", "Puts a configuration in force", CommandKind::kConfigApply);
+    apply->add_option("file", file_, "JSON file: a whole configuration")->required();
+    apply->add_flag("--patch", invocation_.is_patch, "The file is a partial change");
+    AddExpectedVersion(apply);
+    CLI::App* get = Add(config, "get", "Shows a configuration", CommandKind::kConfigGet);
+    get->add_option("--version", invocation_.version, "Default: the newest");
+    Add(config, "history", "Lists the versions that are kept", CommandKind::kConfigHistory);
+    CLI::App* diff =
+        Add(config, "diff", "Names what differs between two versions", CommandKind::kConfigDiff);
+    diff->add_option("from", invocation_.from_version)->required();
+    diff->add_option("to", invocation_.to_version, "Default: the newest");
+    CLI::App* rollback = Add(config, "rollback", "Makes a new version equal to an old one",
+                             CommandKind::kConfigRollback);
+    rollback->add_option("version", invocation_.version)->required()->check(CLI::PositiveNumber);
+    AddExpectedVersion(rollback);
+  }
+
+  void AddEvacuationCommands() {
+    CLI::App* evacuate =
+        Add(&app_, "evacuate", "Keeps new work away from all that match", CommandKind::kEvacuate);
+    evacuate->add_option("name", invocation_.name)->required();
+    evacuate->add_option("--selector", invocation_.selector, "For example zone=eu-1a,!canary")
+        ->required();
+    CLI::App* lift = Add(&app_, "lift", "Ends an evacuation", CommandKind::kLift);
+    lift->add_option("name", invocation_.name)->required();
+    CLI::App* drain = app_.add_subcommand(
+        "drain", "Keeps new work away from one back end: evacuates drain-ID by id=ID");
+    drain->add_option("id", drain_id_)->required();
+    drain->callback([this] {
+      invocation_.command = CommandKind::kEvacuate;
+      invocation_.name = "drain-" + drain_id_;
+      invocation_.selector = "id=" + drain_id_;
+    });
+    Add(&app_, "evacuations", "Lists the standing evacuations", CommandKind::kEvacuations);
+  }
+
+  void AddModelCommands() {
+    CLI::App* revision =
+        Add(&app_, "model-revision", "Names a model's new weights", CommandKind::kModelRevision);
+    revision->add_option("model", invocation_.name)->required();
+    revision->add_option("weights", invocation_.weights)->required();
+    revision->add_option("--expected-revision", invocation_.expected_version,
+                         "Refuse if this isn't the newest revision");
+    Add(&app_, "model-revisions", "Lists the newest revisions", CommandKind::kModelRevisions);
+  }
+
+  void AddViews() {
+    Add(&app_, "members", "Lists the processes that the target knows", CommandKind::kMembers);
+    Add(&app_, "leases", "Lists which gateway holds which worker", CommandKind::kLeases);
+    Add(&app_, "inventory", "Lists the back ends", CommandKind::kInventory);
+    Add(&app_, "controllers", "Shows the replicated log's state", CommandKind::kControllers);
+    CLI::App* index = app_.add_subcommand("index", "The prefix cache index");
+    index->require_subcommand(1);
+    Add(index, "stats", "Shows the target's index", CommandKind::kIndexStats);
+  }
+
+  void AddExpectedVersion(CLI::App* command) {
+    command->add_option("--expected-version", invocation_.expected_version,
+                        "Refuse if this isn't the newest version");
+  }
+
+  // Empty, or what is wrong.
+  std::string ReadFiles() {
+    if (!file_.empty() && !ReadFile(file_, &invocation_.file_content)) {
+      return "can't read " + file_ + "\n";
+    }
+    if (token_file_.empty()) return {};
+    if (!ReadFile(token_file_, &invocation_.token)) return "can't read " + token_file_ + "\n";
+    absl::StripAsciiWhitespace(&invocation_.token);
+    return {};
+  }
+
+  CLI::App app_;
+  Invocation invocation_;
+  std::string file_;
+  std::string token_file_;
+  std::string drain_id_;
+};
+
+}  // namespace
+
+ParseOutcome ParseCommandLine(int argument_count, const char* const* arguments) {
+  return CommandLine().Parse(argument_count, arguments);
+}
+
+}  // namespace posthatch::ctl
--- /dev/null
+++ b/src/posthatch/ctl/invocation.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace posthatch::ctl {
+
+// Exit codes of posthatchctl; docs/operations/posthatchctl.md explains them.
+enum class ExitCode {
+  kOk = 0,         // done, or acknowledged: in force at every gateway that holds a lease
+  kRefused = 1,    // the fleet refused it, or it was not confirmed; nothing was changed
+  kUsage = 2,      // the command line or a file can't be read; nothing was sent
+  kUncertain = 3,  // no final answer: send it again with the same --request-id
+};
+
+enum class OutputFormat { kTable, kJson };
+
+// What a command asks for, before it is an HTTP request.
+enum class CommandKind {
+  kConfigApply,
+  kConfigGet,
+  kConfigHistory,
+  kConfigDiff,
+  kConfigRollback,
+  kEvacuate,
+  kLift,
+  kEvacuations,
+  kModelRevision,
+  kModelRevisions,
+  kMembers,
+  kLeases,
+  kInventory,
+  kControllers,
+  kIndexStats,
+};
+
+// One command line of posthatchctl, checked.
+struct Invocation {
+  std::vector<std::string> targets;  // "ip:port", tried in turn
+  OutputFormat output = OutputFormat::kTable;
+  std::string token;
+  std::string request_id;  // empty: one is made at random
+  uint32_t timeout_ms = 30000;
+  bool confirmed = false;  // --yes
+
+  CommandKind command = CommandKind::kMembers;
+  std::string file_content;  // of config apply
+  bool is_patch = false;
+  uint64_t expected_version = 0;
+  uint64_t version = 0;  // config get, rollback: 0 for the newest
+  uint64_t from_version = 0;
+  uint64_t to_version = 0;
+  std::string name;  // of an evacuation, or a model
+  std::string selector;
+  std::string weights;
+};
+
+struct ParseOutcome {
+  bool run = false;  // false: print `message` and end with `exit_code`
+  ExitCode exit_code = ExitCode::kOk;
+  std::string message;  // help text or error
+  Invocation invocation;
+};
+
+// Reads a command line, and the files that it names.
+ParseOutcome ParseCommandLine(int argument_count, const char* const* arguments);
+
+}  // namespace posthatch::ctl
--- /dev/null
+++ b/src/posthatch/ctl/target_caller.cc
@@ -0,0 +1,71 @@
+#include "posthatch/ctl/target_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace posthatch::ctl {
+namespace {
+
+constexpr int kStatusUnavailable = 503;
+constexpr runtime::Duration kPauseBetweenTries = std::chrono::milliseconds(300);
+// Longest wait for one target: a change waits for up to a session lease, and for an election.
+constexpr runtime::Duration kTryTimeout = std::chrono::seconds(10);
+
+}  // namespace
+
+TargetCaller::TargetCaller(runtime::Runtime* runtime, std::vector<std::string> targets,
+                           runtime::Duration timeout)
+    : runtime_(runtime), targets_(std::move(targets)), timeout_(timeout), timer_(runtime->timers) {}
+
+void TargetCaller::Call(http::Request request, Done done) {
+  request_ = std::move(request);
+  done_ = std::move(done);
+  outcome_ = {};
+  tries_ = 0;
+  deadline_ = runtime_->clock->Now() + timeout_;
+  timer_.Start(runtime::Duration::zero(), [this] { Try(); });
+}
+
+void TargetCaller::Try() {
+  const runtime::Duration left = deadline_ - runtime_->clock->Now();
+  if (left <= runtime::Duration::zero()) {
+    call_.reset();
+    done_(std::move(outcome_));
+    return;
+  }
+  const std::string& target = targets_[tries_++ % targets_.size()];
+  outcome_.response = {};
+  http::CallOptions options;
+  options.head_timeout = std::min(kTryTimeout, left);
+  options.piece_timeout = options.head_timeout;
+  http::CallObserver observer;
+  observer.on_head = [this](const http::Response& head) { outcome_.response = head; };
+  observer.on_piece = [this](const std::string& piece) { outcome_.response.body += piece; };
+  observer.on_end = [this] { OnEnd(); };
+  observer.on_error = [this](const http::CallError& error) { OnFailure(error); };
+  call_ = runtime_->http_client->Start(target, request_, options, std::move(observer));
+}
+
+void TargetCaller::OnEnd() {
+  if (outcome_.response.status != kStatusUnavailable) {
+    outcome_.answered = true;
+    done_(std::move(outcome_));
+    return;
+  }
+  outcome_.error = outcome_.response.body;
+  // "unavailable" says that it was not taken, "uncertain" that it may have been.
+  if (outcome_.error.find("\"uncertain\"") != std::string::npos) outcome_.may_be_applied = true;
+  TryNext();
+}
+
+void TargetCaller::OnFailure(const http::CallError& error) {
+  outcome_.error = std::string(error.status.message());
+  if (error.progress != http::CallProgress::kNotSent) outcome_.may_be_applied = true;
+  TryNext();
+}
+
+void TargetCaller::TryNext() {
+  timer_.Start(kPauseBetweenTries, [this] { Try(); });
+}
+
+}  // namespace posthatch::ctl
--- /dev/null
+++ b/src/posthatch/ctl/target_caller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/http/http.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::ctl {
+
+struct CallOutcome {
+  bool answered = false;        // `response` is final: neither 503 nor a failure
+  bool may_be_applied = false;  // not answered, and some target may have taken it
+  http::Response response;
+  std::string error;  // of the last try
+};
+
+// Sends one request to the targets in turn, the same bytes each time, until one gives a final
+// answer or the time is over. Safe for changes, since they carry a request id. Event loop thread
+// only; one request at a time.
+class TargetCaller {
+ public:
+  using Done = std::function<void(CallOutcome)>;
+
+  TargetCaller(runtime::Runtime* runtime, std::vector<std::string> targets,
+               runtime::Duration timeout);
+  // `done` runs once, not within this call.
+  void Call(http::Request request, Done done);
+
+ private:
+  void Try();
+  void OnEnd();
+  void OnFailure(const http::CallError& error);
+  void TryNext();
+
+  runtime::Runtime* const runtime_;
+  const std::vector<std::string> targets_;
+  const runtime::Duration timeout_;
+  runtime::Timer timer_;
+  http::Request request_;
+  Done done_;
+  std::unique_ptr<http::Call> call_;
+  CallOutcome outcome_;
+  runtime::MonotonicTime deadline_;
+  size_t tries_ = 0;
+};
+
+}  // namespace posthatch::ctl
