Test the real runtime over sockets and files

Found by them: libprotobuf wrote a free-text line to stderr for each malformed message, so a garbage sender could flood the log (now silent, counted, and one trace event a second); the request of a delayed connection started its delay before the connection stood; a body over the limit was never called 'not executed'.

--- a/src/posthatch/asio/asio_runtime.cc
+++ b/src/posthatch/asio/asio_runtime.cc
@@ -1,5 +1,7 @@
 #include "posthatch/asio/asio_runtime.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -144,6 +146,8 @@
 
 absl::StatusOr<std::unique_ptr<AsioRuntime>> AsioRuntime::Create(
     const AsioRuntimeOptions& options) {
+  // Protobuf would write free text to stderr for each malformed message; those are counted.
+  google::protobuf::SetLogHandler(nullptr);
   auto trace = JsonTraceSink::Open(options.log_file, options.node_id, options.log_level);
   if (!trace.ok()) return trace.status();
   auto created = std::make_unique<AsioRuntimeImpl>(*std::move(trace));
--- a/src/posthatch/asio/asio_transport.cc
+++ b/src/posthatch/asio/asio_transport.cc
@@ -23,6 +23,8 @@
 constexpr size_t kMaxDatagramReceiveBytes = 64 * 1024;
 // Datagrams read in one turn, so that a flood doesn't starve the rest.
 constexpr int kMaxDatagramsPerTurn = 64;
+// A flood of garbage must not fill the log; each is counted.
+constexpr runtime::Duration kMalformedEventInterval = std::chrono::seconds(1);
 // Attempts to find a port that is free for both TCP and UDP.
 constexpr int kBindAttempts = 16;
 
@@ -132,6 +134,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<TransportPeer>> peers_;
   absl::flat_hash_map<InboundConnection*, std::unique_ptr<InboundConnection>> inbound_;
   uint64_t fault_subscription_ = 0;
+  runtime::MonotonicTime next_malformed_event_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -310,6 +313,9 @@
 
 void AsioTransport::Malformed(const std::string& remote_endpoint, const absl::Status& status) {
   metrics_.malformed.Increment();
+  const runtime::MonotonicTime now = BootNow();
+  if (now < next_malformed_event_) return;
+  next_malformed_event_ = now + kMalformedEventInterval;
   trace_->Event(Severity::kWarning, "TransportMalformed",
                 {{"remote", remote_endpoint}, {"error", std::string(status.message())}});
 }
--- /dev/null
+++ b/src/posthatch/asio/beast_http_client-test.cc
@@ -0,0 +1,294 @@
+#include "posthatch/asio/beast_http_client.h"
+
+#include <optional>
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "posthatch/asio/raw_socket-test.h"
+
+namespace posthatch::asio {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What the callbacks of one call have told.
+struct Outcome {
+  std::optional<http::Response> head;
+  std::string body;
+  bool ended = false;
+  std::optional<http::CallError> error;
+  bool over() const { return ended || error.has_value(); }
+
+  http::CallObserver Observer() {
+    http::CallObserver observer;
+    observer.on_head = [this](const http::Response& given) { head = given; };
+    observer.on_piece = [this](const std::string& piece) { body += piece; };
+    observer.on_end = [this] { ended = true; };
+    observer.on_error = [this](const http::CallError& given) { error = given; };
+    return observer;
+  }
+};
+
+class HttpClientTest : public ::testing::Test {
+ protected:
+  HttpClientTest() : runtime_(MakeTestRuntime()) {
+    options_.head_timeout = milliseconds(150);
+    options_.piece_timeout = milliseconds(150);
+  }
+
+  std::unique_ptr<http::Call> Start(const std::string& endpoint, Outcome* outcome) {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/x";
+    request.body = "body";
+    auto call = runtime_->runtime()->http_client->Start(endpoint, std::move(request), options_,
+                                                        outcome->Observer());
+    EXPECT_FALSE(outcome->over()) << "callback before Start returned";
+    return call;
+  }
+
+  void Finish(const Outcome& outcome) {
+    EXPECT_TRUE(runtime_->RunUntil([&outcome] { return outcome.over(); }, std::chrono::seconds(5)));
+  }
+
+  // Runs a call against a server that answers `answer` and then closes.
+  Outcome CallAnswered(const std::string& answer) {
+    RawListener listener;
+    Outcome outcome;
+    const auto call = Start(listener.endpoint(), &outcome);
+    RawSocket server = listener.Accept(runtime_.get());
+    server.ReadUntil(runtime_.get(), "body");
+    server.Send(runtime_.get(), answer);
+    server.Close();
+    Finish(outcome);
+    return outcome;
+  }
+
+  static void ExpectError(const Outcome& outcome, absl::StatusCode code,
+                          http::CallProgress progress) {
+    ASSERT_TRUE(outcome.error.has_value());
+    EXPECT_FALSE(outcome.ended);
+    EXPECT_EQ(outcome.error->status.code(), code) << outcome.error->status;
+    EXPECT_EQ(outcome.error->progress, progress);
+  }
+
+  std::unique_ptr<AsioRuntime> runtime_;
+  http::CallOptions options_;
+};
+
+TEST_F(HttpClientTest, RefusedConnectionIsNotSent) {
+  std::string endpoint;
+  {
+    const RawListener closed;
+    endpoint = closed.endpoint();
+  }
+  Outcome outcome;
+  const auto call = Start(endpoint, &outcome);
+  Finish(outcome);
+  ExpectError(outcome, absl::StatusCode::kUnavailable, http::CallProgress::kNotSent);
+}
+
+TEST_F(HttpClientTest, MalformedEndpointOrFieldIsNotSent) {
+  Outcome outcome;
+  const auto call = Start("no endpoint", &outcome);
+  Finish(outcome);
+  ExpectError(outcome, absl::StatusCode::kInvalidArgument, http::CallProgress::kNotSent);
+
+  const RawListener listener;
+  Outcome split;
+  http::Request request;
+  request.method = "GET";
+  request.target = "/x HTTP/1.1\r\nX-Injected: y";
+  const auto second = runtime_->runtime()->http_client->Start(listener.endpoint(), request,
+                                                              options_, split.Observer());
+  Finish(split);
+  ExpectError(split, absl::StatusCode::kInvalidArgument, http::CallProgress::kNotSent);
+}
+
+TEST_F(HttpClientTest, ConnectionClosedWithoutAnswerMayHaveRun) {
+  ExpectError(CallAnswered(""), absl::StatusCode::kUnavailable, http::CallProgress::kSent);
+  ExpectError(CallAnswered("HTTP/1.1 200 O"), absl::StatusCode::kUnavailable,
+              http::CallProgress::kSent);
+}
+
+TEST_F(HttpClientTest, CutOrMalformedAnswersAreNeverComplete) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> cut = {
+      ok + "Content-Length: 10\r\n\r\nabc",
+      ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+      ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\nnonsense\r\n",
+      ok + "\r\nuntil the end, which a cut would look like",
+  };
+  for (const std::string& answer : cut) {
+    SCOPED_TRACE(answer);
+    ExpectError(CallAnswered(answer), absl::StatusCode::kDataLoss, http::CallProgress::kAnswered);
+  }
+  ExpectError(CallAnswered("SSH-2.0-nonsense\r\n\r\n"), absl::StatusCode::kDataLoss,
+              http::CallProgress::kSent);
+}
+
+TEST_F(HttpClientTest, WholeAnswersAreComplete) {
+  const Outcome sized = CallAnswered("HTTP/1.1 201 OK\r\nA: b\r\nContent-Length: 3\r\n\r\nabc");
+  EXPECT_TRUE(sized.ended);
+  EXPECT_EQ(sized.head->status, 201);
+  EXPECT_EQ(sized.head->headers.Get("a"), "b");
+  EXPECT_EQ(sized.body, "abc");
+  const Outcome chunked = CallAnswered(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: t\r\n\r\n");
+  EXPECT_TRUE(chunked.ended);
+  EXPECT_EQ(chunked.head->status, 200);
+  EXPECT_EQ(chunked.body, "abcde");
+  EXPECT_FALSE(chunked.head->headers.Has("X-Trailer"));
+}
+
+TEST_F(HttpClientTest, AbortedStreamIsDataLoss) {
+  auto server = runtime_->runtime()->http_servers->Listen(
+      "127.0.0.1:0", {}, [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+        writer->StartStream({});
+        writer->WritePiece("piece");
+        writer->Abort();
+      });
+  Outcome outcome;
+  const auto call = Start((*server)->endpoint(), &outcome);
+  Finish(outcome);
+  EXPECT_EQ(outcome.body, "piece");
+  ExpectError(outcome, absl::StatusCode::kDataLoss, http::CallProgress::kAnswered);
+}
+
+TEST_F(HttpClientTest, SilenceRunsIntoTheTimeouts) {
+  RawListener listener;
+  Outcome before_head;
+  const auto first = Start(listener.endpoint(), &before_head);
+  Finish(before_head);
+  ExpectError(before_head, absl::StatusCode::kDeadlineExceeded, http::CallProgress::kSent);
+  const RawSocket ignored = listener.Accept(runtime_.get());
+
+  Outcome in_body;
+  const auto second = Start(listener.endpoint(), &in_body);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  Finish(in_body);
+  ExpectError(in_body, absl::StatusCode::kDeadlineExceeded, http::CallProgress::kAnswered);
+}
+
+TEST_F(HttpClientTest, KeptConnectionIsUsedAgainUnlessFreshIsAsked) {
+  std::vector<uint64_t> connections;
+  auto server = runtime_->runtime()->http_servers->Listen(
+      "127.0.0.1:0", {},
+      [&](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+        connections.push_back(request.connection_id);
+        writer->SendWhole({});
+      });
+  for (const bool fresh : {false, false, true, false}) {
+    options_.fresh_connection = fresh;
+    Outcome outcome;
+    const auto call = Start((*server)->endpoint(), &outcome);
+    Finish(outcome);
+    EXPECT_TRUE(outcome.ended);
+  }
+  ASSERT_EQ(connections.size(), 4u);
+  EXPECT_EQ(connections[0], connections[1]);
+  EXPECT_NE(connections[0], connections[2]);
+  EXPECT_EQ(connections[0], connections[3]);
+}
+
+TEST_F(HttpClientTest, KeptConnectionThatTheServerClosedIsNotUsed) {
+  RawListener listener;
+  Outcome first;
+  const auto call = Start(listener.endpoint(), &first);
+  {
+    RawSocket server = listener.Accept(runtime_.get());
+    server.ReadUntil(runtime_.get(), "body");
+    server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    Finish(first);
+  }
+  RunFor(runtime_.get(), milliseconds(20));
+  Outcome second;
+  const auto next = Start(listener.endpoint(), &second);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Finish(second);
+  EXPECT_TRUE(second.ended);
+}
+
+TEST_F(HttpClientTest, BytesNobodyAskedForEndTheConnection) {
+  RawListener listener;
+  Outcome first;
+  const auto call = Start(listener.endpoint(), &first);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  server.Send(runtime_.get(), answer + answer);  // a second answer must not go to another call
+  Finish(first);
+  EXPECT_TRUE(first.ended);
+  server.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(server.ended());
+}
+
+TEST_F(HttpClientTest, PausedReadingHoldsTheServerBackAndSpendsNoTimeout) {
+  constexpr size_t kBody = 32 * 1024 * 1024;
+  RawListener listener;
+  Outcome outcome;
+  const auto call = Start(listener.endpoint(), &outcome);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  server.Send(runtime_.get(),
+              "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\nabc");
+  runtime_->RunUntil([&] { return outcome.body == "abc"; }, std::chrono::seconds(5));
+  call->PauseReading();
+  server.Send(runtime_.get(), "def");
+  RunFor(runtime_.get(), milliseconds(300));  // longer than the piece timeout
+  EXPECT_EQ(outcome.body, "abc");
+  EXPECT_FALSE(outcome.over());
+  call->ResumeReading();
+  server.Send(runtime_.get(), std::string(kBody - 6, 'x'));
+  Finish(outcome);
+  EXPECT_TRUE(outcome.ended);
+  EXPECT_EQ(outcome.body.size(), kBody);
+}
+
+TEST_F(HttpClientTest, DestroyedHandleClosesTheConnectionAndNothingIsCalled) {
+  bool gone = false;
+  auto server = runtime_->runtime()->http_servers->Listen(
+      "127.0.0.1:0", {}, [&](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+        writer->StartStream({});
+        writer->OnCallerGone([&gone, writer] { gone = true; });
+      });
+  Outcome outcome;
+  auto call = Start((*server)->endpoint(), &outcome);
+  runtime_->RunUntil([&] { return outcome.head.has_value(); }, std::chrono::seconds(5));
+  call.reset();
+  EXPECT_TRUE(runtime_->RunUntil([&] { return gone; }, std::chrono::seconds(5)));
+  EXPECT_FALSE(outcome.over());
+}
+
+TEST_F(HttpClientTest, HandleMayBeDestroyedInACallback) {
+  RawListener listener;
+  std::unique_ptr<http::Call> call;
+  Outcome outcome;
+  http::CallObserver observer = outcome.Observer();
+  observer.on_piece = [&call](const std::string&) { call.reset(); };
+  call = runtime_->runtime()->http_client->Start(
+      listener.endpoint(), {.method = "GET", .target = "/", .headers = {}, .body = {}}, options_,
+      observer);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+  server.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(server.ended());
+  EXPECT_FALSE(outcome.over());
+}
+
+TEST_F(HttpClientTest, AnswerOverTheLimitIsRefused) {
+  options_.max_body_bytes = 5;
+  ExpectError(CallAnswered("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabcdef"),
+              absl::StatusCode::kDataLoss, http::CallProgress::kAnswered);
+  ExpectError(CallAnswered("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n"),
+              absl::StatusCode::kDataLoss, http::CallProgress::kAnswered);
+}
+
+}  // namespace
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/beast_http_server-test.cc
@@ -0,0 +1,381 @@
+#include "posthatch/asio/beast_http_server.h"
+
+#include <boost/json.hpp>
+#include <random>
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "posthatch/asio/raw_socket-test.h"
+
+namespace posthatch::asio {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+
+constexpr const char* kGoodRequest = "GET /good HTTP/1.1\r\nHost: x\r\n\r\n";
+
+class HttpServerTest : public ::testing::Test {
+ protected:
+  HttpServerTest() : runtime_(MakeTestRuntime()) {
+    limits_.max_header_bytes = 4096;
+    limits_.max_body_bytes = 10000;
+    limits_.header_timeout = std::chrono::milliseconds(150);
+    limits_.body_timeout = std::chrono::milliseconds(150);
+    limits_.idle_timeout = std::chrono::milliseconds(300);
+    handler_ = [](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+      writer->SendWhole({.status = 200, .headers = {}, .body = "echo:" + request.body});
+    };
+  }
+
+  void Listen() {
+    auto server = runtime_->runtime()->http_servers->Listen(
+        "127.0.0.1:0", limits_,
+        [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+          ++handled_;
+          handler_(std::move(request), std::move(writer));
+        });
+    ASSERT_TRUE(server.ok()) << server.status();
+    server_ = *std::move(server);
+  }
+
+  RawSocket Connect() { return RawSocket::Connect(server_->endpoint()); }
+
+  // What the server answers to `bytes` until it closes or nothing more comes.
+  std::string Exchange(const std::string& bytes) {
+    RawSocket socket = Connect();
+    socket.Send(runtime_.get(), bytes);
+    return socket.ReadToEnd(runtime_.get(), std::chrono::milliseconds(800));
+  }
+
+  void ExpectStillServing() {
+    RawSocket socket = Connect();
+    socket.Send(runtime_.get(), kGoodRequest);
+    EXPECT_THAT(socket.ReadUntil(runtime_.get(), "echo:"), StartsWith("HTTP/1.1 200"));
+  }
+
+  std::unique_ptr<AsioRuntime> runtime_;
+  http::ServerLimits limits_;
+  http::Handler handler_;
+  int handled_ = 0;
+  std::unique_ptr<http::HttpServer> server_;
+};
+
+struct Garbage {
+  std::string name;
+  std::string bytes;
+  std::string status;  // empty: closed without an answer
+};
+
+TEST_F(HttpServerTest, GarbageGetsAClearErrorOrACloseAndServingGoesOn) {
+  Listen();
+  const std::string big_field = "X: " + std::string(10 * 1024 * 1024, 'a');
+  const std::vector<Garbage> cases = {
+      {"binary", std::string("\x00\x01\x02\xff\xfe\r\n\r\n", 9), "400"},
+      {"no method", " / HTTP/1.1\r\n\r\n", "400"},
+      {"bad version", "GET / HTTP/9.9\r\n\r\n", "400"},
+      {"TLS hello", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n", 13), "400"},
+      {"field without colon", "GET / HTTP/1.1\r\nabc\r\n\r\n", "400"},
+      {"space before colon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n", "400"},
+      {"bad length", "POST / HTTP/1.1\r\nContent-Length: ten\r\n\r\n", "400"},
+      {"negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400"},
+      {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+      {"huge chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\nab", "413"},
+      {"endless chunk line",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(20000, 'x'), "400"},
+      {"body over the limit", "POST / HTTP/1.1\r\nContent-Length: 10001\r\n\r\n", "413"},
+      {"10 MB field", "GET / HTTP/1.1\r\n" + big_field + "\r\n\r\n", "431"},
+      {"10 MB target", "GET /" + std::string(10 * 1024 * 1024, 'a'), "431"},
+      {"slow header", "GET / HTTP/1.1\r\nHost:", "408"},
+      {"slow body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", "408"},
+      {"slow chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408"},
+      {"nothing", "", ""},
+  };
+  for (const Garbage& garbage : cases) {
+    SCOPED_TRACE(garbage.name);
+    const std::string answer = Exchange(garbage.bytes);
+    if (garbage.status.empty()) {
+      EXPECT_EQ(answer, "");
+      continue;
+    }
+    EXPECT_THAT(answer, StartsWith("HTTP/1.1 " + garbage.status));
+    const size_t body = answer.find("\r\n\r\n");
+    ASSERT_NE(body, std::string::npos);
+    boost::system::error_code error;
+    const auto json = boost::json::parse(answer.substr(body + 4), error);
+    ASSERT_FALSE(error) << answer;
+    EXPECT_TRUE(json.at("error").as_object().contains("executed"));
+  }
+  EXPECT_EQ(handled_, 0);
+  ExpectStillServing();
+  EXPECT_TRUE(runtime_->RunUntil([this] { return server_->open_connections() == 0; },
+                                 std::chrono::seconds(5)));
+}
+
+TEST_F(HttpServerTest, RandomDamageNeverStopsTheServer) {
+  Listen();
+  const std::string whole =
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+      "POST /b HTTP/1.1\r\nContent-Length: 4\r\nIdempotency-Key: k\r\n\r\nbody";
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    std::string bytes = whole;
+    for (uint64_t change = random() % 4 + 1; change > 0; --change) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(random() % bytes.size() + 1);
+    RawSocket socket = Connect();
+    socket.Send(runtime_.get(), bytes);
+    if (random() % 2 == 0) socket.ShutdownSend();
+    socket.ReadUntil(runtime_.get(), "HTTP/1.1", std::chrono::milliseconds(2));
+  }
+  ExpectStillServing();
+  EXPECT_TRUE(runtime_->RunUntil([this] { return server_->open_connections() == 0; },
+                                 std::chrono::seconds(5)));
+}
+
+// An unread head may name an idempotency key whose earlier send has run.
+TEST_F(HttpServerTest, RefusalProvesNotExecutedOnlyWithoutIdempotencyKey) {
+  Listen();
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n"),
+              HasSubstr(R"("executed":"no")"));
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nIdempotency-Key: k\r\nContent-Length: 99999\r\n\r\n"),
+              HasSubstr(R"("executed":"unknown")"));
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nIdempotency-K"), HasSubstr(R"("executed":"unknown")"));
+}
+
+TEST_F(HttpServerTest, HalfClosedCallerGetsItsAnswer) {
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+  socket.ShutdownSend();
+  EXPECT_THAT(socket.ReadToEnd(runtime_.get()), HasSubstr("echo:abc"));
+  EXPECT_TRUE(socket.ended());
+}
+
+TEST_F(HttpServerTest, HalfClosedCallerGetsALateAnswer) {
+  std::shared_ptr<http::ResponseWriter> kept;
+  handler_ = [&kept](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    kept = std::move(writer);
+  };
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), kGoodRequest);
+  socket.ShutdownSend();
+  RunFor(runtime_.get(), std::chrono::milliseconds(50));
+  ASSERT_NE(kept, nullptr);
+  kept->SendWhole({.status = 200, .headers = {}, .body = "late"});
+  EXPECT_THAT(socket.ReadToEnd(runtime_.get()), HasSubstr("late"));
+}
+
+TEST_F(HttpServerTest, KeptConnectionServesPipelinedRequestsInOrder) {
+  std::vector<uint64_t> connections;
+  handler_ = [&connections](const http::Request& request,
+                            std::shared_ptr<http::ResponseWriter> writer) {
+    connections.push_back(request.connection_id);
+    writer->SendWhole({.status = 200, .headers = {}, .body = "echo:" + request.body + ";"});
+  };
+  Listen();
+  RawSocket socket = Connect();
+  std::string bytes;
+  for (int k = 0; k < 20; ++k) {
+    bytes += "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n" + std::to_string(10 + k);
+  }
+  socket.Send(runtime_.get(), bytes);
+  const std::string& answers = socket.ReadUntil(runtime_.get(), "echo:29;");
+  size_t position = 0;
+  for (int k = 0; k < 20; ++k) {
+    position = answers.find("echo:" + std::to_string(10 + k) + ";", position);
+    ASSERT_NE(position, std::string::npos) << k;
+  }
+  ASSERT_EQ(connections.size(), 20u);
+  EXPECT_EQ(connections.front(), connections.back());
+}
+
+TEST_F(HttpServerTest, AbortLeavesTheChunkedBodyUnterminated) {
+  handler_ = [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    writer->StartStream({});
+    writer->WritePiece("piece");
+    writer->Abort();
+  };
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), kGoodRequest);
+  const std::string& answer = socket.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(socket.ended());
+  EXPECT_THAT(answer, HasSubstr("5\r\npiece\r\n"));
+  EXPECT_THAT(answer, Not(HasSubstr("\r\n0\r\n")));
+}
+
+TEST_F(HttpServerTest, WriterDroppedUnansweredClosesTheConnection) {
+  handler_ = [](const http::Request&, const std::shared_ptr<http::ResponseWriter>&) {};
+  Listen();
+  EXPECT_EQ(Exchange(kGoodRequest), "");
+  EXPECT_EQ(handled_, 1);
+}
+
+TEST_F(HttpServerTest, PiecesOfOneTurnAndTheEndArriveWhole) {
+  handler_ = [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    writer->StartStream({});
+    for (int k = 0; k < 3; ++k) writer->WritePiece("p" + std::to_string(k));
+    writer->WritePiece("");  // must not end the body
+    writer->WritePiece("p3");
+    writer->FinishStream();
+  };
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), kGoodRequest);
+  EXPECT_THAT(socket.ReadUntil(runtime_.get(), "\r\n0\r\n\r\n"),
+              HasSubstr("2\r\np0\r\n2\r\np1\r\n2\r\np2\r\n2\r\np3\r\n0\r\n\r\n"));
+}
+
+TEST_F(HttpServerTest, SlowReaderHoldsBackTheWriterUntilItReads) {
+  constexpr size_t kPiece = 64 * 1024;
+  limits_.max_buffered_bytes = 4 * kPiece;
+  limits_.body_timeout = std::chrono::seconds(10);
+  std::shared_ptr<http::ResponseWriter> writer;
+  handler_ = [&writer](const http::Request&, std::shared_ptr<http::ResponseWriter> given) {
+    writer = std::move(given);
+    writer->StartStream({});
+  };
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), kGoodRequest);
+  ASSERT_TRUE(runtime_->RunUntil([&] { return writer != nullptr; }, std::chrono::seconds(5)));
+  size_t written = 0;
+  const auto fill = [&] {
+    while (writer->buffered_bytes() < limits_.max_buffered_bytes) {
+      writer->WritePiece(std::string(kPiece, 'x'));
+      written += kPiece;
+      RunFor(runtime_.get(), std::chrono::milliseconds(2));
+    }
+  };
+  fill();  // what the kernel takes, and then the limit
+  bool writable = false;
+  writer->OnWritable([&writable] { writable = true; });
+  RunFor(runtime_.get(), std::chrono::milliseconds(50));
+  EXPECT_FALSE(writable);
+  socket.ReadUntil(runtime_.get(), "never", std::chrono::milliseconds(300));
+  EXPECT_TRUE(writable);
+  EXPECT_LT(writer->buffered_bytes(), limits_.max_buffered_bytes / 2);
+  writer->FinishStream();
+  EXPECT_GT(socket.ReadUntil(runtime_.get(), "\r\n0\r\n\r\n").size(), written);
+}
+
+TEST_F(HttpServerTest, CallerThatTakesNothingIsCut) {
+  bool gone = false;
+  handler_ = [&gone](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    writer->OnCallerGone([&gone, writer] { gone = true; });
+    writer->StartStream({});
+    writer->WritePiece(std::string(32 * 1024 * 1024, 'x'));
+  };
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), kGoodRequest);
+  EXPECT_TRUE(runtime_->RunUntil([&] { return gone; }, std::chrono::seconds(5)));
+  EXPECT_EQ(server_->open_connections(), 0u);
+}
+
+TEST_F(HttpServerTest, CallerGoneWhileStreamingIsNoticed) {
+  bool gone = false;
+  std::weak_ptr<http::ResponseWriter> held;
+  handler_ = [&](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    held = writer;
+    writer->StartStream({});
+    writer->OnCallerGone([&gone, writer] { gone = true; });
+  };
+  Listen();
+  {
+    RawSocket socket = Connect();
+    socket.Send(runtime_.get(), kGoodRequest);
+    socket.ReadUntil(runtime_.get(), "chunked");
+    EXPECT_FALSE(gone);
+  }
+  EXPECT_TRUE(runtime_->RunUntil([&] { return gone; }, std::chrono::seconds(5)));
+  EXPECT_TRUE(held.expired());
+  EXPECT_EQ(server_->open_connections(), 0u);
+}
+
+TEST_F(HttpServerTest, CallbackHoldingTheWriterIsReleasedWhenTheAnswerEnds) {
+  std::weak_ptr<http::ResponseWriter> held;
+  handler_ = [&](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    held = writer;
+    writer->OnCallerGone([writer] {});
+    writer->SendWhole({});
+  };
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(), kGoodRequest);
+  socket.ReadUntil(runtime_.get(), "\r\n\r\n");
+  EXPECT_TRUE(held.expired());
+}
+
+TEST_F(HttpServerTest, ConnectionsOverTheLimitAreClosed) {
+  limits_.max_connections = 2;
+  limits_.header_timeout = std::chrono::seconds(10);
+  Listen();
+  const RawSocket first = Connect();
+  const RawSocket second = Connect();
+  RawSocket third = Connect();
+  EXPECT_EQ(third.ReadToEnd(runtime_.get()), "");
+  EXPECT_TRUE(third.ended());
+  EXPECT_EQ(server_->open_connections(), 2u);
+}
+
+TEST_F(HttpServerTest, FieldThatWouldSplitTheAnswerIsNotSent) {
+  handler_ = [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+    http::Response response;
+    response.headers.Add("X-Note", "a\r\nX-Injected: b");
+    writer->SendWhole(std::move(response));
+  };
+  Listen();
+  const std::string answer = Exchange(kGoodRequest);
+  EXPECT_THAT(answer, StartsWith("HTTP/1.1 500"));
+  EXPECT_THAT(answer, Not(HasSubstr("X-Injected")));
+}
+
+TEST_F(HttpServerTest, DrainEndsRunningAnswersAndClosesIdleConnections) {
+  std::shared_ptr<http::ResponseWriter> running;
+  handler_ = [&](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+    if (request.target == "/wait") {
+      running = std::move(writer);
+    } else {
+      writer->SendWhole({.status = 200, .headers = {}, .body = "echo:"});
+    }
+  };
+  limits_.idle_timeout = std::chrono::seconds(30);
+  Listen();
+  RawSocket idle = Connect();
+  idle.Send(runtime_.get(), kGoodRequest);
+  idle.ReadUntil(runtime_.get(), "echo:");
+  RawSocket busy = Connect();
+  busy.Send(runtime_.get(), "GET /wait HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(runtime_->RunUntil([&] { return running != nullptr; }, std::chrono::seconds(5)));
+  server_->Drain();
+  idle.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(idle.ended());
+  running->SendWhole({.status = 200, .headers = {}, .body = "last"});
+  EXPECT_THAT(busy.ReadToEnd(runtime_.get()), HasSubstr("Connection: close"));
+  EXPECT_THAT(busy.ReadToEnd(runtime_.get()), HasSubstr("last"));
+  busy.Close();
+  EXPECT_TRUE(runtime_->RunUntil([this] { return server_->open_connections() == 0; },
+                                 std::chrono::seconds(5)));
+}
+
+TEST_F(HttpServerTest, ExpectContinueIsAnsweredBeforeTheBody) {
+  Listen();
+  RawSocket socket = Connect();
+  socket.Send(runtime_.get(),
+              "POST / HTTP/1.1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+  EXPECT_THAT(socket.ReadUntil(runtime_.get(), "\r\n\r\n"), StartsWith("HTTP/1.1 100"));
+  socket.Send(runtime_.get(), "abc");
+  EXPECT_THAT(socket.ReadUntil(runtime_.get(), "echo:abc"), HasSubstr("HTTP/1.1 200"));
+}
+
+}  // namespace
+}  // namespace posthatch::asio
--- /dev/null
+++ b/src/posthatch/asio/fault_injection-test.cc
@@ -0,0 +1,136 @@
+#include "posthatch/asio/fault_injection.h"
+
+#include "gtest/gtest.h"
+#include "posthatch/asio/raw_socket-test.h"
+
+namespace posthatch::asio {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(FaultRulesTest, ReadsEveryRule) {
+  const auto rules = ParseFaultRules(
+      R"({"drop_to": ["10.0.0.1:1"], "drop_from": ["10.0.0.2"],
+          "delay_to": [{"endpoint": "10.0.0.3:3", "ms": 20}],
+          "delay_from": [{"endpoint": "10.0.0.4:4", "ms": 30}],
+          "disk_sync_delay_ms": 40, "disk_full": true})");
+  ASSERT_TRUE(rules.ok()) << rules.status();
+  FaultInjection faults;
+  faults.SetRules(*rules);
+  EXPECT_TRUE(faults.DropsTo("10.0.0.1:1"));
+  EXPECT_FALSE(faults.DropsTo("10.0.0.1:2"));
+  EXPECT_TRUE(faults.DropsFrom("10.0.0.2:99"));  // every port of a bare address
+  EXPECT_EQ(faults.DelayTo("10.0.0.3:3"), milliseconds(20));
+  EXPECT_EQ(faults.DelayFrom("10.0.0.4:4"), milliseconds(30));
+  EXPECT_EQ(faults.disk_sync_delay(), milliseconds(40));
+  EXPECT_TRUE(faults.disk_full());
+  faults.SetRules(ParseFaultRules("{}").value());  // replaces all
+  EXPECT_FALSE(faults.DropsTo("10.0.0.1:1"));
+  EXPECT_FALSE(faults.disk_full());
+}
+
+TEST(FaultRulesTest, RefusesEverythingElse) {
+  for (const char* text :
+       {"", "[]", "{", R"({"drop": []})", R"({"drop_to": "x"})", R"({"drop_to": [1]})",
+        R"({"delay_to": [{"endpoint": "x"}]})", R"({"delay_to": [{"endpoint": "x", "ms": -1}]})",
+        R"({"disk_sync_delay_ms": 1.5})", R"({"disk_full": 1})"}) {
+    EXPECT_FALSE(ParseFaultRules(text).ok()) << text;
+  }
+}
+
+// HTTP calls through a cut, as seen by the caller.
+class HttpFaultTest : public ::testing::Test {
+ protected:
+  HttpFaultTest() {
+    AsioRuntimeOptions options;
+    options.enable_fault_injection = true;
+    runtime_ = MakeTestRuntime(options);
+    server_ = runtime_->runtime()
+                  ->http_servers
+                  ->Listen("127.0.0.1:0", {},
+                           [this](const http::Request&,
+                                  const std::shared_ptr<http::ResponseWriter>& writer) {
+                             ++handled_;
+                             writer->SendWhole({});
+                           })
+                  .value();
+    options_.connect_timeout = milliseconds(100);
+    options_.head_timeout = milliseconds(200);
+  }
+
+  // Returns the error, or OK.
+  http::CallError Call() {
+    http::CallError result;
+    bool over = false;
+    http::CallObserver observer;
+    observer.on_head = [](const http::Response&) {};
+    observer.on_piece = [](const std::string&) {};
+    observer.on_end = [&over] { over = true; };
+    observer.on_error = [&](const http::CallError& error) {
+      result = error;
+      over = true;
+    };
+    const auto start = runtime_->runtime()->clock->Now();
+    const auto call = runtime_->runtime()->http_client->Start(
+        server_->endpoint(), {.method = "GET", .target = "/", .headers = {}, .body = {}}, options_,
+        observer);
+    EXPECT_TRUE(runtime_->RunUntil([&over] { return over; }, std::chrono::seconds(5)));
+    took_ = runtime_->runtime()->clock->Now() - start;
+    return result;
+  }
+
+  void Cut(bool to, bool from) {
+    FaultRules rules;
+    if (to) rules.drop_to.insert(server_->endpoint());
+    if (from) rules.drop_from.insert(server_->endpoint());
+    runtime_->faults()->SetRules(rules);
+  }
+
+  std::unique_ptr<AsioRuntime> runtime_;
+  std::unique_ptr<http::HttpServer> server_;
+  http::CallOptions options_;
+  int handled_ = 0;
+  runtime::Duration took_;
+};
+
+TEST_F(HttpFaultTest, ConnectHangsUntilItsTimeout) {
+  for (const bool to : {true, false}) {
+    Cut(to, !to);
+    const http::CallError error = Call();
+    EXPECT_EQ(error.status.code(), absl::StatusCode::kDeadlineExceeded);
+    EXPECT_EQ(error.progress, http::CallProgress::kNotSent);
+    EXPECT_GE(took_, milliseconds(100));
+  }
+  EXPECT_EQ(handled_, 0);
+  Cut(false, false);
+  EXPECT_TRUE(Call().status.ok());
+}
+
+TEST_F(HttpFaultTest, KeptConnectionGoesSilent) {
+  ASSERT_TRUE(Call().status.ok());
+  Cut(true, false);  // the request is lost on its way
+  EXPECT_EQ(Call().status.code(), absl::StatusCode::kDeadlineExceeded);
+  EXPECT_EQ(handled_, 1);
+  Cut(false, false);
+  ASSERT_TRUE(Call().status.ok());
+  Cut(false, true);  // the answer is lost: it has run
+  const http::CallError error = Call();
+  EXPECT_EQ(error.status.code(), absl::StatusCode::kDeadlineExceeded);
+  EXPECT_EQ(error.progress, http::CallProgress::kSent);
+  EXPECT_EQ(handled_, 3);
+}
+
+TEST_F(HttpFaultTest, DelaysAddUp) {
+  FaultRules rules;
+  rules.delay_to[server_->endpoint()] = milliseconds(20);
+  rules.delay_from[server_->endpoint()] = milliseconds(30);
+  runtime_->faults()->SetRules(rules);
+  ASSERT_TRUE(Call().status.ok());  // one round trip to connect, one for the call
+  EXPECT_GE(took_, milliseconds(100));
+  ASSERT_TRUE(Call().status.ok());
+  EXPECT_GE(took_, milliseconds(50));
+  EXPECT_LT(took_, milliseconds(100));
+}
+
+}  // namespace
+}  // namespace posthatch::asio
--- a/src/posthatch/asio/http_server_connection.cc
+++ b/src/posthatch/asio/http_server_connection.cc
@@ -118,7 +118,7 @@
     return true;
   }
   if (received_.size() > context_->limits.max_header_bytes + kMaxUnparsedExtraBytes) {
-    Refuse(400, "bad_request", "chunk line or trailer too long");
+    Refuse(400, "bad_request", "chunk line or trailer too long", parser_->is_header_done());
     return false;
   }
   if (parser_->is_header_done() && !body_deadline_set_) {
@@ -372,7 +372,7 @@
   const auto self = shared_from_this();
   switch (phase_) {
     case Phase::kReading:
-      return Refuse(408, "timeout", "the request came too slowly");
+      return Refuse(408, "timeout", "the request came too slowly", parser_->is_header_done());
     case Phase::kAnswering:
       return CallerGone();
     default:
@@ -382,18 +382,20 @@
 
 void HttpServerConnection::RefuseParse(const boost::beast::error_code& error) {
   if (error == beast_http::error::header_limit) {
-    return Refuse(431, "too_large", "header fields over the limit");
+    return Refuse(431, "too_large", "header fields over the limit", /*head_read=*/false);
   }
   if (error == beast_http::error::body_limit) {
-    return Refuse(413, "too_large", "body over the limit");
+    // The parser reports it with the last field, and calls the head unfinished.
+    return Refuse(413, "too_large", "body over the limit", /*head_read=*/true);
   }
-  Refuse(400, "bad_request", "malformed HTTP: " + error.message());
+  Refuse(400, "bad_request", "malformed HTTP: " + error.message(), parser_->is_header_done());
 }
 
 // Answers a request that was never handed to the handler, and ends the connection.
-void HttpServerConnection::Refuse(int status, std::string_view code, std::string_view message) {
+void HttpServerConnection::Refuse(int status, std::string_view code, std::string_view message,
+                                  bool head_read) {
   // An earlier send of the same idempotency key may have run, and an unread head may name one.
-  const bool proved = parser_->is_header_done() && !parser_->headers.Has("Idempotency-Key");
+  const bool proved = head_read && !parser_->headers.Has("Idempotency-Key");
   http::Response response;
   response.status = status;
   response.headers.Add("Content-Type", "application/json");
--- a/src/posthatch/asio/http_server_connection.h
+++ b/src/posthatch/asio/http_server_connection.h
@@ -67,7 +67,8 @@
   void AnswerContinue();
   void Dispatch();
   void EndAnswer();
-  void Refuse(int status, std::string_view code, std::string_view message);
+  // `head_read`: every field of the request is known.
+  void Refuse(int status, std::string_view code, std::string_view message, bool head_read);
   void RefuseParse(const boost::beast::error_code& error);
   void Linger();
   void CallerGone();
--- /dev/null
+++ b/src/posthatch/asio/raw_socket-test.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "posthatch/asio/asio_runtime.h"
+
+namespace posthatch::asio {
+
+// A bare TCP socket on loopback for tests, that can misbehave as no library lets one. Reading runs
+// the event loop under test, in the same thread.
+class RawSocket {
+ public:
+  // Connects to "127.0.0.1:port"; the kernel accepts at once.
+  static RawSocket Connect(const std::string& endpoint);
+  explicit RawSocket(int descriptor) : descriptor_(descriptor) {}
+  ~RawSocket() { Close(); }
+  RawSocket(RawSocket&& other) noexcept : descriptor_(other.descriptor_) { other.descriptor_ = -1; }
+  RawSocket& operator=(RawSocket&&) = delete;
+
+  // Sends all of `bytes`, running `runtime` while the peer takes none; stops when the peer has cut
+  // the connection.
+  void Send(AsioRuntime* runtime, std::string_view bytes);
+  void ShutdownSend();
+  void Close();
+
+  // Runs `runtime` until `text` has come, the connection ends or `limit` has passed; returns
+  // everything received so far.
+  const std::string& ReadUntil(AsioRuntime* runtime, std::string_view text,
+                               runtime::Duration limit = std::chrono::seconds(5));
+  // The same, until the end of the connection.
+  const std::string& ReadToEnd(AsioRuntime* runtime,
+                               runtime::Duration limit = std::chrono::seconds(5));
+  bool ended() const { return ended_; }
+  void ForgetReceived() { received_.clear(); }
+
+ private:
+  void Poll();
+
+  int descriptor_;
+  std::string received_;
+  bool ended_ = false;
+};
+
+// A listening socket on loopback that accepts raw sockets.
+class RawListener {
+ public:
+  RawListener();
+  ~RawListener();
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  const std::string& endpoint() const { return endpoint_; }
+  // Runs `runtime` until a connection has come.
+  RawSocket Accept(AsioRuntime* runtime);
+  // Whether a connection waits to be accepted, after running `runtime` for `time`.
+  bool ConnectionCame(AsioRuntime* runtime, runtime::Duration time);
+
+ private:
+  int descriptor_;
+  int accepted_ = -1;
+  std::string endpoint_;
+};
+
+// A runtime for tests: log of errors only.
+std::unique_ptr<AsioRuntime> MakeTestRuntime(AsioRuntimeOptions options = {});
+
+// Runs the event loop for `time`.
+void RunFor(AsioRuntime* runtime, runtime::Duration time);
+
+}  // namespace posthatch::asio
--- a/src/posthatch/asio/tcp_stream.cc
+++ b/src/posthatch/asio/tcp_stream.cc
@@ -76,6 +76,7 @@
   if (!Usable()) return;
   if (error) return Fail(SocketError("connect", error));
   connected_ = true;
+  if (queued_bytes_ > 0) NoteQueuedForFaults();
   owner_->OnConnected();
   if (Usable()) Flush();
 }
@@ -147,6 +148,11 @@
 
 void TcpStream::NoteQueued(size_t bytes) {
   queued_bytes_ += bytes;
+  if (connected_) NoteQueuedForFaults();
+}
+
+// Bytes queued before the connection was made start on their way when it is.
+void TcpStream::NoteQueuedForFaults() {
   if (faults_ != nullptr) faults_->NoteQueued(remote_endpoint_, written_bytes_ + queued_bytes_);
 }
 
--- a/src/posthatch/asio/tcp_stream.h
+++ b/src/posthatch/asio/tcp_stream.h
@@ -115,6 +115,7 @@
   void FaultsResumed();
   void DeliverHeldBack();
   void NoteQueued(size_t bytes);
+  void NoteQueuedForFaults();
   void ReleaseSocket();
 
   IoEnvironment* const environment_;
