--- /dev/null
+++ b/src/posthatch/daemon/command_line-test.cc
@@ -0,0 +1,262 @@
+#include "posthatch/daemon/command_line.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "posthatch/http/http.h"
+
+namespace posthatch::daemon {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::StartsWith;
+
+// What the process of a test does once it runs, and what it has seen.
+struct Script {
+  std::function<void(runtime::Runtime*, const std::string& http_endpoint)> on_start;
+  absl::Status start_status;
+  bool drain_ends = true;
+  bool ready = true;
+  int started = 0;
+  int drained = 0;
+  std::vector<std::shared_ptr<http::ResponseWriter>> held;  // answers to GET /hold
+  std::unique_ptr<http::Call> call;                         // the last call of SendAll
+};
+
+class ScriptedProcess : public Process {
+ public:
+  ScriptedProcess(runtime::Runtime* runtime, std::string http_endpoint, Script* script)
+      : runtime_(runtime), http_endpoint_(std::move(http_endpoint)), script_(script) {}
+
+  ~ScriptedProcess() override {
+    // As every component: nothing that hangs on the runtime may outlive it.
+    script_->held.clear();
+    script_->call.reset();
+  }
+
+  absl::Status Start() override {
+    ++script_->started;
+    if (script_->on_start) script_->on_start(runtime_, http_endpoint_);
+    return script_->start_status;
+  }
+  bool Ready() const override { return script_->ready; }
+  void Drain(std::function<void()> done) override {
+    ++script_->drained;
+    if (script_->drain_ends) done();
+  }
+  void HandleHttp(http::Request request, std::shared_ptr<http::ResponseWriter> writer) override {
+    if (request.target == "/hold") {
+      script_->held.push_back(std::move(writer));
+    } else {
+      writer->SendWhole({.status = 404, .headers = {}, .body = "the process"});
+    }
+  }
+
+ private:
+  runtime::Runtime* const runtime_;
+  const std::string http_endpoint_;
+  Script* const script_;
+};
+
+class ScriptedFactory : public ProcessFactory {
+ public:
+  explicit ScriptedFactory(Script* script) : script_(script) {}
+  std::unique_ptr<Process> MakeGateway(runtime::Runtime* runtime,
+                                       const GatewaySettings& settings) override {
+    return std::make_unique<ScriptedProcess>(runtime, settings.node.http_endpoint, script_);
+  }
+  std::unique_ptr<Process> MakeController(runtime::Runtime* runtime,
+                                          const ControllerSettings& settings) override {
+    return std::make_unique<ScriptedProcess>(runtime, settings.node.http_endpoint, script_);
+  }
+
+ private:
+  Script* const script_;
+};
+
+class CommandLineTest : public ::testing::Test {
+ protected:
+  CommandLineTest()
+      : folder_(::testing::TempDir() + "command_line_" + std::to_string(getpid())),
+        config_(folder_ + "/gateway.toml") {
+    std::filesystem::create_directories(folder_);
+    std::ofstream(config_) << "[node]\nnode_id = \"n\"\nzone = \"z\"\n"
+                              "internal_endpoint = \"127.0.0.1:0\"\n"
+                              "http_endpoint = \"127.0.0.1:0\"\n"
+                              "inventory_endpoint = \"127.0.0.1:9\"\n"
+                              "drain_deadline_ms = 300\nlog_level = \"error\"\n";
+  }
+  ~CommandLineTest() override { std::filesystem::remove_all(folder_); }
+
+  int Run(std::vector<std::string> arguments) {
+    arguments.insert(arguments.begin(), "posthatchd");
+    std::vector<const char*> argv;
+    for (const std::string& argument : arguments) argv.push_back(argument.c_str());
+    ScriptedFactory factory(&script_);
+    return RunCommandLine(static_cast<int>(argv.size()), argv.data(), &factory);
+  }
+
+  int RunGateway(std::vector<std::string> flags = {}) {
+    std::vector<std::string> arguments = {"gateway", "--config", config_};
+    arguments.insert(arguments.end(), flags.begin(), flags.end());
+    return Run(std::move(arguments));
+  }
+
+  // Sends requests one after another, each answered before the next, and then runs `then`.
+  void SendAll(runtime::Runtime* runtime, const std::string& endpoint,
+               std::vector<http::Request> requests, std::function<void()> then) {
+    if (requests.empty()) return then();
+    http::Request next = std::move(requests.front());
+    requests.erase(requests.begin());
+    http::CallObserver observer;
+    observer.on_head = [this](const http::Response& head) {
+      answers_.push_back(std::to_string(head.status) + " ");
+    };
+    observer.on_piece = [this](const std::string& piece) { answers_.back() += piece; };
+    observer.on_end = [this, runtime, endpoint, requests, then] {
+      SendAll(runtime, endpoint, requests, then);
+    };
+    observer.on_error = [this, then](const http::CallError& error) {
+      answers_.push_back(error.status.ToString());
+      then();
+    };
+    script_.call = runtime->http_client->Start(endpoint, std::move(next), {}, observer);
+  }
+
+  const std::string folder_;
+  const std::string config_;
+  Script script_;
+  std::vector<std::string> answers_;
+};
+
+http::Request Request(const std::string& method, const std::string& target,
+                      const std::string& body = "", const std::string& token = "") {
+  http::Request request;
+  request.method = method;
+  request.target = target;
+  request.body = body;
+  if (!token.empty()) request.headers.Add("Authorization", "Bearer " + token);
+  return request;
+}
+
+TEST_F(CommandLineTest, BadSettingsExitWithTwoAndStartNothing) {
+  std::filesystem::create_directories(folder_ + "/data");
+  EXPECT_EQ(RunGateway({"--zone", "not a zone"}), kExitBadSettings);
+  EXPECT_EQ(RunGateway({"--data-folder", folder_}), kExitBadSettings);  // of controllers
+  EXPECT_EQ(RunGateway({"--no-such-flag"}), kExitBadSettings);
+  EXPECT_EQ(Run({"gateway"}), kExitBadSettings);
+  EXPECT_EQ(Run({"gateway", "--config", folder_ + "/missing.toml"}), kExitBadSettings);
+  EXPECT_EQ(Run({"gateway", "--config", folder_}), kExitBadSettings);
+  EXPECT_EQ(Run({}), kExitBadSettings);
+  EXPECT_EQ(Run({"controller", "--config", config_, "--data-folder", folder_ + "/data",
+                 "--session-lease-ms", "1"}),
+            kExitBadSettings);
+  EXPECT_TRUE(std::filesystem::is_empty(folder_ + "/data"));
+  EXPECT_EQ(script_.started, 0);
+}
+
+TEST_F(CommandLineTest, CheckConfigStartsNothing) {
+  EXPECT_EQ(RunGateway({"--check-config"}), kExitOk);
+  EXPECT_EQ(Run({"settings-table"}), kExitOk);
+  EXPECT_EQ(script_.started, 0);
+}
+
+TEST_F(CommandLineTest, FailedStartExitsWithOne) {
+  script_.start_status = absl::DataLossError("log damaged");
+  EXPECT_EQ(RunGateway(), kExitStartFailed);
+}
+
+TEST_F(CommandLineTest, CommonEndpointsAnswerAndTheRestGoesToTheProcess) {
+  // SHA-256 of "secret".
+  constexpr const char* kSecret =
+      "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+  script_.on_start = [this](runtime::Runtime* runtime, const std::string& endpoint) {
+    SendAll(runtime, endpoint,
+            {Request("GET", "/healthz"), Request("GET", "/readyz"), Request("GET", "/metrics"),
+             Request("PUT", "/admin/v1/log-level", R"({"level": "warning"})", "secret"),
+             Request("PUT", "/admin/v1/log-level", R"({"level": "warning"})", "guess"),
+             Request("PUT", "/admin/v1/log-level", R"({"level": "loud"})", "secret"),
+             Request("PUT", "/admin/v1/log-level", "{", "secret"), Request("POST", "/healthz"),
+             Request("PUT", "/debug/faults", "{}", "secret"), Request("GET", "/other")},
+            [] { raise(SIGTERM); });
+  };
+  EXPECT_EQ(RunGateway({"--admin-token-sha256", kSecret}), kExitOk);
+  ASSERT_EQ(answers_.size(), 10u);
+  EXPECT_THAT(answers_[0], StartsWith("200"));
+  EXPECT_THAT(answers_[1], StartsWith("200"));
+  EXPECT_THAT(answers_[2], HasSubstr("posthatch_http_server_connections 1"));
+  EXPECT_THAT(answers_[3], StartsWith("200"));
+  EXPECT_THAT(answers_[4], StartsWith("401"));
+  EXPECT_THAT(answers_[5], StartsWith("400"));
+  EXPECT_THAT(answers_[6], StartsWith("400"));
+  EXPECT_THAT(answers_[7], StartsWith("405"));
+  EXPECT_EQ(answers_[8], "404 the process");  // no rehearsal
+  EXPECT_EQ(answers_[9], "404 the process");
+}
+
+TEST_F(CommandLineTest, FaultsAreInjectedInARehearsalOnly) {
+  script_.ready = false;
+  script_.on_start = [this](runtime::Runtime* runtime, const std::string& endpoint) {
+    SendAll(runtime, endpoint,
+            {Request("PUT", "/debug/faults", R"({"drop": 1})"), Request("GET", "/readyz"),
+             Request("PUT", "/debug/faults", R"({"drop_to": [")" + endpoint + R"("]})")},
+            [this, runtime, endpoint] {
+              runtime->timers->Schedule(std::chrono::milliseconds(20), [this, runtime, endpoint] {
+                SendAll(runtime, endpoint, {Request("GET", "/healthz")}, [] {});
+              });
+              runtime->timers->Schedule(std::chrono::milliseconds(200), [] { raise(SIGTERM); });
+            });
+  };
+  EXPECT_EQ(RunGateway({"--enable-fault-injection"}), kExitOk);
+  ASSERT_EQ(answers_.size(), 3u);
+  EXPECT_THAT(answers_[0], StartsWith("400"));
+  EXPECT_THAT(answers_[1], StartsWith("503"));
+  EXPECT_THAT(answers_[2], StartsWith("200"));
+}
+
+TEST_F(CommandLineTest, DrainWaitsForRunningAnswers) {
+  runtime::MonotonicTime signalled;
+  runtime::Clock* clock = nullptr;
+  script_.on_start = [&](runtime::Runtime* runtime, const std::string& endpoint) {
+    clock = runtime->clock;
+    SendAll(runtime, endpoint, {Request("GET", "/hold")}, [] {});
+    runtime->timers->Schedule(std::chrono::milliseconds(50), [&] {
+      signalled = clock->Now();
+      raise(SIGTERM);
+    });
+    runtime->timers->Schedule(std::chrono::milliseconds(150), [this] {
+      for (auto& writer : script_.held) {
+        writer->SendWhole({.status = 200, .headers = {}, .body = "ended"});
+      }
+      script_.held.clear();
+    });
+  };
+  EXPECT_EQ(RunGateway({"--drain-deadline-ms", "5000"}), kExitOk);
+  EXPECT_EQ(script_.drained, 1);
+  ASSERT_EQ(answers_.size(), 1u);
+  EXPECT_EQ(answers_[0], "200 ended");
+}
+
+TEST_F(CommandLineTest, DrainEndsAtItsDeadline) {
+  script_.drain_ends = false;
+  auto start = std::chrono::steady_clock::now();
+  script_.on_start = [&](runtime::Runtime* runtime, const std::string& endpoint) {
+    SendAll(runtime, endpoint, {Request("GET", "/hold")}, [] {});
+    runtime->timers->Schedule(std::chrono::milliseconds(50), [&] {
+      start = std::chrono::steady_clock::now();
+      raise(SIGTERM);
+    });
+  };
+  EXPECT_EQ(RunGateway(), kExitOk);  // with a deadline of 300 ms
+  const auto took = std::chrono::steady_clock::now() - start;
+  EXPECT_GE(took, std::chrono::milliseconds(300));
+  EXPECT_LT(took, std::chrono::milliseconds(2000));
+}
+
+}  // namespace
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/settings_loader-test.cc
@@ -0,0 +1,160 @@
+#include "posthatch/daemon/settings_loader.h"
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+
+namespace posthatch::daemon {
+namespace {
+
+using ::testing::ElementsAre;
+using ::testing::HasSubstr;
+using ::testing::StartsWith;
+
+constexpr const char* kGateway = R"([node]
+node_id = "gateway-1"
+zone = "eu-1a"
+internal_endpoint = "127.0.0.1:7000"
+http_endpoint = "127.0.0.1:8080"
+seeds = ["127.0.0.1:7001", "127.0.0.1:7002"]
+inventory_endpoint = "127.0.0.1:9000"
+)";
+
+std::vector<std::string> Texts(const std::vector<SettingsError>& errors) {
+  std::vector<std::string> texts;
+  for (const SettingsError& error : errors) texts.push_back(error.ToString());
+  return texts;
+}
+
+std::vector<std::string> LoadGateway(const std::string& text, GatewaySettings* settings,
+                                     std::vector<std::pair<std::string, std::string>> flags = {}) {
+  return Texts(LoadGatewaySettings({"g.toml", text, std::move(flags)}, settings));
+}
+
+TEST(SettingsLoaderTest, FillsWhatIsGivenAndKeepsDefaultsOfTheRest) {
+  GatewaySettings settings;
+  ASSERT_THAT(LoadGateway(std::string(kGateway) +
+                              "drain_deadline_ms = 1500\nlog_level = \"debug\"\n"
+                              "[limits]\nmax_body_bytes = 2048\nidle_timeout_ms = 5000\n"
+                              "[gateway]\nindex_budget_bytes = 1048576\n",
+                          &settings),
+              ElementsAre());
+  EXPECT_EQ(settings.node.node_id, "gateway-1");
+  EXPECT_THAT(settings.node.seeds, ElementsAre("127.0.0.1:7001", "127.0.0.1:7002"));
+  EXPECT_EQ(settings.node.drain_deadline, std::chrono::milliseconds(1500));
+  EXPECT_EQ(settings.node.log_level, runtime::Severity::kDebug);
+  EXPECT_EQ(settings.limits.max_body_bytes, 2048u);
+  EXPECT_EQ(settings.limits.idle_timeout, std::chrono::seconds(5));
+  EXPECT_EQ(settings.limits.max_header_bytes, http::ServerLimits().max_header_bytes);
+  EXPECT_EQ(settings.index_budget_bytes, 1048576u);
+  EXPECT_EQ(settings.session_renew_interval, GatewaySettings().session_renew_interval);
+}
+
+TEST(SettingsLoaderTest, FlagsOverrideTheFile) {
+  GatewaySettings settings;
+  ASSERT_THAT(LoadGateway(kGateway, &settings,
+                          {{"node.zone", "eu-1b"},
+                           {"node.seeds", "127.0.0.1:1,127.0.0.1:2"},
+                           {"limits.max_connections", "7"}}),
+              ElementsAre());
+  EXPECT_EQ(settings.node.zone, "eu-1b");
+  EXPECT_THAT(settings.node.seeds, ElementsAre("127.0.0.1:1", "127.0.0.1:2"));
+  EXPECT_EQ(settings.limits.max_connections, 7u);
+}
+
+TEST(SettingsLoaderTest, TellsEveryErrorWithFileLineKeyAndRange) {
+  GatewaySettings settings;
+  settings.node.zone = "untouched";
+  const auto errors = LoadGateway(R"([node]
+node_id = "gateway 1"
+http_endpoint = 3
+seeds = ["127.0.0.1:1", "127.0.0.1:1"]
+inventory_endpoint = "0.0.0.0:9000"
+admin_token_sha256 = "12"
+log_level = "loud"
+[limits]
+max_body_bytes = 3
+header_timeout_ms = 1.5
+colour = "red"
+[controller]
+bootstrap_expect = 3
+[extra]
+)",
+                                  &settings, {{"limits.max_connections", "many"}});
+  EXPECT_THAT(
+      errors,
+      ElementsAre("command line: limits.max_connections: must be 1 to 1000000, is \"many\"",
+                  StartsWith("g.toml: node.zone: missing; must be 1 to 64"),
+                  StartsWith("g.toml: node.internal_endpoint: missing; must be \"ip:port\""),
+                  "g.toml:2: node.node_id: must be 1 to 64 of a-z A-Z 0-9 . _ -, is \"gateway 1\"",
+                  StartsWith("g.toml:3: node.http_endpoint: must be \"ip:port\""),
+                  StartsWith("g.toml:4: node.seeds: must be up to 3 different"),
+                  StartsWith("g.toml:5: node.inventory_endpoint: must be \"ip:port\""),
+                  StartsWith("g.toml:6: node.admin_token_sha256: must be empty or 64 hex"),
+                  HasSubstr("g.toml:7: node.log_level: must be debug, info, warning or error"),
+                  "g.toml:9: limits.max_body_bytes: must be 1024 to 268435456 bytes, is 3",
+                  "g.toml:10: limits.header_timeout_ms: must be 100 to 600000 ms",
+                  "g.toml:11: limits.colour: unknown setting",
+                  "g.toml:13: controller.bootstrap_expect: not a setting of this role",
+                  StartsWith("g.toml:14: extra: unknown")));
+  EXPECT_EQ(settings.node.zone, "untouched");
+}
+
+TEST(SettingsLoaderTest, TellsWhereTheFileIsNoToml) {
+  GatewaySettings settings;
+  EXPECT_THAT(LoadGateway("[node]\nzone = \n", &settings),
+              ElementsAre(StartsWith("g.toml:2: not TOML: ")));
+}
+
+TEST(SettingsLoaderTest, EndpointsMustDiffer) {
+  GatewaySettings settings;
+  EXPECT_THAT(LoadGateway(kGateway, &settings, {{"node.http_endpoint", "127.0.0.1:7000"}}),
+              ElementsAre("command line: node.http_endpoint: must differ from "
+                          "node.internal_endpoint"));
+}
+
+TEST(SettingsLoaderTest, ControllerNeedsADataFolder) {
+  ControllerSettings settings;
+  EXPECT_THAT(Texts(LoadControllerSettings({"c.toml", kGateway, {}}, &settings)),
+              ElementsAre(StartsWith("c.toml: node.data_folder: missing")));
+  EXPECT_THAT(Texts(LoadControllerSettings({"c.toml", kGateway, {{"node.data_folder", "/data"}}},
+                                           &settings)),
+              ElementsAre());
+  EXPECT_EQ(settings.node.data_folder, "/data");
+}
+
+// Each number of the table takes its bounds and nothing beyond them, and its default lies within.
+TEST(SettingsTableTest, BoundsOfEveryNumberHold) {
+  int numbers = 0;
+  for (const SettingDescription& setting : SettingsTable()) {
+    if (setting.maximum == 0) continue;
+    ++numbers;
+    const auto load = [&setting](int64_t value) {
+      SettingsSource source{"x.toml", kGateway, {{setting.Key(), std::to_string(value)}}};
+      GatewaySettings gateway;
+      ControllerSettings controller;
+      if (setting.gateway) return LoadGatewaySettings(source, &gateway).empty();
+      source.overrides.emplace_back("node.data_folder", "/data");
+      return LoadControllerSettings(source, &controller).empty();
+    };
+    EXPECT_TRUE(load(setting.minimum)) << setting.Key();
+    EXPECT_TRUE(load(setting.maximum)) << setting.Key();
+    EXPECT_FALSE(load(setting.minimum - 1)) << setting.Key();
+    EXPECT_FALSE(load(setting.maximum + 1)) << setting.Key();
+    EXPECT_TRUE(load(std::stoll(DefaultText(setting)))) << setting.Key();
+  }
+  EXPECT_GE(numbers, 14);
+}
+
+TEST(SettingsTableTest, NamesAreUniqueSinceTheyAreFlags) {
+  absl::flat_hash_set<std::string> flags;
+  for (const SettingDescription& setting : SettingsTable()) {
+    EXPECT_TRUE(flags.insert(setting.Flag()).second) << setting.Flag();
+    EXPECT_THAT(SettingsMarkdown(), HasSubstr(absl::StrCat("| `", std::string(setting.name), "`")));
+  }
+}
+
+}  // namespace
+}  // namespace posthatch::daemon
