Assemble gateways and controllers on any runtime

Cause: the components stood apart; real processes and the simulator need the same assembly. Ruled out: a proxy for the leader's state on each controller (queries go to the leader after a read barrier).

--- /dev/null
+++ b/src/posthatch/daemon/controller_node.cc
@@ -0,0 +1,163 @@
+#include "posthatch/daemon/controller_node.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "posthatch/daemon/member_views.h"
+
+namespace posthatch::daemon {
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr runtime::Duration kLeaveDelay = std::chrono::milliseconds(200);
+
+membership::Member SelfAsMember(const NodeSettings& node, uint64_t incarnation) {
+  membership::Member self;
+  self.node_id = node.node_id;
+  self.role = membership::MemberRole::kController;
+  self.zone = node.zone;
+  self.region = node.region;
+  self.internal_endpoint = node.internal_endpoint;
+  self.http_endpoint = node.http_endpoint;
+  self.incarnation = incarnation;
+  return self;
+}
+
+consensus::ReplicaOptions MakeReplicaOptions(const ControllerSettings& settings,
+                                             const membership::Membership* membership) {
+  consensus::ReplicaOptions options;
+  options.bootstrap_expect = settings.bootstrap_expect;
+  options.raft.target_voters = settings.target_voters;
+  options.peers = [membership, seeds = settings.node.seeds] {
+    return EndpointsOf(*membership, membership::MemberRole::kController, seeds);
+  };
+  return options;
+}
+
+const char* RoleName(consensus::ReplicaRole role) {
+  switch (role) {
+    case consensus::ReplicaRole::kUnbootstrapped:
+      return "unbootstrapped";
+    case consensus::ReplicaRole::kLearner:
+      return "learner";
+    case consensus::ReplicaRole::kFollower:
+      return "follower";
+    case consensus::ReplicaRole::kCandidate:
+      return "candidate";
+    case consensus::ReplicaRole::kLeader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+boost::json::object MemberJson(const consensus::ReplicaStatus::MemberStatus& member) {
+  boost::json::object json;
+  json["replica_id"] = std::to_string(member.replica_id);
+  json["endpoint"] = member.endpoint;
+  json["voter"] = member.voter;
+  json["match_index"] = member.match_index;
+  json["silent_ms"] = runtime::ToMilliseconds(member.silent);
+  return json;
+}
+
+}  // namespace
+
+ControllerNode::ControllerNode(runtime::Runtime* runtime, ControllerSettings settings)
+    : runtime_(runtime),
+      settings_(std::move(settings)),
+      membership_(runtime, SelfAsMember(settings_.node, runtime->transport->incarnation()),
+                  settings_.node.seeds, membership::GossipOptions{}),
+      replica_(runtime, MakeReplicaOptions(settings_, &membership_), &state_),
+      service_(runtime, ServiceOptions(), &replica_, this, &state_),
+      invalidation_server_(runtime, channels::InvalidationServerOptions{}, &state_,
+                           [this] { return Serving(); }),
+      admin_api_(
+          runtime,
+          [this] {
+            control::AdminApiOptions options;
+            options.admin_token_sha256 = settings_.node.admin_token_sha256;
+            options.members_view = [this] { return MembersView(membership_); };
+            return options;
+          }(),
+          service_.client(), service_.client()),
+      leave_timer_(runtime->timers) {}
+
+control::ControllerServiceOptions ControllerNode::ServiceOptions() {
+  control::ControllerServiceOptions options;
+  options.session_lease = settings_.session_lease;
+  options.inventory.endpoint = settings_.node.inventory_endpoint;
+  options.inventory.poll_interval = settings_.inventory_poll_interval;
+  options.controllers = [this] {
+    return EndpointsOf(membership_, membership::MemberRole::kController, settings_.node.seeds);
+  };
+  options.controllers_view = [this] { return ControllersView(); };
+  return options;
+}
+
+absl::Status ControllerNode::Start() {
+  membership_.Start();
+  return replica_.Start();
+}
+
+bool ControllerNode::Ready() const {
+  return replica_.role() != consensus::ReplicaRole::kUnbootstrapped &&
+         !replica_.leader_endpoint().empty();
+}
+
+bool ControllerNode::MayGrant() const { return replica_.HasQuorumNow(); }
+
+channels::ServingState ControllerNode::Serving() const {
+  channels::ServingState serving;
+  serving.serving = service_.leading() && replica_.HasQuorumNow();
+  serving.epoch = replica_.term();
+  return serving;
+}
+
+void ControllerNode::Drain(std::function<void()> done) {
+  if (!replica_.IsLeader()) {
+    LeaveFleet(std::move(done));
+    return;
+  }
+  // Whatever comes of the transfer, this process is about to end.
+  replica_.TransferLeadership(
+      [this, done = std::move(done)](const absl::Status& /*status*/) { LeaveFleet(done); });
+}
+
+void ControllerNode::LeaveFleet(std::function<void()> done) {
+  membership_.Leave();
+  leave_timer_.Start(kLeaveDelay, std::move(done));
+}
+
+void ControllerNode::HandleHttp(http::Request request,
+                                std::shared_ptr<http::ResponseWriter> writer) {
+  if (admin_api_.HandleRequest(request, writer)) return;
+  http::Response response;
+  response.status = kNotFound;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = R"({"error":{"code":"not_found","message":"controllers serve operators only",)"
+                  R"("executed":"no"}})";
+  writer->SendWhole(std::move(response));
+}
+
+std::string ControllerNode::ControllersView() const {
+  const consensus::ReplicaStatus status = replica_.Status();
+  boost::json::array members;
+  for (const auto& member : status.members) members.push_back(MemberJson(member));
+  boost::json::object view;
+  view["replica_id"] = std::to_string(status.replica_id);
+  view["cluster_id"] = std::to_string(status.cluster_id);
+  view["role"] = RoleName(status.role);
+  view["term"] = status.term;
+  view["leader_endpoint"] = status.leader_endpoint;
+  view["commit_index"] = status.commit_index;
+  view["applied_index"] = status.applied_index;
+  view["snapshot_index"] = status.snapshot_index;
+  view["disk_sync_p95_ms"] = runtime::ToMilliseconds(status.disk_sync_p95);
+  view["disk_full"] = status.disk_full;
+  view["members"] = std::move(members);
+  return boost::json::serialize(view);
+}
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/controller_node.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <memory>
+
+#include "posthatch/channels/invalidation_server.h"
+#include "posthatch/consensus/raft_replica.h"
+#include "posthatch/control/admin_api.h"
+#include "posthatch/control/control_state.h"
+#include "posthatch/control/controller_service.h"
+#include "posthatch/control/leadership_guard.h"
+#include "posthatch/daemon/node_settings.h"
+#include "posthatch/daemon/process.h"
+#include "posthatch/membership/gossip_membership.h"
+
+namespace posthatch::daemon {
+
+// A controller: one replica of the log with the control state on it, the invalidation server, and
+// what gateways and operators ask of the leader. The same in real processes and in the simulator.
+class ControllerNode : public Process, private control::LeadershipGuard {
+ public:
+  ControllerNode(runtime::Runtime* runtime, ControllerSettings settings);
+
+  // Reads the data folder. Errors: those of RaftReplica::Start.
+  absl::Status Start() override;
+  // True once this replica takes part in a cluster and knows a leader.
+  bool Ready() const override;
+  // Hands leadership over, then leaves the fleet. Its place among the voters stays.
+  void Drain(std::function<void()> done) override;
+  void HandleHttp(http::Request request, std::shared_ptr<http::ResponseWriter> writer) override;
+
+  const consensus::RaftReplica& replica() const { return replica_; }
+  const control::ControlState& state() const { return state_; }
+
+ private:
+  bool MayGrant() const override;
+  channels::ServingState Serving() const;
+  std::string ControllersView() const;
+  control::ControllerServiceOptions ServiceOptions();
+  void LeaveFleet(std::function<void()> done);
+
+  runtime::Runtime* const runtime_;
+  const ControllerSettings settings_;
+  membership::GossipMembership membership_;
+  control::ControlState state_;
+  consensus::RaftReplica replica_;
+  control::ControllerService service_;
+  channels::InvalidationServer invalidation_server_;
+  control::AdminApi admin_api_;
+  runtime::Timer leave_timer_;
+};
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/gateway_node.cc
@@ -0,0 +1,134 @@
+#include "posthatch/daemon/gateway_node.h"
+
+#include <utility>
+
+#include "posthatch/daemon/member_views.h"
+
+namespace posthatch::daemon {
+namespace {
+
+constexpr std::string_view kAdminPrefix = "/admin/v1/";
+constexpr std::string_view kIndexPath = "/admin/v1/index";
+// Time for the last messages (session end, gossip) to go out before the process ends.
+constexpr runtime::Duration kLeaveDelay = std::chrono::milliseconds(200);
+
+membership::Member SelfAsMember(const NodeSettings& node, uint64_t incarnation) {
+  membership::Member self;
+  self.node_id = node.node_id;
+  self.role = membership::MemberRole::kGateway;
+  self.zone = node.zone;
+  self.region = node.region;
+  self.internal_endpoint = node.internal_endpoint;
+  self.http_endpoint = node.http_endpoint;
+  self.incarnation = incarnation;
+  return self;
+}
+
+control::GatewaySessionOptions SessionOptions(const GatewaySettings& settings) {
+  control::GatewaySessionOptions options;
+  options.zone = settings.node.zone;
+  options.renew_interval = settings.session_renew_interval;
+  return options;
+}
+
+index::IndexOptions MakeIndexOptions(const GatewaySettings& settings) {
+  index::IndexOptions options;
+  options.index_budget_bytes = settings.index_budget_bytes;
+  options.zone = settings.node.zone;
+  return options;
+}
+
+uint32_t CountGateways(const membership::Membership& membership) {
+  uint32_t count = 1;  // this one
+  for (const membership::Member& member : membership.LiveMembers()) {
+    if (member.role == membership::MemberRole::kGateway) ++count;
+  }
+  return count;
+}
+
+gateway::GatewayOptions MakeGatewayOptions(const GatewaySettings& settings,
+                                           const membership::Membership* membership) {
+  gateway::GatewayOptions options;
+  options.gateway_id = settings.node.node_id;
+  options.zone = settings.node.zone;
+  options.inventory_endpoint = settings.node.inventory_endpoint;
+  options.routing_mode = settings.routing_mode == "round_robin"
+                             ? gateway::RoutingMode::kRoundRobin
+                             : gateway::RoutingMode::kPrefixAware;
+  options.live_gateways = [membership] { return CountGateways(*membership); };
+  return options;
+}
+
+control::AdminApiOptions MakeAdminOptions(const NodeSettings& node,
+                                          const membership::Membership* membership) {
+  control::AdminApiOptions options;
+  options.admin_token_sha256 = node.admin_token_sha256;
+  options.members_view = [membership] { return MembersView(*membership); };
+  return options;
+}
+
+}  // namespace
+
+GatewayNode::GatewayNode(runtime::Runtime* runtime, GatewaySettings settings)
+    : runtime_(runtime),
+      settings_(std::move(settings)),
+      membership_(runtime, SelfAsMember(settings_.node, runtime->transport->incarnation()),
+                  settings_.node.seeds, membership::GossipOptions{}),
+      session_(runtime, SessionOptions(settings_),
+               [this] {
+                 return EndpointsOf(membership_, membership::MemberRole::kController,
+                                    settings_.node.seeds);
+               }),
+      index_(
+          runtime, MakeIndexOptions(settings_), &session_, &session_,
+          [this] { return EndpointsOf(membership_, membership::MemberRole::kGateway, {}); },
+          [this] {
+            return EndpointsOf(membership_, membership::MemberRole::kController,
+                               settings_.node.seeds);
+          }),
+      gateway_(runtime, MakeGatewayOptions(settings_, &membership_), &session_, &session_,
+               index_.locator()),
+      revision_enforcer_(runtime, orders::RevisionEnforcerOptions{}, &session_,
+                         [this](const std::string& worker_id, uint64_t* fencing_token) {
+                           return session_.HoldsWorker(worker_id, fencing_token);
+                         }),
+      admin_api_(runtime, MakeAdminOptions(settings_.node, &membership_), &session_, &session_),
+      leave_timer_(runtime->timers) {}
+
+absl::Status GatewayNode::Start() {
+  membership_.Start();
+  index_.Start();
+  revision_enforcer_.Start();
+  return absl::OkStatus();
+}
+
+bool GatewayNode::Ready() const { return gateway_.Ready(); }
+
+void GatewayNode::Drain(std::function<void()> done) {
+  gateway_.Drain([this, done = std::move(done)] { LeaveFleet(done); });
+}
+
+void GatewayNode::LeaveFleet(std::function<void()> done) {
+  session_.Leave();
+  membership_.Leave();
+  leave_timer_.Start(kLeaveDelay, std::move(done));
+}
+
+void GatewayNode::HandleHttp(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+  if (!request.target.starts_with(kAdminPrefix)) {
+    gateway_.HandleRequest(std::move(request), std::move(writer));
+    return;
+  }
+  if (request.target == kIndexPath && request.method == "GET" && admin_api_.Authorized(request)) {
+    http::Response response;
+    response.headers.Add("Content-Type", "application/json");
+    response.body = index_.stats_json();
+    writer->SendWhole(std::move(response));
+    return;
+  }
+  if (!admin_api_.HandleRequest(request, writer)) {
+    gateway_.HandleRequest(std::move(request), std::move(writer));
+  }
+}
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/gateway_node.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+
+#include "posthatch/control/admin_api.h"
+#include "posthatch/control/gateway_session.h"
+#include "posthatch/daemon/node_settings.h"
+#include "posthatch/daemon/process.h"
+#include "posthatch/gateway/gateway.h"
+#include "posthatch/index/index_node.h"
+#include "posthatch/membership/gossip_membership.h"
+#include "posthatch/orders/revision_enforcer.h"
+
+namespace posthatch::daemon {
+
+// A gateway: finds the controllers by gossip, holds a session lease, keeps the prefix cache index,
+// serves callers, and cares for the workers whose leases it holds. The same in real processes and
+// in the simulator.
+class GatewayNode : public Process {
+ public:
+  GatewayNode(runtime::Runtime* runtime, GatewaySettings settings);
+
+  absl::Status Start() override;
+  bool Ready() const override;
+  // Lets running answers end, then gives up the session and leaves the fleet.
+  void Drain(std::function<void()> done) override;
+  void HandleHttp(http::Request request, std::shared_ptr<http::ResponseWriter> writer) override;
+
+ private:
+  void LeaveFleet(std::function<void()> done);
+
+  runtime::Runtime* const runtime_;
+  const GatewaySettings settings_;
+  membership::GossipMembership membership_;
+  control::GatewaySession session_;
+  index::IndexNode index_;
+  gateway::Gateway gateway_;
+  orders::RevisionEnforcer revision_enforcer_;
+  control::AdminApi admin_api_;
+  runtime::Timer leave_timer_;
+};
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/member_views.cc
@@ -0,0 +1,63 @@
+#include "posthatch/daemon/member_views.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace posthatch::daemon {
+namespace {
+
+const char* RoleName(membership::MemberRole role) {
+  return role == membership::MemberRole::kGateway ? "gateway" : "controller";
+}
+
+const char* StateName(membership::MemberState state) {
+  switch (state) {
+    case membership::MemberState::kAlive:
+      return "alive";
+    case membership::MemberState::kSuspect:
+      return "suspect";
+    case membership::MemberState::kDead:
+      return "dead";
+    case membership::MemberState::kLeft:
+      return "left";
+  }
+  return "unknown";
+}
+
+boost::json::object MemberJson(const membership::Member& member) {
+  boost::json::object json;
+  json["node_id"] = member.node_id;
+  json["role"] = RoleName(member.role);
+  json["zone"] = member.zone;
+  json["region"] = member.region;
+  json["internal_endpoint"] = member.internal_endpoint;
+  json["http_endpoint"] = member.http_endpoint;
+  json["state"] = StateName(member.state);
+  return json;
+}
+
+}  // namespace
+
+std::vector<std::string> EndpointsOf(const membership::Membership& membership,
+                                     membership::MemberRole role,
+                                     const std::vector<std::string>& seeds) {
+  std::vector<std::string> endpoints;
+  for (const membership::Member& member : membership.LiveMembers()) {
+    if (member.role == role) endpoints.push_back(member.internal_endpoint);
+  }
+  return endpoints.empty() ? seeds : endpoints;
+}
+
+std::string MembersView(const membership::Membership& membership) {
+  boost::json::array members;
+  members.push_back(MemberJson(membership.self()));
+  for (const membership::Member& member : membership.LiveMembers()) {
+    members.push_back(MemberJson(member));
+  }
+  boost::json::object view;
+  view["members"] = std::move(members);
+  return boost::json::serialize(view);
+}
+
+}  // namespace posthatch::daemon
--- /dev/null
+++ b/src/posthatch/daemon/member_views.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "posthatch/membership/membership.h"
+
+// What both kinds of node derive from the members they know.
+namespace posthatch::daemon {
+
+// Internal endpoints of the live members of `role`, without this process. While none is known, the
+// seed addresses, which may be of any role.
+std::vector<std::string> EndpointsOf(const membership::Membership& membership,
+                                     membership::MemberRole role,
+                                     const std::vector<std::string>& seeds);
+
+// Body of GET /admin/v1/members: this process first, then the others by node id.
+std::string MembersView(const membership::Membership& membership);
+
+}  // namespace posthatch::daemon
--- a/src/posthatch/daemon/node_settings.h
+++ b/src/posthatch/daemon/node_settings.h
@@ -35,6 +35,8 @@
   runtime::Duration session_renew_interval = std::chrono::seconds(1);
   // Index entries in memory, in bytes.
   uint64_t index_budget_bytes = 64ull * 1024 * 1024;
+  // "prefix_aware", or "round_robin": ignores prefixes and load, the baseline of rehearsals.
+  std::string routing_mode = "prefix_aware";
 };
 
 struct ControllerSettings {
--- a/src/posthatch/daemon/setting_value.cc
+++ b/src/posthatch/daemon/setting_value.cc
@@ -60,6 +60,8 @@
       return asio::IsDefiniteEndpoint(text);
     case SettingKind::kSha256:
       return IsSha256(text);
+    case SettingKind::kRoutingMode:
+      return text == "prefix_aware" || text == "round_robin";
     default:
       return IsText(text);
   }
@@ -141,6 +143,7 @@
     case SettingKind::kName:
     case SettingKind::kEndpoint:
     case SettingKind::kSha256:
+    case SettingKind::kRoutingMode:
       return StoreText(setting, value, target);
     case SettingKind::kLogLevel:
       return StoreLevel(setting, value, target);
--- a/src/posthatch/daemon/settings_table.cc
+++ b/src/posthatch/daemon/settings_table.cc
@@ -184,6 +184,13 @@
          return &draft->gateway.index_budget_bytes;
        },
        .help = "Memory for index entries; the least used are dropped beyond it."},
+      {.table = "gateway",
+       .name = "routing_mode",
+       .kind = SettingKind::kRoutingMode,
+       .controller = false,
+       .target = [](SettingsDraft* draft) -> SettingTarget { return &draft->gateway.routing_mode; },
+       .help = "How workers are chosen; round_robin ignores prefixes and load and is the baseline "
+               "that rehearsals compare with."},
   };
 }
 
@@ -299,6 +306,8 @@
       return "empty or 64 hexadecimal digits";
     case SettingKind::kLogLevel:
       return "debug, info, warning or error";
+    case SettingKind::kRoutingMode:
+      return "prefix_aware or round_robin";
     case SettingKind::kCount:
     case SettingKind::kBytes:
     case SettingKind::kMilliseconds:
--- a/src/posthatch/daemon/settings_table.h
+++ b/src/posthatch/daemon/settings_table.h
@@ -28,6 +28,7 @@
   kEndpointList,  // up to three of them, all different
   kSha256,        // empty, or 64 hexadecimal digits
   kLogLevel,      // debug, info, warning, error
+  kRoutingMode,   // prefix_aware, round_robin
   kCount,         // whole number
   kBytes,         // whole number of bytes
   kMilliseconds,  // whole number of milliseconds
