--- /dev/null
+++ b/src/posthatch/membership/failure_detector.cc
@@ -0,0 +1,145 @@
+#include "posthatch/membership/failure_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace posthatch::membership {
+namespace {
+
+// Pings for others that run at a time; more are not taken.
+constexpr size_t kMaxRelays = 256;
+
+}  // namespace
+
+FailureDetector::FailureDetector(runtime::Runtime* runtime, const GossipOptions* options,
+                                 MemberTable* table, MessageSender* sender, Observer* observer)
+    : runtime_(runtime),
+      options_(options),
+      table_(table),
+      sender_(sender),
+      observer_(observer),
+      last_answer_(runtime->clock->Now()) {}
+
+runtime::Duration FailureDetector::Scaled(runtime::Duration duration) const {
+  return duration * (1 + health_score_);
+}
+
+void FailureDetector::WorsenHealth(int by) {
+  health_score_ = std::clamp(health_score_ + by, 0, options_->max_health_score);
+}
+
+void FailureDetector::SendPing(const std::string& endpoint, const std::string& node_id,
+                               uint64_t sequence, const std::string& record) {
+  MembershipMessage message;
+  message.mutable_ping()->set_sequence(sequence);
+  message.mutable_ping()->set_target_node(node_id);
+  if (!record.empty()) message.add_records(record);
+  sender_->SendWithUpdates(endpoint, std::move(message));
+}
+
+void FailureDetector::Probe(const MemberEntry& target, const std::string& record) {
+  if (round_by_node_.contains(target.member.node_id)) return;
+  const uint64_t sequence = ++last_sequence_;
+  round_by_node_[target.member.node_id] = sequence;
+  Round& round = rounds_[sequence];
+  round.node_id = target.member.node_id;
+  round.endpoint = target.member.internal_endpoint;
+  round.record = record;
+  round.timer = std::make_unique<runtime::Timer>(runtime_->timers);
+  round.timer->Start(Scaled(options_->probe_retry), [this, sequence] { Retry(sequence); });
+  SendPing(round.endpoint, round.node_id, sequence, record);
+}
+
+void FailureDetector::Retry(uint64_t sequence) {
+  observer_->OnActivity();
+  const auto found = rounds_.find(sequence);
+  if (found == rounds_.end()) return;
+  Round& round = found->second;
+  round.timer->Start(Scaled(options_->probe_deadline - options_->probe_retry),
+                     [this, sequence] { Expire(sequence); });
+  SendPing(round.endpoint, round.node_id, sequence, round.record);
+  MembershipMessage message;
+  message.mutable_ping_request()->set_sequence(sequence);
+  message.mutable_ping_request()->set_target_node(round.node_id);
+  message.mutable_ping_request()->set_target_endpoint(round.endpoint);
+  const std::vector<MemberEntry*> helpers =
+      table_->PickLive(static_cast<size_t>(options_->indirect_probes), round.node_id);
+  round.requests = static_cast<int>(helpers.size());
+  for (const MemberEntry* helper : helpers) {
+    sender_->SendWithUpdates(helper->member.internal_endpoint, message);
+  }
+}
+
+void FailureDetector::Expire(uint64_t sequence) {
+  observer_->OnActivity();
+  const auto found = rounds_.find(sequence);
+  if (found == rounds_.end()) return;
+  const std::string node_id = found->second.node_id;
+  // Helpers that didn't even say that they got no answer: the fault may be here.
+  if (found->second.nacks < found->second.requests) WorsenHealth(1);
+  rounds_.erase(found);
+  round_by_node_.erase(node_id);
+  observer_->OnRoundFailed(node_id);
+}
+
+void FailureDetector::Abandon() {
+  rounds_.clear();
+  round_by_node_.clear();
+}
+
+void FailureDetector::OnPing(const std::string& from_endpoint, const Ping& ping,
+                             const std::string& self_node_id, std::string record_of_sender) {
+  if (ping.target_node() != self_node_id) return;
+  MembershipMessage message;
+  message.mutable_ack()->set_sequence(ping.sequence());
+  if (!record_of_sender.empty()) message.add_records(std::move(record_of_sender));
+  sender_->SendWithUpdates(from_endpoint, std::move(message));
+}
+
+void FailureDetector::OnAck(const Ack& ack) {
+  last_answer_ = runtime_->clock->Now();
+  const auto relay = relays_.find(ack.sequence());
+  if (relay != relays_.end()) {
+    MembershipMessage message;
+    message.mutable_ack()->set_sequence(relay->second.origin_sequence);
+    sender_->SendPlain(relay->second.origin_endpoint, message);
+    relays_.erase(relay);
+    return;
+  }
+  const auto round = rounds_.find(ack.sequence());
+  if (round == rounds_.end()) return;
+  const std::string node_id = round->second.node_id;
+  rounds_.erase(round);
+  round_by_node_.erase(node_id);
+  WorsenHealth(-1);
+  observer_->OnRoundPassed(node_id);
+}
+
+void FailureDetector::OnPingRequest(const std::string& from_endpoint, const PingRequest& request) {
+  if (relays_.size() >= kMaxRelays) return;
+  const uint64_t sequence = ++last_sequence_;
+  Relay& relay = relays_[sequence];
+  relay.origin_endpoint = from_endpoint;
+  relay.origin_sequence = request.sequence();
+  relay.timer = std::make_unique<runtime::Timer>(runtime_->timers);
+  relay.timer->Start(options_->probe_retry, [this, sequence] { ExpireRelay(sequence); });
+  SendPing(request.target_endpoint(), request.target_node(), sequence, "");
+}
+
+void FailureDetector::ExpireRelay(uint64_t sequence) {
+  observer_->OnActivity();
+  const auto relay = relays_.find(sequence);
+  if (relay == relays_.end()) return;
+  MembershipMessage message;
+  message.mutable_nack()->set_sequence(relay->second.origin_sequence);
+  sender_->SendPlain(relay->second.origin_endpoint, message);
+  relays_.erase(relay);
+}
+
+void FailureDetector::OnNack(const Nack& nack) {
+  last_answer_ = runtime_->clock->Now();
+  const auto round = rounds_.find(nack.sequence());
+  if (round != rounds_.end()) ++round->second.nacks;
+}
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/failure_detector.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "posthatch/membership/gossip_options.h"
+#include "posthatch/membership/member_table.h"
+#include "posthatch/membership/message_sender.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::membership {
+
+// Probes members: a ping, its repetition directly and over others, and the failure of the round.
+// Also pings for others, and keeps the local health score, which slows this process down when the
+// fault is probably its own (Lifeguard, section IV.A). Owned by GossipMembership.
+class FailureDetector {
+ public:
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    virtual void OnRoundPassed(const std::string& node_id) = 0;
+    virtual void OnRoundFailed(const std::string& node_id) = 0;
+    // Called first in each timer callback, so that a pause of the process is noticed before any
+    // conclusion is drawn from it.
+    virtual void OnActivity() = 0;
+  };
+
+  FailureDetector(runtime::Runtime* runtime, const GossipOptions* options, MemberTable* table,
+                  MessageSender* sender, Observer* observer);
+
+  // Starts a round with a member, unless one is running. `record` (serialized, may be empty) is put
+  // into the pings: what is said of the member and it should deny.
+  void Probe(const MemberEntry& target, const std::string& record);
+  // Drops all running rounds without a conclusion.
+  void Abandon();
+
+  void OnPing(const std::string& from_endpoint, const Ping& ping, const std::string& self_node_id,
+              std::string record_of_sender);
+  void OnAck(const Ack& ack);
+  void OnPingRequest(const std::string& from_endpoint, const PingRequest& request);
+  void OnNack(const Nack& nack);
+
+  int health_score() const { return health_score_; }
+  void WorsenHealth(int by);
+  // When some process last answered this one.
+  runtime::MonotonicTime last_answer() const { return last_answer_; }
+
+ private:
+  struct Round {
+    std::string node_id;
+    std::string endpoint;
+    std::string record;
+    int requests = 0;
+    int nacks = 0;
+    std::unique_ptr<runtime::Timer> timer;
+  };
+  struct Relay {
+    std::string origin_endpoint;
+    uint64_t origin_sequence;
+    std::unique_ptr<runtime::Timer> timer;
+  };
+
+  runtime::Duration Scaled(runtime::Duration duration) const;
+  void SendPing(const std::string& endpoint, const std::string& node_id, uint64_t sequence,
+                const std::string& record);
+  void Retry(uint64_t sequence);
+  void Expire(uint64_t sequence);
+  void ExpireRelay(uint64_t sequence);
+
+  runtime::Runtime* const runtime_;
+  const GossipOptions* const options_;
+  MemberTable* const table_;
+  MessageSender* const sender_;
+  Observer* const observer_;
+  uint64_t last_sequence_ = 0;
+  std::map<uint64_t, Round> rounds_;
+  std::map<std::string, uint64_t> round_by_node_;
+  std::map<uint64_t, Relay> relays_;
+  int health_score_ = 0;
+  runtime::MonotonicTime last_answer_;
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/gossip_membership-test.cc
@@ -0,0 +1,239 @@
+#include "posthatch/membership/gossip_membership.h"
+
+#include <gtest/gtest.h>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/membership/gossip_fleet.h"
+
+namespace posthatch::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class GossipTest : public testing::TestWithParam<uint64_t> {
+ protected:
+  void SetLoss(double loss) {
+    simulation::NetworkBehaviour behaviour;
+    behaviour.loss = loss;
+    behaviour.duplication = loss / 2;
+    behaviour.reordering = loss / 2;
+    world_.SetNetwork(behaviour);
+  }
+  void CutBothWays(size_t from, size_t to) {
+    world_.Cut(absl::StrCat("n", from), absl::StrCat("n", to));
+    world_.Cut(absl::StrCat("n", to), absl::StrCat("n", from));
+  }
+  // Cuts nodes below `border` from the others.
+  void Split(const GossipFleet& fleet, size_t border) {
+    for (size_t low = 0; low < border; ++low) {
+      for (size_t high = border; high < fleet.size(); ++high) CutBothWays(low, high);
+    }
+  }
+
+  simulation::SimWorld world_{GetParam()};
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, GossipTest, testing::Range<uint64_t>(1, 13));
+
+TEST_P(GossipTest, FleetFindsItselfFromThreeSeeds) {
+  GossipFleet fleet(&world_, 40);
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  EXPECT_TRUE(fleet.false_deaths().empty());
+}
+
+TEST_P(GossipTest, OneLiveSeedIsEnough) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  fleet.host(0)->PowerLoss();
+  fleet.host(2)->Crash();
+  const size_t added = fleet.Add();
+  EXPECT_TRUE(
+      world_.RunUntil([&] { return fleet.membership(added)->live_count() >= 17; }, seconds(5)));
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(60)));
+}
+
+TEST_P(GossipTest, RestartedProcessIsFoundAgainAlthoughAllSeedsHaveMoved) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  // Long enough for the peers to be written.
+  world_.RunFor(seconds(80));
+  for (const size_t seed : {0, 1, 2}) fleet.host(seed)->PowerLoss();
+  // One has its remembered peers on its disk, the other nothing: the others remember it.
+  fleet.host(10)->Crash();
+  fleet.host(11)->Crash();
+  fleet.host(11)->LoseDisk();
+  world_.RunFor(seconds(30));
+  fleet.host(10)->Start();
+  fleet.host(11)->Start();
+  EXPECT_TRUE(
+      world_.RunUntil([&] { return fleet.membership(10)->live_count() >= 14; }, seconds(5)));
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(120)));
+}
+
+TEST_P(GossipTest, DeadMemberIsNoticed) {
+  GossipFleet fleet(&world_, 30);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  fleet.host(7)->PowerLoss();
+  EXPECT_TRUE(fleet.RunUntilGone(7, seconds(15)));
+  EXPECT_TRUE(fleet.false_deaths().empty());
+}
+
+TEST_P(GossipTest, AnAddressTakenOverByAnotherProcessDoesNotKeepTheOldOneAlive) {
+  GossipFleet fleet(&world_, 10);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  fleet.host(9)->Crash();
+  simulation::SimHost* successor = world_.AddHost("successor", "zone", fleet.host(9)->ip());
+  successor->SetBoot([&](runtime::Runtime* runtime) {
+    Member self;
+    self.node_id = "successor";
+    self.internal_endpoint = successor->internal_endpoint();
+    auto membership = std::make_shared<GossipMembership>(
+        runtime, self, std::vector<std::string>{fleet.host(0)->internal_endpoint()});
+    membership->Start();
+    return membership;
+  });
+  successor->Start();
+  EXPECT_TRUE(fleet.RunUntilGone(9, seconds(20)));
+  world_.RunFor(seconds(5));
+  EXPECT_EQ(fleet.membership(0)->StateOf("successor"), MemberState::kAlive);
+}
+
+// Stated rate: none in 20 nodes x 300 s x 12 seeds at each loss.
+TEST_P(GossipTest, NoFalseDeathUnderLoss) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(60)));
+  for (const double loss : {0.01, 0.05, 0.2}) {
+    SetLoss(loss);
+    world_.RunFor(seconds(300));
+    EXPECT_TRUE(fleet.false_deaths().empty())
+        << fleet.false_deaths().size() << " false deaths at loss " << loss;
+  }
+}
+
+TEST_P(GossipTest, WakingFromAFreezeAccusesNobodyAndComesBack) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  fleet.host(5)->Freeze();
+  EXPECT_TRUE(fleet.RunUntilGone(5, seconds(25)));
+  world_.RunFor(seconds(5));
+  fleet.ClearFalseDeaths();
+  fleet.host(5)->Thaw();
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  world_.RunFor(seconds(20));
+  EXPECT_TRUE(fleet.false_deaths().empty());
+}
+
+TEST_P(GossipTest, OneWayCutBetweenTwoKillsNobody) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  world_.Cut("n4", "n5");
+  world_.RunFor(seconds(120));
+  EXPECT_TRUE(fleet.false_deaths().empty());
+}
+
+TEST_P(GossipTest, ProcessThatHearsNothingAccusesNobody) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  for (size_t other = 0; other < fleet.size(); ++other) {
+    if (other != 5) world_.Cut(absl::StrCat("n", other), "n5");
+  }
+  EXPECT_TRUE(fleet.RunUntilGone(5, seconds(20)));
+  for (const GossipFleet::FalseDeath& death : fleet.false_deaths()) EXPECT_EQ(death.member, "n5");
+  world_.HealAll();
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(60)));
+  for (const GossipFleet::FalseDeath& death : fleet.false_deaths()) EXPECT_EQ(death.member, "n5");
+}
+
+TEST_P(GossipTest, HealedSplitMergesWithoutFurtherDeaths) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  Split(fleet, 10);
+  world_.RunFor(seconds(60));
+  EXPECT_EQ(fleet.membership(0)->live_count(), 9u);
+  EXPECT_EQ(fleet.membership(19)->live_count(), 9u);
+  world_.HealAll();
+  fleet.ClearFalseDeaths();
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(60)));
+  EXPECT_TRUE(fleet.false_deaths().empty());
+}
+
+TEST_P(GossipTest, TwoFleetsWithOneSeedInCommonMerge) {
+  GossipFleet fleet(&world_, 6);
+  // Started while cut off from all seeds: a fleet of its own, which knows only the seeds' names.
+  for (size_t i = 0; i < 3; ++i) fleet.Add();
+  Split(fleet, 6);
+  world_.RunFor(seconds(30));
+  world_.HealAll();
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(60)));
+}
+
+TEST_P(GossipTest, RestartOverridesTheFormerLife) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  for (int restart = 0; restart < 2; ++restart) {
+    fleet.host(8)->Crash();
+    world_.RunFor(milliseconds(restart == 0 ? 100 : 20000));
+    fleet.host(8)->Start();
+    const uint64_t incarnation = fleet.membership(8)->self().incarnation;
+    world_.RunFor(seconds(10));
+    for (size_t observer = 0; observer < fleet.size(); ++observer) {
+      if (observer == 8) continue;
+      for (const Member& member : fleet.membership(observer)->LiveMembers()) {
+        EXPECT_TRUE(member.node_id != "n8" || member.incarnation == incarnation);
+      }
+      EXPECT_EQ(fleet.StateSeen(observer, 8), MemberState::kAlive);
+    }
+  }
+}
+
+TEST_P(GossipTest, LeavingIsKnownAtOnce) {
+  SetLoss(0.05);
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(30)));
+  fleet.membership(6)->Leave();
+  world_.RunFor(milliseconds(300));
+  fleet.host(6)->Crash();
+  world_.RunFor(seconds(3));
+  for (size_t observer = 0; observer < fleet.size(); ++observer) {
+    if (observer == 6) continue;
+    EXPECT_EQ(fleet.StateSeen(observer, 6), MemberState::kLeft);
+    EXPECT_TRUE(fleet.membership(observer)->StateOf("n6").has_value());
+  }
+}
+
+TEST_P(GossipTest, FlappingMemberIsHeldBack) {
+  GossipFleet fleet(&world_, 10);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  int returns = 0;
+  fleet.membership(0)->AddListener([&](const Member& member) {
+    if (member.node_id == "n9" && member.state == MemberState::kAlive) ++returns;
+  });
+  for (int flap = 0; flap < 12; ++flap) {
+    fleet.host(9)->Crash();
+    world_.RunFor(milliseconds(500));
+    fleet.host(9)->Start();
+    world_.RunFor(milliseconds(2500));
+  }
+  EXPECT_LE(returns, 5);
+  EXPECT_GE(returns, 1);
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(90))) << "a member that stays is reported again";
+}
+
+TEST_P(GossipTest, EqualSeedsGiveEqualRuns) {
+  const auto run = [](uint64_t seed) {
+    simulation::SimWorld world(seed);
+    simulation::NetworkBehaviour behaviour;
+    behaviour.loss = 0.1;
+    world.SetNetwork(behaviour);
+    GossipFleet fleet(&world, 15);
+    world.At(seconds(5), [&world] { world.FindHost("n3")->Crash(); });
+    world.RunFor(seconds(30));
+    return world.trace_hash();
+  };
+  EXPECT_EQ(run(GetParam()), run(GetParam()));
+  EXPECT_NE(run(GetParam()), run(GetParam() + 1000));
+}
+
+}  // namespace
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/gossip_membership.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "posthatch/membership/broadcast_queue.h"
+#include "posthatch/membership/failure_detector.h"
+#include "posthatch/membership/gossip_metrics.h"
+#include "posthatch/membership/gossip_options.h"
+#include "posthatch/membership/member_table.h"
+#include "posthatch/membership/membership.h"
+#include "posthatch/membership/peer_memory.h"
+#include "posthatch/membership/record_merger.h"
+#include "posthatch/membership/state_sync.h"
+#include "posthatch/membership/suspicion_list.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::membership {
+
+// SWIM-style gossip membership (Das et al., DSN 2002) with Lifeguard's local health (Dadgar et al.,
+// DSN-W 2018) and anti-entropy by bucket digests, all in datagrams on SERVICE_MEMBERSHIP. Sends
+// about as much in a fleet of 1,000 as in one of 10. Owned by the node's assembly; event loop
+// thread only; the runtime must outlive it.
+class GossipMembership : public Membership,
+                         private MessageSender,
+                         private FailureDetector::Observer,
+                         private RecordMerger::Owner {
+ public:
+  // `self.incarnation` is set from the transport. `seeds` are internal endpoints; any one live one
+  // is enough, and none is for the first process.
+  GossipMembership(runtime::Runtime* runtime, Member self, std::vector<std::string> seeds,
+                   GossipOptions options = {});
+  ~GossipMembership() override;
+  GossipMembership(const GossipMembership&) = delete;
+  GossipMembership& operator=(const GossipMembership&) = delete;
+
+  // Begins to answer and to look for others. Reads the remembered peers (blocks shortly).
+  void Start();
+
+  std::vector<Member> LiveMembers() const override;
+  const Member& self() const override { return self_; }
+  void AddListener(Listener listener) override { listeners_.push_back(std::move(listener)); }
+  void Leave() override;
+
+  // Number of members that LiveMembers would return, without copying them.
+  size_t live_count() const;
+  // What is reported of a member; nothing if it isn't known.
+  std::optional<MemberState> StateOf(const std::string& node_id) const;
+
+ private:
+  // MessageSender.
+  void SendWithUpdates(const std::string& endpoint, MembershipMessage message) override;
+  void SendPlain(const std::string& endpoint, const MembershipMessage& message) override;
+  // FailureDetector::Observer.
+  void OnRoundPassed(const std::string& node_id) override;
+  void OnRoundFailed(const std::string& node_id) override;
+  void OnActivity() override;
+  // RecordMerger::Owner.
+  void Notify(const Member& member) override;
+  void Verify(MemberEntry* entry, const std::string& record) override;
+  void OnRefuted() override;
+
+  void OnEnvelope(const runtime::Envelope& envelope);
+  void Dispatch(const runtime::Envelope& envelope, const MembershipMessage& message);
+  // What is known of a sender that it should hear, serialized; empty if all is well.
+  std::string RecordForSender(const runtime::Envelope& envelope);
+
+  void Tick();
+  void ProbeNext();
+  void FindOthers();
+  void SyncWithRandomMember();
+  void ExpireSuspicions();
+  void StartGossip();
+  void GossipOnce();
+  void SendGossip(const std::string& endpoint, size_t max_bytes);
+  void SendLeaving(int more_rounds);
+  int TransmitLimit() const;
+  // Whether this process seems to be cut off itself, so that it should accuse nobody.
+  bool Isolated() const;
+  bool due(runtime::MonotonicTime* next, runtime::Duration interval);
+
+  runtime::Runtime* const runtime_;
+  const GossipOptions options_;
+  Member self_;
+  GossipMetrics metrics_;
+  MemberTable table_;
+  SuspicionList suspicions_;
+  BroadcastQueue queue_;
+  RecordMerger merger_;
+  FailureDetector detector_;
+  StateSync sync_;
+  PeerMemory peers_;
+  std::vector<Listener> listeners_;
+  runtime::Timer tick_timer_;
+  runtime::Timer gossip_timer_;
+  bool left_ = false;
+  bool was_isolated_ = false;
+  runtime::MonotonicTime isolated_since_{};
+  runtime::MonotonicTime last_activity_{};
+  runtime::MonotonicTime accuse_nobody_until_{};
+  runtime::MonotonicTime next_probe_{};
+  runtime::MonotonicTime next_search_{};
+  runtime::MonotonicTime next_sync_{};
+  runtime::MonotonicTime next_save_{};
+  double gossip_budget_bytes_ = 0;
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/gossip_options.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::membership {
+
+// All tunables of GossipMembership. The defaults are for 3 to some thousands of processes with
+// round trips up to 250 ms; see docs/design-docs/membership.md for what follows from them.
+struct GossipOptions {
+  // Failure detection (SWIM, sections 3.1 and 4.2; Lifeguard, section IV).
+  runtime::Duration probe_interval = std::chrono::seconds(1);
+  // From a ping to its repetition, directly and over others.
+  runtime::Duration probe_retry = std::chrono::milliseconds(200);
+  // From a ping to the failure of the round.
+  runtime::Duration probe_deadline = std::chrono::milliseconds(500);
+  int indirect_probes = 3;
+  // Rounds in a row that must fail before a member is suspected aloud.
+  int failed_rounds_to_suspect = 3;
+  // Shortest suspicion before a member counts as dead, for 10 processes or fewer; it is multiplied
+  // by log10 of the number of processes.
+  runtime::Duration min_suspicion = std::chrono::milliseconds(1500);
+  // Longest suspicion (nobody else suspects), as a multiple of the shortest.
+  int max_suspicion_factor = 3;
+  // Other accusers that bring the suspicion down to the shortest.
+  int confirmations = 2;
+  // Upper end of the local health score; time-outs are multiplied by 1 + score.
+  int max_health_score = 8;
+  // A gap between two callbacks beyond this means that this process was stopped.
+  runtime::Duration pause_threshold = std::chrono::milliseconds(2500);
+  // After a pause, nobody is suspected for so long.
+  runtime::Duration pause_grace = std::chrono::seconds(5);
+  // Without any answer for so long, this process takes itself for cut off and suspects nobody ...
+  runtime::Duration isolation_timeout = std::chrono::seconds(2);
+  // ... for at most so long.
+  runtime::Duration isolation_hold = std::chrono::seconds(30);
+
+  // Dissemination.
+  runtime::Duration gossip_interval = std::chrono::milliseconds(200);
+  int gossip_fanout = 2;
+  // How often one process passes an update on: this times log2 of the number of processes.
+  int retransmit_factor = 2;
+  size_t max_gossip_bytes_per_second = 8000;
+  size_t max_queued_updates = 512;
+  // Bytes of updates that ride on a ping or its answer.
+  size_t piggyback_bytes = 600;
+
+  // Anti-entropy, with a random member.
+  runtime::Duration sync_interval = std::chrono::seconds(30);
+  runtime::Duration sync_interval_after_difference = std::chrono::seconds(3);
+  runtime::Duration pull_timeout = std::chrono::milliseconds(400);
+  int pull_retries = 4;
+  int pull_window_buckets = 8;
+
+  // Finding others: seeds, and peers remembered that are not alive.
+  runtime::Duration join_interval = std::chrono::seconds(1);
+  runtime::Duration reconnect_interval = std::chrono::seconds(10);
+  // How many processes of the whole fleet try one such address per reconnect_interval.
+  int reconnects_per_interval = 8;
+  runtime::Duration forget_after = std::chrono::hours(24);
+  // Where peers are remembered over restarts, on machines with a disk.
+  std::string peers_folder = "membership";
+  runtime::Duration peers_write_interval = std::chrono::seconds(60);
+
+  // Flapping: deaths of a member, halved each half-life. Beyond the limit, a member that comes
+  // back is reported only after it has stayed for flap_hold, doubled per further death.
+  runtime::Duration flap_half_life = std::chrono::seconds(60);
+  double flap_limit = 2.5;
+  runtime::Duration flap_hold = std::chrono::seconds(5);
+  runtime::Duration flap_max_hold = std::chrono::seconds(60);
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/member_record.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+#include "posthatch/membership/membership.h"
+#include "posthatch/membership/membership.pb.h"
+
+namespace posthatch::membership {
+
+RecordState ToRecordState(MemberState state);
+MemberState FromRecordState(RecordState state);
+
+// The wire form; without details, the receiver must know this incarnation of the member already.
+MemberRecord MakeRecord(const Member& member, uint32_t version, bool with_details);
+// The inverse; the record must have details.
+Member MakeMember(const MemberRecord& record);
+
+// Whether a record counts over what is known at (`version`, `incarnation`, `state`).
+bool Supersedes(const MemberRecord& record, uint32_t version, uint64_t incarnation,
+                MemberState state);
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/member_table.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "posthatch/membership/membership.h"
+#include "posthatch/runtime/clock.h"
+#include "posthatch/runtime/random.h"
+
+namespace posthatch::membership {
+
+// What this process believes of one process. The fields other than `member` and `version` are
+// changed freely; those two only through MemberTable.
+struct MemberEntry {
+  Member member;
+  uint32_t version = 0;
+  runtime::MonotonicTime state_since{};
+  // Probe rounds failed in a row, by this process.
+  int failed_rounds = 0;
+  // No second check of the same contradiction before this time.
+  runtime::MonotonicTime check_again_at{};
+  // Damping of flapping: deaths, decaying, as of `flaps_at`; not reported as live until
+  // `held_until`.
+  double flaps = 0;
+  runtime::MonotonicTime flaps_at{};
+  runtime::MonotonicTime held_until{};
+  bool held = false;
+  // Place among the table's live members; kNotListed for this process and those that don't live.
+  static constexpr size_t kNotListed = SIZE_MAX;
+  size_t live_position = kNotListed;
+
+  bool live() const {
+    return member.state == MemberState::kAlive || member.state == MemberState::kSuspect;
+  }
+};
+
+// All known processes by node id, this one included; hash digests of the live ones in buckets; and
+// random choice among the live others. Entries stay at their address until Remove. Owned by
+// GossipMembership.
+class MemberTable {
+ public:
+  static constexpr size_t kBuckets = 128;
+  using Digests = std::array<uint32_t, kBuckets>;
+
+  MemberTable(std::string self_node_id, runtime::Random* random)
+      : self_node_id_(std::move(self_node_id)), random_(random) {}
+
+  MemberEntry* Find(const std::string& node_id);
+  const MemberEntry* Find(const std::string& node_id) const;
+  // Adds or replaces; keeps the other fields of an existing entry.
+  MemberEntry* Put(const Member& member, uint32_t version, runtime::MonotonicTime now);
+  // Changes version and state of an entry.
+  void SetState(MemberEntry* entry, uint32_t version, MemberState state,
+                runtime::MonotonicTime now);
+  // Forgets dead and left members whose state is older than `since`.
+  void ForgetBefore(runtime::MonotonicTime since);
+
+  // Number of live members without this process.
+  size_t live_count() const { return live_.size(); }
+  // Up to `count` different live members, without this process and without `except`.
+  std::vector<MemberEntry*> PickLive(size_t count, const std::string& except);
+  // Next member to probe: each live one once per round, in an order drawn anew each round (SWIM,
+  // section 4.3). Null if there is none.
+  MemberEntry* NextToProbe();
+
+  const Digests& digests() const { return digests_; }
+  const std::vector<MemberEntry*>& bucket(size_t index) const { return buckets_[index]; }
+  const std::map<std::string, MemberEntry>& entries() const { return entries_; }
+
+ private:
+  static size_t BucketOf(const std::string& node_id);
+  static uint32_t HashOf(const MemberEntry& entry);
+  // Takes the entry out of, or puts it into, the digests and the list of live ones.
+  void Unlink(MemberEntry* entry);
+  void Link(MemberEntry* entry);
+
+  const std::string self_node_id_;
+  runtime::Random* const random_;
+  std::map<std::string, MemberEntry> entries_;
+  std::vector<MemberEntry*> live_;
+  std::array<std::vector<MemberEntry*>, kBuckets> buckets_;
+  Digests digests_{};
+  std::vector<std::string> probe_order_;
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/peer_memory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/membership/gossip_options.h"
+#include "posthatch/membership/member_table.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::membership {
+
+// Addresses at which others may be found when nobody is known: the seeds, and the peers that were
+// alive in an earlier life, kept in a file on machines with a disk. Owned by GossipMembership.
+class PeerMemory {
+ public:
+  PeerMemory(runtime::Runtime* runtime, const GossipOptions* options,
+             std::vector<std::string> seeds);
+
+  // Reads the file; a missing or unreadable one counts as empty. At start only: blocks.
+  void Load();
+  // Writes the endpoints of some live members, if they changed and no write is running. A failed
+  // write is traced and tried again at the next call.
+  void Save(MemberTable* table);
+
+  // Seeds and remembered peers without `self_endpoint`, each once.
+  std::vector<std::string> Addresses(const std::string& self_endpoint) const;
+
+ private:
+  // So many peers are kept in the file.
+  static constexpr size_t kMaxPeers = 64;
+
+  runtime::Runtime* const runtime_;
+  const GossipOptions* const options_;
+  const std::vector<std::string> seeds_;
+  std::vector<std::string> remembered_;
+  std::string written_;
+  bool writing_ = false;
+  // Held weakly by a running write, which may end after this object.
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/record_merger.cc
@@ -0,0 +1,213 @@
+#include "posthatch/membership/record_merger.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "posthatch/membership/member_record.h"
+
+namespace posthatch::membership {
+
+RecordMerger::RecordMerger(runtime::Runtime* runtime, const GossipOptions* options,
+                           MemberTable* table, SuspicionList* suspicions, BroadcastQueue* queue,
+                           GossipMetrics* metrics, Owner* owner)
+    : runtime_(runtime),
+      options_(options),
+      table_(table),
+      suspicions_(suspicions),
+      queue_(queue),
+      metrics_(metrics),
+      owner_(owner) {}
+
+void RecordMerger::Join(const Member& self) {
+  self_ = table_->Put(self, 1, runtime_->clock->Now());
+  PassOn(MakeRecord(self, 1, true), true);
+}
+
+void RecordMerger::Leave() {
+  table_->SetState(self_, self_->version + 1, MemberState::kLeft, runtime_->clock->Now());
+  PassOn(MakeRecord(self_->member, self_->version, false), true);
+}
+
+void RecordMerger::PassOn(const MemberRecord& record, bool pass_on) {
+  if (pass_on) queue_->Add(record.node_id(), record.SerializeAsString());
+}
+
+void RecordMerger::Apply(const MemberRecord& record, bool pass_on) {
+  if (record.node_id().empty()) return;
+  if (record.node_id() == self_->member.node_id) {
+    ApplyToSelf(record);
+    return;
+  }
+  MemberEntry* entry = table_->Find(record.node_id());
+  if (entry == nullptr) {
+    AddNew(record, pass_on);
+    return;
+  }
+  if (!Supersedes(record, entry->version, entry->member.incarnation, entry->member.state)) {
+    const bool same =
+        record.version() == entry->version && record.incarnation() == entry->member.incarnation;
+    if (same && record.state() == RECORD_SUSPECT) ConfirmSuspicion(record, pass_on);
+    return;
+  }
+  switch (record.state()) {
+    case RECORD_ALIVE:
+      ApplyAlive(entry, record, pass_on);
+      break;
+    case RECORD_SUSPECT:
+      ApplySuspect(entry, record, pass_on);
+      break;
+    default:
+      ApplyEnd(entry, record, pass_on);
+      break;
+  }
+}
+
+void RecordMerger::ApplyToSelf(const MemberRecord& record) {
+  if (self_->member.state == MemberState::kLeft || record.version() < self_->version) return;
+  const bool this_life = record.incarnation() == self_->member.incarnation;
+  if (this_life && record.state() == RECORD_ALIVE) return;
+  // Only this process raises its version: above what is said wrongly of it, or of its former life.
+  table_->SetState(self_, record.version() + 1, MemberState::kAlive, runtime_->clock->Now());
+  PassOn(MakeRecord(self_->member, self_->version, !this_life), true);
+  metrics_->refutations.Increment();
+  if (this_life) owner_->OnRefuted();
+}
+
+void RecordMerger::AddNew(const MemberRecord& record, bool pass_on) {
+  if (!record.has_details()) return;  // anti-entropy will bring the whole record
+  MemberEntry* entry = table_->Put(MakeMember(record), record.version(), runtime_->clock->Now());
+  if (!entry->live()) return;
+  PassOn(record, pass_on);
+  if (entry->member.state == MemberState::kSuspect) {
+    suspicions_->Start(record.node_id(), record.accuser(), table_->live_count() + 1,
+                       runtime_->clock->Now());
+  }
+  Report(*entry);
+}
+
+void RecordMerger::ApplyAlive(MemberEntry* entry, const MemberRecord& record, bool pass_on) {
+  const bool new_life = record.incarnation() != entry->member.incarnation;
+  // A life that isn't known needs its details; anti-entropy will bring them.
+  if (new_life && !record.has_details()) return;
+  const bool was_live = entry->live();
+  const bool changed = new_life || entry->member.state != MemberState::kAlive;
+  if (new_life && was_live) CountFlap(entry);
+  if (record.has_details()) {
+    table_->Put(MakeMember(record), record.version(), runtime_->clock->Now());
+  } else {
+    table_->SetState(entry, record.version(), MemberState::kAlive, runtime_->clock->Now());
+  }
+  suspicions_->Remove(record.node_id());
+  entry->failed_rounds = 0;
+  PassOn(record, pass_on);
+  if (!was_live || new_life) HoldIfFlapping(entry);
+  if (changed && !entry->held) Report(*entry);
+}
+
+void RecordMerger::ApplySuspect(MemberEntry* entry, const MemberRecord& record, bool pass_on) {
+  if (record.incarnation() != entry->member.incarnation) {
+    // Of another life than the one that is known to live: that one must raise its version.
+    if (entry->live()) owner_->Verify(entry, record.SerializeAsString());
+    return;
+  }
+  const bool was_live = entry->live();
+  table_->SetState(entry, record.version(), MemberState::kSuspect, runtime_->clock->Now());
+  suspicions_->Start(record.node_id(), record.accuser(), table_->live_count() + 1,
+                     runtime_->clock->Now());
+  metrics_->suspicions.Increment();
+  PassOn(record, pass_on);
+  if (!was_live) HoldIfFlapping(entry);
+  if (!entry->held) Report(*entry);
+}
+
+void RecordMerger::ApplyEnd(MemberEntry* entry, const MemberRecord& record, bool pass_on) {
+  const bool known_life = record.incarnation() == entry->member.incarnation;
+  const bool says_itself = record.state() == RECORD_LEFT && known_life;
+  const bool suspected = entry->member.state == MemberState::kSuspect && known_life;
+  if (entry->live() && !says_itself && !suspected) {
+    // Somebody who was cut off may bring this; the member itself can deny it.
+    owner_->Verify(entry, record.SerializeAsString());
+    return;
+  }
+  const bool was_live = entry->live();
+  if (was_live && record.state() == RECORD_DEAD) {
+    CountFlap(entry);
+    metrics_->deaths.Increment();
+  }
+  const bool was_held = entry->held;
+  if (was_held) --held_count_;
+  entry->held = false;
+  suspicions_->Remove(record.node_id());
+  if (known_life) {
+    table_->SetState(entry, record.version(), FromRecordState(record.state()),
+                     runtime_->clock->Now());
+  } else if (record.has_details()) {
+    table_->Put(MakeMember(record), record.version(), runtime_->clock->Now());
+  }
+  if (was_live) PassOn(record, pass_on);
+  if (was_live && !was_held) Report(*entry);
+}
+
+void RecordMerger::ConfirmSuspicion(const MemberRecord& record, bool pass_on) {
+  if (suspicions_->Confirm(record.node_id(), record.accuser())) PassOn(record, pass_on);
+}
+
+void RecordMerger::Suspect(MemberEntry* entry) {
+  Member member = entry->member;
+  member.state = MemberState::kSuspect;
+  MemberRecord record = MakeRecord(member, entry->version, false);
+  record.set_accuser(self_->member.node_id);
+  Apply(record, true);
+}
+
+void RecordMerger::DeclareDead(const std::string& node_id) {
+  MemberEntry* entry = table_->Find(node_id);
+  if (entry == nullptr || entry->member.state != MemberState::kSuspect) return;
+  Member member = entry->member;
+  member.state = MemberState::kDead;
+  Apply(MakeRecord(member, entry->version, false), true);
+}
+
+double RecordMerger::FlapsNow(const MemberEntry& entry) const {
+  const auto age = static_cast<double>((runtime_->clock->Now() - entry.flaps_at).count());
+  return entry.flaps * std::exp2(-age / static_cast<double>(options_->flap_half_life.count()));
+}
+
+void RecordMerger::CountFlap(MemberEntry* entry) {
+  entry->flaps = FlapsNow(*entry) + 1;
+  entry->flaps_at = runtime_->clock->Now();
+}
+
+void RecordMerger::HoldIfFlapping(MemberEntry* entry) {
+  const double excess = FlapsNow(*entry) - options_->flap_limit;
+  if (excess < 0) return;
+  const auto hold =
+      std::min(static_cast<double>(options_->flap_max_hold.count()),
+               static_cast<double>(options_->flap_hold.count()) * std::exp2(std::floor(excess)));
+  entry->held_until = runtime_->clock->Now() + runtime::Duration(static_cast<int64_t>(hold));
+  if (entry->held) return;
+  entry->held = true;
+  ++held_count_;
+  metrics_->damped.Increment();
+  Member reported = entry->member;
+  reported.state = MemberState::kDead;
+  owner_->Notify(reported);
+}
+
+void RecordMerger::ReleaseHeld() {
+  if (held_count_ == 0) return;
+  for (const auto& [node_id, known] : table_->entries()) {
+    MemberEntry* entry = table_->Find(node_id);
+    if (!entry->held || entry->held_until > runtime_->clock->Now()) continue;
+    entry->held = false;
+    --held_count_;
+    Report(*entry);
+  }
+}
+
+void RecordMerger::Report(const MemberEntry& entry) {
+  metrics_->live_members.Set(static_cast<double>(table_->live_count()));
+  owner_->Notify(entry.member);
+}
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/record_merger.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "posthatch/membership/broadcast_queue.h"
+#include "posthatch/membership/gossip_metrics.h"
+#include "posthatch/membership/gossip_options.h"
+#include "posthatch/membership/member_table.h"
+#include "posthatch/membership/membership.pb.h"
+#include "posthatch/membership/suspicion_list.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::membership {
+
+// Decides what a record changes: in the table, the suspicions, the updates passed on, and the view
+// reported to listeners, where flapping is damped. Owned by GossipMembership.
+class RecordMerger {
+ public:
+  // What it asks of its owner.
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    // The reported view of a member has changed.
+    virtual void Notify(const Member& member) = 0;
+    // Others say (in `record`) what contradicts a live `entry`: the member itself should be asked.
+    virtual void Verify(MemberEntry* entry, const std::string& record) = 0;
+    // This process was suspected, wrongly.
+    virtual void OnRefuted() = 0;
+  };
+
+  RecordMerger(runtime::Runtime* runtime, const GossipOptions* options, MemberTable* table,
+               SuspicionList* suspicions, BroadcastQueue* queue, GossipMetrics* metrics,
+               Owner* owner);
+
+  // Enters this process itself and tells the others.
+  void Join(const Member& self);
+  // Tells the others that this process leaves.
+  void Leave();
+
+  // Takes a record in. News is passed on if `pass_on`.
+  void Apply(const MemberRecord& record, bool pass_on);
+  // This process's own finding: starts or confirms a suspicion.
+  void Suspect(MemberEntry* entry);
+  // A suspicion's time has run out.
+  void DeclareDead(const std::string& node_id);
+  // Reports returned members whose time of being held back is over.
+  void ReleaseHeld();
+
+  // Whether a member is to be reported as live.
+  static bool IsReported(const MemberEntry& entry) { return entry.live() && !entry.held; }
+
+ private:
+  void ApplyToSelf(const MemberRecord& record);
+  void AddNew(const MemberRecord& record, bool pass_on);
+  void ApplyAlive(MemberEntry* entry, const MemberRecord& record, bool pass_on);
+  void ApplySuspect(MemberEntry* entry, const MemberRecord& record, bool pass_on);
+  void ApplyEnd(MemberEntry* entry, const MemberRecord& record, bool pass_on);
+  void ConfirmSuspicion(const MemberRecord& record, bool pass_on);
+  void PassOn(const MemberRecord& record, bool pass_on);
+  void CountFlap(MemberEntry* entry);
+  double FlapsNow(const MemberEntry& entry) const;
+  void HoldIfFlapping(MemberEntry* entry);
+  void Report(const MemberEntry& entry);
+
+  runtime::Runtime* const runtime_;
+  const GossipOptions* const options_;
+  MemberTable* const table_;
+  SuspicionList* const suspicions_;
+  BroadcastQueue* const queue_;
+  GossipMetrics* const metrics_;
+  Owner* const owner_;
+  MemberEntry* self_ = nullptr;
+  size_t held_count_ = 0;
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/state_sync.cc
@@ -0,0 +1,122 @@
+#include "posthatch/membership/state_sync.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "posthatch/membership/member_record.h"
+
+namespace posthatch::membership {
+namespace {
+
+// Records in one chunk; with tag, sequence and part numbers it stays below kMaxPayloadBytes.
+constexpr size_t kChunkBytes = kMaxPayloadBytes - 40;
+constexpr size_t kFramingBytes = 3;
+
+}  // namespace
+
+StateSync::StateSync(runtime::Runtime* runtime, const GossipOptions* options, MemberTable* table,
+                     MessageSender* sender)
+    : runtime_(runtime),
+      options_(options),
+      table_(table),
+      sender_(sender),
+      pull_timer_(runtime->timers) {}
+
+void StateSync::Offer(const std::string& endpoint) { SendDigest(endpoint, true, ""); }
+
+void StateSync::SendDigest(const std::string& endpoint, bool reply_wanted,
+                           const std::string& record) {
+  MembershipMessage message;
+  Digest* digest = message.mutable_digest();
+  digest->mutable_buckets()->Add(table_->digests().begin(), table_->digests().end());
+  digest->set_reply_wanted(reply_wanted);
+  digest->set_joining(table_->live_count() == 0);
+  if (!record.empty()) message.add_records(record);
+  sender_->SendWithUpdates(endpoint, std::move(message));
+}
+
+void StateSync::OnDigest(const std::string& from_endpoint, const Digest& digest,
+                         const std::string& record_of_sender) {
+  if (digest.reply_wanted()) SendDigest(from_endpoint, false, record_of_sender);
+  if (static_cast<size_t>(digest.buckets_size()) != MemberTable::kBuckets || pulling()) return;
+  if (digest.joining() && table_->live_count() > 0) return;
+  for (uint32_t bucket = 0; bucket < MemberTable::kBuckets; ++bucket) {
+    if (digest.buckets(static_cast<int>(bucket)) != table_->digests()[bucket]) {
+      waiting_buckets_.push_back(bucket);
+    }
+  }
+  differed_ = !waiting_buckets_.empty();
+  if (!differed_) return;
+  std::shuffle(waiting_buckets_.begin(), waiting_buckets_.end(), *runtime_->random);
+  pull_size_ = waiting_buckets_.size();
+  pull_endpoint_ = from_endpoint;
+  retries_ = 0;
+  RequestWindow();
+}
+
+void StateSync::RequestWindow() {
+  MembershipMessage message;
+  BucketRequest* request = message.mutable_bucket_request();
+  request->set_request(++last_request_);
+  parts_seen_.clear();
+  const size_t count =
+      std::min(waiting_buckets_.size(), static_cast<size_t>(options_->pull_window_buckets));
+  request->mutable_buckets()->Add(waiting_buckets_.end() - static_cast<ptrdiff_t>(count),
+                                  waiting_buckets_.end());
+  sender_->SendPlain(pull_endpoint_, message);
+  pull_timer_.Start(options_->pull_timeout, [this] { OnTimeout(); });
+}
+
+void StateSync::OnTimeout() {
+  if (++retries_ > options_->pull_retries) {
+    waiting_buckets_.clear();
+    return;
+  }
+  RequestWindow();
+}
+
+void StateSync::OnBucketRequest(const std::string& from_endpoint, const BucketRequest& request) {
+  std::vector<MembershipMessage> chunks(1);
+  size_t bytes = 0;
+  for (const uint32_t bucket : request.buckets()) {
+    if (bucket >= MemberTable::kBuckets) return;
+    for (const MemberEntry* entry : table_->bucket(bucket)) {
+      std::string record = MakeRecord(entry->member, entry->version, true).SerializeAsString();
+      if (bytes + record.size() + kFramingBytes > kChunkBytes) {
+        chunks.emplace_back();
+        bytes = 0;
+      }
+      bytes += record.size() + kFramingBytes;
+      chunks.back().add_records(std::move(record));
+    }
+  }
+  for (uint32_t part = 0; part < chunks.size(); ++part) {
+    BucketChunk* chunk = chunks[part].mutable_bucket_chunk();
+    chunk->set_request(request.request());
+    chunk->set_part(part);
+    chunk->set_parts(static_cast<uint32_t>(chunks.size()));
+    sender_->SendPlain(from_endpoint, chunks[part]);
+  }
+}
+
+void StateSync::OnBucketChunk(const BucketChunk& chunk) {
+  if (!pulling() || chunk.request() != last_request_) return;
+  parts_seen_.insert(chunk.part());
+  if (parts_seen_.size() < chunk.parts()) return;
+  retries_ = 0;
+  const size_t count =
+      std::min(waiting_buckets_.size(), static_cast<size_t>(options_->pull_window_buckets));
+  waiting_buckets_.resize(waiting_buckets_.size() - count);
+  if (waiting_buckets_.empty()) {
+    FinishPull();
+  } else {
+    RequestWindow();
+  }
+}
+
+void StateSync::FinishPull() {
+  pull_timer_.Cancel();
+  if (on_pulled_) on_pulled_();
+}
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/state_sync.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "posthatch/membership/gossip_options.h"
+#include "posthatch/membership/member_table.h"
+#include "posthatch/membership/message_sender.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::membership {
+
+// Anti-entropy: two processes exchange hash digests of their buckets, and each pulls the buckets
+// that differ, a few at a time, in datagrams. What goes over the wire depends on the difference,
+// not on the size of the fleet. Owned by GossipMembership.
+class StateSync {
+ public:
+  StateSync(runtime::Runtime* runtime, const GossipOptions* options, MemberTable* table,
+            MessageSender* sender);
+
+  // Called when a pull that was started has got everything.
+  void set_on_pulled(std::function<void()> on_pulled) { on_pulled_ = std::move(on_pulled); }
+
+  // Offers this process's digest to another; what follows goes by itself.
+  void Offer(const std::string& endpoint);
+  void OnDigest(const std::string& from_endpoint, const Digest& digest,
+                const std::string& record_of_sender);
+  void OnBucketRequest(const std::string& from_endpoint, const BucketRequest& request);
+  // To be called after the chunk's records have been taken in.
+  void OnBucketChunk(const BucketChunk& chunk);
+
+  // Whether the last comparison found a difference, or a pull is running.
+  bool differed() const { return differed_; }
+  bool pulling() const { return !waiting_buckets_.empty(); }
+  // Whether the running pull brings so much that the news in it should not be gossiped on.
+  bool pulling_much() const { return pulling() && pull_size_ > kMuch; }
+
+ private:
+  // Buckets.
+  static constexpr size_t kMuch = 16;
+
+  void SendDigest(const std::string& endpoint, bool reply_wanted, const std::string& record);
+  void RequestWindow();
+  void OnTimeout();
+  void FinishPull();
+
+  runtime::Runtime* const runtime_;
+  const GossipOptions* const options_;
+  MemberTable* const table_;
+  MessageSender* const sender_;
+  std::function<void()> on_pulled_;
+  runtime::Timer pull_timer_;
+  bool differed_ = false;
+  std::string pull_endpoint_;
+  std::vector<uint32_t> waiting_buckets_;  // the last ones are asked for first
+  uint64_t last_request_ = 0;
+  std::set<uint32_t> parts_seen_;
+  size_t pull_size_ = 0;
+  int retries_ = 0;
+};
+
+}  // namespace posthatch::membership
--- /dev/null
+++ b/src/posthatch/membership/suspicion_list.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "posthatch/membership/gossip_options.h"
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::membership {
+
+// Members under suspicion and when each one's time runs out. The time shrinks with each further
+// accuser (Lifeguard, section IV.B). Owned by GossipMembership.
+class SuspicionList {
+ public:
+  explicit SuspicionList(const GossipOptions* options) : options_(options) {}
+
+  // Starts a suspicion in a fleet of `fleet_size`; nothing if there is one already.
+  void Start(const std::string& node_id, const std::string& accuser, size_t fleet_size,
+             runtime::MonotonicTime now);
+  // Adds an accuser; true if it was new and still shortened the time.
+  bool Confirm(const std::string& node_id, const std::string& accuser);
+  void Remove(const std::string& node_id) { suspicions_.erase(node_id); }
+  // Puts all ends off, after this process was stopped or cut off.
+  void Extend(runtime::Duration duration);
+  // Takes out those whose time has run out.
+  std::vector<std::string> TakeExpired(runtime::MonotonicTime now);
+  bool empty() const { return suspicions_.empty(); }
+
+ private:
+  struct Suspicion {
+    runtime::MonotonicTime start;
+    runtime::Duration shortest;
+    std::set<std::string> accusers;
+  };
+  runtime::Duration TimeoutOf(const Suspicion& suspicion) const;
+
+  const GossipOptions* const options_;
+  std::map<std::string, Suspicion> suspicions_;
+};
+
+}  // namespace posthatch::membership
--- a/src/posthatch/simulation/sim_transport.cc
+++ b/src/posthatch/simulation/sim_transport.cc
@@ -92,7 +92,9 @@
 
 void SimTransport::SendDatagram(const std::string& to_endpoint, runtime::Service service,
                                 std::string payload) {
-  if (payload.size() > runtime::kMaxDatagramBytes) {
+  auto envelope =
+      std::make_shared<const runtime::Envelope>(MakeEnvelope(service, std::move(payload)));
+  if (envelope->ByteSizeLong() > runtime::kMaxDatagramBytes) {
     ++dropped_;
     return;
   }
@@ -100,8 +102,6 @@
   const NetworkBehaviour& behaviour = core_->network.behaviour();
   if (to == nullptr || core_->network.IsCut(host_->number(), to->number())) return;
   if (behaviour.loss > 0 && core_->random.Chance(behaviour.loss)) return;
-  auto envelope =
-      std::make_shared<const runtime::Envelope>(MakeEnvelope(service, std::move(payload)));
   ScheduleDatagram(to, to_endpoint, envelope);
   if (behaviour.duplication > 0 && core_->random.Chance(behaviour.duplication)) {
     ScheduleDatagram(to, to_endpoint, envelope);
