--- /dev/null
+++ b/src/posthatch/consensus/bootstrap-test.cc
@@ -0,0 +1,112 @@
+#include "posthatch/consensus/bootstrap.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "posthatch/consensus/core_harness-test.h"
+
+namespace posthatch::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One fresh replica with id 10; the test plays the others.
+class BootstrapTest : public testing::Test {
+ protected:
+  BootstrapTest()
+      : random_(3), core_({}, &random_, Fresh(), now_), bootstrap_(&core_, &random_, 3, 3, [] {
+          return std::vector<std::string>{"host10", "host20", "host30"};
+        }) {}
+
+  static RecoveredState Fresh() {
+    RecoveredState state;
+    state.hard_state.set_replica_id(10);
+    state.hard_state.set_boot_count(1);
+    state.endpoint = "host10";
+    return state;
+  }
+
+  RaftMessage HelloFrom(uint64_t id, const std::vector<uint64_t>& fresh_seen) {
+    RaftMessage message;
+    message.set_from(id);
+    message.set_from_endpoint("host" + std::to_string(id));
+    message.set_from_boot_count(1);
+    message.mutable_hello()->set_answer(true);
+    message.mutable_hello()->set_fresh(true);
+    for (uint64_t seen : fresh_seen) message.mutable_hello()->add_fresh_seen(seen);
+    return message;
+  }
+
+  // For two seconds the replica ticks and hears `messages` again and again.
+  void Run(const std::vector<RaftMessage>& messages) {
+    for (int i = 0; i < 20; ++i) {
+      now_ += milliseconds(100);
+      for (const RaftMessage& message : messages) bootstrap_.OnHello(message, now_);
+      bootstrap_.Tick(now_);
+    }
+  }
+
+  runtime::MonotonicTime now_{std::chrono::hours(1)};
+  runtime::Random random_;
+  RaftCore core_;
+  Bootstrap bootstrap_;
+};
+
+TEST_F(BootstrapTest, LowestIdFormsAClusterOfAllThatSeeEachOther) {
+  Run({HelloFrom(20, {10, 30}), HelloFrom(30, {10, 20})});
+  EXPECT_FALSE(core_.IsFresh());
+  EXPECT_EQ(VoterCount(core_.configuration()), 3U);
+  EXPECT_NE(core_.cluster_id(), 0U);
+}
+
+TEST_F(BootstrapTest, WaitsForEnoughReplicas) {
+  Run({HelloFrom(20, {10})});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, WaitsUntilAllSeeEachOther) {
+  Run({HelloFrom(20, {10, 30}), HelloFrom(30, {10})});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, LeavesItToALowerId) {
+  Run({HelloFrom(20, {10, 5}), HelloFrom(5, {10, 20})});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, FormsNoClusterWithAMemberOfOneInSight) {
+  RaftMessage member = HelloFrom(40, {});
+  member.set_cluster_id(77);
+  member.mutable_hello()->set_fresh(false);
+  Run({HelloFrom(20, {10, 30}), HelloFrom(30, {10, 20}), member});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, DoesNotCountTheFormerLifeOfALostDisk) {
+  RaftMessage second_life = HelloFrom(21, {10});
+  second_life.set_from_endpoint("host20");
+  Run({HelloFrom(20, {10, 21}), second_life});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, AsksTheLeaderToJoin) {
+  RaftMessage member = HelloFrom(40, {});
+  member.set_cluster_id(77);
+  member.mutable_hello()->set_fresh(false);
+  member.mutable_hello()->set_leader_id(50);
+  member.mutable_hello()->set_leader_endpoint("host50");
+  Run({member});
+  size_t asked = 0;
+  for (const OutgoingMessage& out : bootstrap_.TakeMessages()) {
+    if (!out.message.has_join_request()) continue;
+    ++asked;
+    EXPECT_EQ(out.endpoint, "host50");
+    EXPECT_EQ(out.message.to(), 50U);
+  }
+  EXPECT_GE(asked, 2U);
+  EXPECT_LE(asked, 5U);
+}
+
+}  // namespace
+}  // namespace posthatch::consensus
--- /dev/null
+++ b/src/posthatch/consensus/consensus-bench.cc
@@ -0,0 +1,277 @@
+// Prints commits a second and commit latency of 3 and 5 replicas on loopback with real syncs,
+// beside the bare sync rate of the same disk, and how long writes stop when the leader is killed. A
+// "kill" is the destruction of the replica without a word to the others; it starts again from its
+// folder.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "posthatch/asio/asio_runtime.h"
+#include "posthatch/consensus/raft_replica.h"
+
+namespace posthatch::consensus {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr runtime::Duration kRetryDelay = std::chrono::milliseconds(10);
+
+struct Settings {
+  std::string folder = "consensus-bench-data";
+  double seconds = 3;
+  int kills = 50;
+  int command_bytes = 256;
+};
+
+class CountingMachine : public StateMachine {
+ public:
+  std::string Apply(uint64_t, uint64_t, const std::string&) override {
+    ++count_;
+    return std::string();
+  }
+  std::string TakeSnapshot() const override { return std::to_string(count_); }
+  absl::Status RestoreSnapshot(const std::string& snapshot) override {
+    count_ = std::stoull(snapshot);
+    return absl::OkStatus();
+  }
+
+ private:
+  uint64_t count_ = 0;
+};
+
+// One controller: its runtime on a thread of its own, and the replica, which lives on that thread.
+class Controller {
+ public:
+  Controller(const std::string& folder, size_t number) {
+    asio::AsioRuntimeOptions options;
+    options.node_id = fmt::format("controller{}", number);
+    options.internal_endpoint = "127.0.0.1:0";
+    options.data_folder = fmt::format("{}/{}", folder, number);
+    options.log_file = fmt::format("{}/{}.log", folder, number);
+    options.log_level = runtime::Severity::kError;
+    absl::StatusOr<std::unique_ptr<asio::AsioRuntime>> created = asio::AsioRuntime::Create(options);
+    if (!created.ok()) throw std::runtime_error(created.status().ToString());
+    runtime_ = *std::move(created);
+    thread_ = std::thread([this] { runtime_->Run(); });
+  }
+  ~Controller() {
+    Kill();
+    runtime_->Stop();
+    thread_.join();
+  }
+  Controller(const Controller&) = delete;
+  Controller& operator=(const Controller&) = delete;
+
+  // Runs `action` on the event loop thread and waits for it.
+  void OnLoop(const std::function<void()>& action) {
+    std::promise<void> done;
+    runtime_->Post([&action, &done] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+  std::string endpoint() { return runtime_->runtime()->transport->endpoint(); }
+  runtime::Runtime* runtime() { return runtime_->runtime(); }
+  RaftReplica* replica() { return replica_.get(); }
+
+  void Start(const std::vector<std::string>& peers) {
+    OnLoop([this, &peers] {
+      machine_ = std::make_unique<CountingMachine>();
+      ReplicaOptions options;
+      options.bootstrap_expect = peers.size();
+      options.raft.target_voters = peers.size();
+      options.peers = [peers] { return peers; };
+      replica_ = std::make_unique<RaftReplica>(runtime(), options, machine_.get());
+      const absl::Status started = replica_->Start();
+      if (!started.ok()) fmt::print(stderr, "start: {}\n", started.ToString());
+    });
+  }
+  void Kill() {
+    OnLoop([this] {
+      replica_.reset();
+      machine_.reset();
+    });
+  }
+  bool Leads() {
+    bool leads = false;
+    OnLoop([this, &leads] { leads = replica_ != nullptr && replica_->IsLeader(); });
+    return leads;
+  }
+
+ private:
+  std::unique_ptr<asio::AsioRuntime> runtime_;
+  std::unique_ptr<CountingMachine> machine_;
+  std::unique_ptr<RaftReplica> replica_;
+  std::thread thread_;
+};
+
+void PrintLatencies(const std::string& what, std::vector<double> milliseconds, double seconds) {
+  if (milliseconds.empty()) return fmt::print("{:<36} nothing done\n", what);
+  std::sort(milliseconds.begin(), milliseconds.end());
+  const auto at = [&milliseconds](double share) {
+    return milliseconds[static_cast<size_t>(share * static_cast<double>(milliseconds.size() - 1))];
+  };
+  fmt::print("{:<36} {:>9.0f}/s  p50 {:>8.2f} ms  p95 {:>8.2f} ms  p99 {:>8.2f} ms\n", what,
+             static_cast<double>(milliseconds.size()) / seconds, at(0.5), at(0.95), at(0.99));
+}
+
+double MillisecondsSince(steady_clock::time_point start) {
+  return std::chrono::duration<double, std::milli>(steady_clock::now() - start).count();
+}
+
+// Closed loops of `clients` calls of `call` for `seconds`, on the controller's event loop.
+class ClosedLoop {
+ public:
+  using Done = std::function<void(bool accepted)>;
+  ClosedLoop(Controller* controller, std::function<void(Done)> call)
+      : controller_(controller), call_(std::move(call)) {}
+
+  std::vector<double> Run(int clients, double seconds) {
+    controller_->OnLoop([this, clients] {
+      for (int i = 0; i < clients; ++i) Next();
+    });
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+    std::vector<double> milliseconds;
+    controller_->OnLoop([this, &milliseconds] {
+      stopped_ = true;
+      milliseconds = milliseconds_;
+    });
+    while (running_ > 0) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return milliseconds;
+  }
+
+ private:
+  void Next() {
+    ++running_;
+    const steady_clock::time_point start = steady_clock::now();
+    call_([this, start](bool accepted) {
+      if (accepted) milliseconds_.push_back(MillisecondsSince(start));
+      if (!stopped_ && accepted) Next();
+      if (!stopped_ && !accepted) {
+        controller_->runtime()->timers->Schedule(kRetryDelay, [this] {
+          Next();
+          --running_;
+        });
+        return;
+      }
+      --running_;
+    });
+  }
+  Controller* const controller_;
+  const std::function<void(Done)> call_;
+  std::vector<double> milliseconds_;
+  bool stopped_ = false;
+  std::atomic<int> running_{0};
+};
+
+void MeasureBareSync(const Settings& settings) {
+  Controller controller(settings.folder + "/sync", 0);
+  const std::string data(static_cast<size_t>(settings.command_bytes), 'x');
+  ClosedLoop loop(&controller, [&controller, data](ClosedLoop::Done done) {
+    using Kind = runtime::FileOperation::Kind;
+    controller.runtime()->file_system->Submit(
+        {{Kind::kAppend, "file", data, "", 0}, {Kind::kSync, "file", "", "", 0}},
+        [done = std::move(done)](const absl::Status& status) { done(status.ok()); });
+  });
+  PrintLatencies("bare append and sync", loop.Run(1, settings.seconds), settings.seconds);
+}
+
+class Cluster {
+ public:
+  Cluster(const std::string& folder, size_t size) {
+    for (size_t i = 0; i < size; ++i) {
+      controllers_.push_back(std::make_unique<Controller>(folder, i));
+      peers_.push_back(controllers_.back()->endpoint());
+    }
+    for (auto& controller : controllers_) controller->Start(peers_);
+  }
+  Controller* WaitForLeader() {
+    while (true) {
+      for (auto& controller : controllers_) {
+        if (controller->Leads()) return controller.get();
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  }
+  const std::vector<std::string>& peers() const { return peers_; }
+
+  bool Write(Controller* controller) {
+    auto answer = std::make_shared<std::promise<bool>>();
+    std::future<bool> accepted = answer->get_future();
+    controller->OnLoop([controller, answer] {
+      if (controller->replica() == nullptr) return answer->set_value(false);
+      controller->replica()->Propose("x", [answer](const absl::StatusOr<std::string>& result) {
+        answer->set_value(result.ok());
+      });
+    });
+    return accepted.wait_for(std::chrono::seconds(5)) == std::future_status::ready &&
+           accepted.get();
+  }
+
+ private:
+  std::vector<std::unique_ptr<Controller>> controllers_;
+  std::vector<std::string> peers_;
+};
+
+void MeasureCommits(const Settings& settings, size_t size) {
+  Cluster cluster(fmt::format("{}/commits{}", settings.folder, size), size);
+  const std::string command(static_cast<size_t>(settings.command_bytes), 'x');
+  for (int clients : {1, 256}) {
+    Controller* leader = cluster.WaitForLeader();
+    ClosedLoop loop(leader, [leader, command](ClosedLoop::Done done) {
+      leader->replica()->Propose(
+          command, [done = std::move(done)](const auto& answer) { done(answer.ok()); });
+    });
+    PrintLatencies(fmt::format("{} replicas, {} clients", size, clients),
+                   loop.Run(clients, settings.seconds), settings.seconds);
+  }
+}
+
+void MeasureFailover(const Settings& settings, size_t size) {
+  Cluster cluster(fmt::format("{}/failover{}", settings.folder, size), size);
+  std::vector<double> milliseconds;
+  for (int i = 0; i < settings.kills; ++i) {
+    Controller* leader = cluster.WaitForLeader();
+    if (!cluster.Write(leader)) continue;
+    const steady_clock::time_point killed = steady_clock::now();
+    leader->Kill();
+    while (!cluster.Write(cluster.WaitForLeader())) {
+    }
+    milliseconds.push_back(MillisecondsSince(killed));
+    leader->Start(cluster.peers());
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+  }
+  PrintLatencies(fmt::format("{} replicas, leader killed", size), milliseconds,
+                 static_cast<double>(settings.kills));
+}
+
+}  // namespace
+}  // namespace posthatch::consensus
+
+int main(int argc, char** argv) {
+  posthatch::consensus::Settings settings;
+  CLI::App app("Commit rate and failover time of the replicated log with real syncs");
+  app.add_option("--folder", settings.folder, "Where to write; removed afterwards");
+  app.add_option("--seconds", settings.seconds, "Length of each measurement");
+  app.add_option("--kills", settings.kills, "Leaders to kill, for 3 and for 5 replicas");
+  app.add_option("--command-bytes", settings.command_bytes, "Bytes of each command");
+  CLI11_PARSE(app, argc, argv);
+  std::filesystem::create_directories(settings.folder);
+  posthatch::consensus::MeasureBareSync(settings);
+  for (size_t size : {3, 5}) posthatch::consensus::MeasureCommits(settings, size);
+  for (size_t size : {3, 5}) posthatch::consensus::MeasureFailover(settings, size);
+  std::filesystem::remove_all(settings.folder);
+  return 0;
+}
--- a/src/posthatch/consensus/raft_core-test.cc
+++ b/src/posthatch/consensus/raft_core-test.cc
@@ -432,6 +432,45 @@
   EXPECT_EQ(changes, 4U) << "first, learner, promotion, removal";
 }
 
+TEST(RaftCoreTest, NewestEndpointOfAReplicaWinsAndIsWrittenDown) {
+  CoreHarness cluster(3);
+  const uint64_t leader = cluster.RunUntilLeader();
+  const uint64_t moved = CoreHarness::Others(leader).first;
+  RaftMessage message = cluster.core(moved).NewMessage(leader);
+  message.set_from_endpoint("elsewhere");
+  message.set_from_boot_count(message.from_boot_count() + 1);
+  cluster.core(leader).NoteEndpoint(message);
+  RaftMessage older = cluster.core(moved).NewMessage(leader);
+  cluster.core(leader).NoteEndpoint(older);
+  EXPECT_EQ(cluster.core(leader).EndpointOf(moved), "elsewhere");
+  cluster.Run(milliseconds(500));
+  EXPECT_EQ(FindMember(cluster.core(leader).configuration(), moved)->endpoint(), "elsewhere");
+}
+
+TEST(RaftCoreTest, ReplicaWhoseEndpointSpeaksUnderAnotherIdIsReplacedQuickly) {
+  CoreHarness cluster(3);  // with the default of 30 s for silent voters
+  const uint64_t leader = cluster.RunUntilLeader();
+  const uint64_t lost = CoreHarness::Others(leader).first;
+  cluster.node(lost).up = false;
+  cluster.AddFresh(9);
+  RaftMessage message = cluster.core(9).NewMessage(leader);
+  message.set_cluster_id(0);
+  message.set_from_endpoint("host" + std::to_string(lost));
+  message.mutable_join_request();
+  cluster.core(leader).Step(message, cluster.now());
+  cluster.Run(seconds(4));
+  EXPECT_EQ(FindMember(cluster.core(leader).configuration(), lost), nullptr);
+  EXPECT_TRUE(IsVoter(cluster.core(leader).configuration(), 9));
+}
+
+TEST(RaftCoreTest, RefusesCommandsThatNoMessageCouldCarry) {
+  CoreHarness cluster(3);
+  const uint64_t leader = cluster.RunUntilLeader();
+  const absl::StatusOr<uint64_t> refused =
+      cluster.core(leader).Propose(std::string(9u << 20, 'x'), cluster.now());
+  EXPECT_TRUE(absl::IsInvalidArgument(refused.status()));
+}
+
 TEST(RaftCoreTest, VoterThatComesBackDuringItsReplacementLeavesTargetVoters) {
   RaftOptions options;
   options.replace_silent_after = seconds(5);
--- a/src/posthatch/consensus/raft_core.cc
+++ b/src/posthatch/consensus/raft_core.cc
@@ -201,6 +201,9 @@
   if (now - leader_since_ >= options_.election_timeout_min && !HasQuorum(now)) {
     return absl::FailedPreconditionError("not leader: no majority heard");
   }
+  if (command.size() > options_.max_command_bytes) {
+    return absl::InvalidArgumentError("command too long");
+  }
   if (log_.last_index() - commit_index_ >= options_.max_uncommitted_entries ||
       uncommitted_bytes_ + command.size() > options_.max_uncommitted_bytes) {
     return absl::ResourceExhaustedError("too many commands in flight");
--- a/src/posthatch/consensus/raft_core.h
+++ b/src/posthatch/consensus/raft_core.h
@@ -37,7 +37,7 @@
   // To be called at least every quarter of a heartbeat interval.
   void Tick(runtime::MonotonicTime now);
   // Index of the new entry, or FailedPrecondition (not the leader, or handing over),
-  // ResourceExhausted (too much uncommitted).
+  // ResourceExhausted (too much uncommitted), InvalidArgument (longer than max_command_bytes).
   absl::StatusOr<uint64_t> Propose(std::string command, runtime::MonotonicTime now);
   // An id that comes back in Ready::reads, or FailedPrecondition. Reads are lost with leadership.
   absl::StatusOr<uint64_t> RequestRead(runtime::MonotonicTime now);
--- a/src/posthatch/consensus/raft_membership.cc
+++ b/src/posthatch/consensus/raft_membership.cc
@@ -46,7 +46,8 @@
 }
 
 void RaftCore::HandleJoinRequest(const RaftMessage& message, MonotonicTime) {
-  if (!IsLeader() || FindMember(configuration(), message.from()) != nullptr) return;
+  const bool is_member = FindMember(configuration(), message.from()) != nullptr;
+  if (!IsLeader() || is_member || message.from_endpoint().empty()) return;
   joining_[message.from()] = {message.from_endpoint(), message.from_boot_count()};
 }
 
--- a/src/posthatch/consensus/raft_types.h
+++ b/src/posthatch/consensus/raft_types.h
@@ -22,7 +22,8 @@
   runtime::Duration election_timeout_min = std::chrono::milliseconds(800);
   runtime::Duration election_timeout_max = std::chrono::milliseconds(1400);
 
-  size_t max_append_bytes = 256u << 10;   // entries in one message
+  size_t max_command_bytes = 8u << 20;    // a longer one is refused: no message could carry it
+  size_t max_append_bytes = 256u << 10;   // entries in one message, but for the last of them
   size_t max_in_flight_appends = 64;      // messages with entries, unanswered, for one follower
   size_t max_uncommitted_entries = 8192;  // beyond it proposals are refused
   size_t max_uncommitted_bytes = 32u << 20;
