--- a/src/posthatch/rehearse/checks/recorded_history.cc
+++ b/src/posthatch/rehearse/checks/recorded_history.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "posthatch/util/string_view.h"
 
@@ -39,6 +41,34 @@
   return std::find(values.begin(), values.end(), value) != values.end();
 }
 
+namespace {
+
+// "tenant/7" is the probe tenant's key of generation 7, which takes the place of generation 6.
+std::string RotationDetail(const std::string& key_id) {
+  const size_t slash = key_id.rfind('/');
+  uint64_t generation = 0;
+  if (slash == std::string::npos || !absl::SimpleAtoi(key_id.substr(slash + 1), &generation)) {
+    return key_id;
+  }
+  std::string detail = absl::StrCat("accept=", key_id);
+  if (generation > 1) {
+    absl::StrAppend(&detail, " revoke=", key_id.substr(0, slash), "/", generation - 1);
+  }
+  return detail;
+}
+
+// The operator stand-in writes bare names where only one thing can be meant.
+std::string NormalizedDetail(const std::string& kind, const std::string& detail) {
+  if (detail.empty() || detail.find('=') != std::string::npos) return detail;
+  if (kind == "evacuate" || kind == "lift") {
+    return absl::StrCat(kind, "=", detail, " name=", detail);
+  }
+  if (kind == "model_revision") return absl::StrCat("model=", detail);
+  return RotationDetail(detail);
+}
+
+}  // namespace
+
 RecordedHistory::RecordedHistory(std::vector<HistoryEvent> events) : events_(std::move(events)) {
   std::stable_sort(events_.begin(), events_.end(),
                    [](const HistoryEvent& left, const HistoryEvent& right) {
@@ -78,8 +108,12 @@
     const ChangeSent& sent = event.change_sent();
     const auto [found, added] = change_by_id_.emplace(sent.request_id(), changes_.size());
     if (added) {
-      changes_.push_back(
-          {sent.request_id(), sent.kind(), sent.detail(), sent.expected_version(), {}, {}});
+      changes_.push_back({sent.request_id(),
+                          sent.kind(),
+                          NormalizedDetail(sent.kind(), sent.detail()),
+                          sent.expected_version(),
+                          {},
+                          {}});
     }
     changes_[found->second].sent_ns.push_back(event.time_ns());
   } else if (event.has_change_answered()) {
