--- a/src/posthatch/index/prefix_index.cc
+++ b/src/posthatch/index/prefix_index.cc
@@ -1,6 +1,7 @@
 #include "posthatch/index/prefix_index.h"
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <new>
 
@@ -15,8 +16,10 @@
 constexpr double kFillAfterEviction = 0.74;
 constexpr uint8_t kInsertedRecency = 1;
 constexpr uint8_t kUsedRecency = 3;
-// Look-ups ask memory for this many blocks ahead of the one they compare.
+// Insertions ask memory for this many blocks ahead of the one they place.
 constexpr size_t kPrefetchDistance = 12;
+// Blocks that a round of the search looks at: fetched together, they cost one wait for memory.
+constexpr uint32_t kProbesPerRound = 4;
 // Dropped blocks are swept when they are more than this part of all.
 constexpr uint64_t kSweepDivisor = 16;
 
@@ -64,11 +67,7 @@
 
 void PrefixIndex::Insert(GenerationId generation, absl::Span<const BlockHash> blocks) {
   for (size_t i = 0; i < blocks.size(); ++i) {
-    if (i + kPrefetchDistance < blocks.size()) {
-      const BlockHash ahead = blocks[i + kPrefetchDistance];
-      const Segment& segment = SegmentOf(ahead);
-      __builtin_prefetch(&segment.buckets[HomeOf(segment, ahead)], 1);
-    }
+    if (i + kPrefetchDistance < blocks.size()) Prefetch(blocks[i + kPrefetchDistance]);
     InsertOne(generation, blocks[i]);
   }
 }
@@ -106,7 +105,10 @@
           free_slot = slot;
         }
       } else if (bucket.hashes[slot] == hash) {
-        if (bucket.generations[slot] == generation) return;
+        if (bucket.generations[slot] == generation) {
+          SetRecency(&bucket, slot, kUsedRecency);
+          return;
+        }
         if (++holders == kMaxHoldersPerBlock) {
           Fill(&segment, &bucket, slot, generation, hash);
           return;
@@ -142,55 +144,40 @@
   return removed;
 }
 
-void PrefixIndex::AddHolders(BlockHash hash, GenerationFilter filter, Matches* matches) {
+template <typename Visitor>
+void PrefixIndex::VisitHolders(BlockHash hash, Visitor visit) {
   Segment& segment = SegmentOf(hash);
   size_t index = HomeOf(segment, hash);
   for (size_t step = 0; step < segment.bucket_count; ++step) {
     Bucket& bucket = segment.buckets[index];
     for (size_t slot = 0; slot < kSlotsPerBucket; ++slot) {
-      if (bucket.hashes[slot] != hash || IsFree(bucket, slot)) continue;
-      if (!filter(bucket.generations[slot])) continue;
-      SetRecency(&bucket, slot, kUsedRecency);
-      matches->push_back({bucket.generations[slot], 1});
+      if (bucket.hashes[slot] == hash && !IsFree(bucket, slot)) {
+        visit(bucket.generations[slot], &bucket, slot);
+      }
     }
-    if (bucket.overflow == 0) break;
+    if (bucket.overflow == 0) return;
     index = index + 1 == segment.bucket_count ? 0 : index + 1;
   }
 }
 
+void PrefixIndex::Prefetch(BlockHash hash) const {
+  const Segment& segment = segments_[hash >> (64 - kSegmentBits)];
+  __builtin_prefetch(&segment.buckets[HomeOf(segment, hash)], 1);
+}
+
 PrefixIndex::Matches PrefixIndex::LongestPrefixes(absl::Span<const BlockHash> chain,
                                                   GenerationFilter filter) {
   Matches matches;
   if (chain.empty()) return matches;
-  const auto prefetch = [this](BlockHash hash) {
-    const Segment& segment = SegmentOf(hash);
-    __builtin_prefetch(&segment.buckets[HomeOf(segment, hash)], 1);
-  };
-  for (size_t i = 0; i < std::min(kPrefetchDistance, chain.size()); ++i) prefetch(chain[i]);
-  AddHolders(chain[0], filter, &matches);
-
-  bool extended = !matches.empty();
-  for (size_t i = 1; i < chain.size() && extended; ++i) {
-    if (i + kPrefetchDistance - 1 < chain.size()) prefetch(chain[i + kPrefetchDistance - 1]);
-    extended = false;
-    const BlockHash hash = chain[i];
-    Segment& segment = SegmentOf(hash);
-    size_t index = HomeOf(segment, hash);
-    for (size_t step = 0; step < segment.bucket_count; ++step) {
-      Bucket& bucket = segment.buckets[index];
-      for (size_t slot = 0; slot < kSlotsPerBucket; ++slot) {
-        if (bucket.hashes[slot] != hash || IsFree(bucket, slot)) continue;
-        for (Match& match : matches) {
-          if (match.blocks != i || match.generation != bucket.generations[slot]) continue;
-          match.blocks = static_cast<uint32_t>(i + 1);
-          SetRecency(&bucket, slot, kUsedRecency);
-          extended = true;
-          break;
-        }
-      }
-      if (bucket.overflow == 0) break;
-      index = index + 1 == segment.bucket_count ? 0 : index + 1;
-    }
+  VisitHolders(chain[0], [&](GenerationId generation, Bucket* bucket, size_t slot) {
+    if (!filter(generation)) return;
+    SetRecency(bucket, slot, kUsedRecency);
+    matches.push_back({generation, 1});
+  });
+  Ranges ranges(matches.size(), Range{0, static_cast<uint32_t>(chain.size())});
+  for (size_t i = 0; i < matches.size(); ++i) {
+    while (ranges[i].missing - ranges[i].held > 1) Narrow(chain, ranges[i], matches, &ranges);
+    matches[i].blocks = ranges[i].held + 1;
   }
   std::stable_sort(matches.begin(), matches.end(), [](const Match& left, const Match& right) {
     return left.blocks > right.blocks;
@@ -198,6 +185,40 @@
   return matches;
 }
 
+void PrefixIndex::Narrow(absl::Span<const BlockHash> chain, Range range, const Matches& matches,
+                         Ranges* ranges) {
+  // The last possible block and the quarters before it: their memory is fetched at the same time.
+  std::array<uint32_t, kProbesPerRound> probes;
+  const uint32_t last = range.missing - 1;
+  size_t count = 0;
+  for (uint32_t quarter = kProbesPerRound; quarter > 0; --quarter) {
+    const uint32_t probe =
+        range.held +
+        static_cast<uint32_t>((uint64_t{last - range.held} * quarter) / kProbesPerRound);
+    if (probe == range.held || (count > 0 && probes[count - 1] == probe)) continue;
+    probes[count++] = probe;
+    Prefetch(chain[probe]);
+  }
+  for (size_t i = 0; i < count; ++i) {
+    const uint32_t probe = probes[i];
+    uint64_t holding = 0;
+    VisitHolders(chain[probe], [&](GenerationId generation, Bucket* bucket, size_t slot) {
+      for (size_t match = 0; match < matches.size(); ++match) {
+        if (matches[match].generation != generation) continue;
+        holding |= uint64_t{1} << match;
+        SetRecency(bucket, slot, kUsedRecency);
+      }
+    });
+    for (size_t match = 0; match < matches.size(); ++match) {
+      Range& known = (*ranges)[match];
+      if (probe <= known.held || probe >= known.missing) continue;
+      ((holding >> match) & 1 ? known.held : known.missing) = probe;
+    }
+    // Nothing before the furthest block found needs a look, unless for another match.
+    if (holding != 0 && matches.size() == 1) return;
+  }
+}
+
 std::vector<PrefixIndex::Slot> PrefixIndex::TakeSlots(Segment* segment) {
   std::vector<Slot> slots;
   slots.reserve(segment->used_slots);
--- a/src/posthatch/index/prefix_index.h
+++ b/src/posthatch/index/prefix_index.h
@@ -59,8 +59,10 @@
   // Removes `block` from all generations that `matches` holds for; returns how many.
   size_t Remove(BlockHash block, GenerationFilter matches);
 
-  // For each generation that keeps the first block of `chain` and passes `filter`: how many leading
-  // blocks it keeps without a gap. Longest first.
+  // For each generation that keeps the first block of `chain` and passes `filter`: the last block
+  // of the chain that it keeps, found by search. A holder of a block is taken to hold all before
+  // it: hashes are chained, and workers give up a chain from its end, so a gap is rare and costs
+  // one look-up's worth of prefill. Longest first.
   Matches LongestPrefixes(absl::Span<const BlockHash> chain, GenerationFilter filter);
 
   // Compacts one segment if dropped blocks take up much room; called from time to time.
@@ -129,7 +131,19 @@
   std::vector<Slot> TakeSlots(Segment* segment);
   void EvictDownTo(std::vector<Slot>* slots, size_t limit);
   static void PlaceUnique(Segment* segment, const Slot& slot);
-  void AddHolders(BlockHash hash, GenerationFilter filter, Matches* matches);
+  // Calls `visit(generation, bucket, slot)` for each live slot of `hash`.
+  template <typename Visitor>
+  void VisitHolders(BlockHash hash, Visitor visit);
+  void Prefetch(BlockHash hash) const;
+  // What the search knows of a match: it keeps block `held`, and not block `missing`.
+  struct Range {
+    uint32_t held = 0;
+    uint32_t missing = 0;
+  };
+  using Ranges = absl::InlinedVector<Range, 8>;
+  // Compares the blocks at a few places between `range`'s ends, for all matches at once.
+  void Narrow(absl::Span<const BlockHash> chain, Range range, const Matches& matches,
+              Ranges* ranges);
 
   const uint64_t budget_bytes_;
   std::vector<Segment> segments_;
