Match evacuations with the operators' selectors

Cause: the gateway had a matcher of its own until control/selector.h was there. Change: that one is used and the own one is gone; DeliveryRecordClient is no longer named like the control state's records; findings of clang-tidy are mended.

--- a/src/posthatch/gateway/backend_directory.cc
+++ b/src/posthatch/gateway/backend_directory.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "absl/container/flat_hash_set.h"
-#include "posthatch/gateway/selector_matcher.h"
+#include "posthatch/control/selector.h"
 
 namespace posthatch::gateway {
 namespace {
@@ -61,9 +61,10 @@
 
 void BackendDirectory::MarkEvacuated(const control::FleetState& state) {
   for (auto& [id, entry] : entries_) {
+    const control::LabelMap labels = control::BackendLabels(entry->backend);
     entry->evacuated = std::any_of(state.evacuations().begin(), state.evacuations().end(),
-                                   [&item = entry->backend](const control::Evacuation& evacuation) {
-                                     return MatchesBackend(evacuation.selector(), item);
+                                   [&labels](const auto& evacuation) {
+                                     return control::SelectorMatches(evacuation.selector(), labels);
                                    });
   }
 }
--- a/src/posthatch/gateway/caller_api.cc
+++ b/src/posthatch/gateway/caller_api.cc
@@ -42,6 +42,10 @@
 }
 
 ApiError NotFound(const char* message) { return {404, "not_found", message, Executed::kNo}; }
+ApiError BadRequest(const absl::Status& status) {
+  const absl::string_view message = status.message();
+  return {400, "bad_request", {message.data(), message.size()}, Executed::kNo};
+}
 ApiError BadRequest(std::string message) {
   return {400, "bad_request", std::move(message), Executed::kNo};
 }
@@ -125,7 +129,7 @@
   absl::StatusOr<InferenceBody> body =
       ParseInferenceBody(call.request.body, route.kind == Route::Kind::kChat);
   if (!body.ok()) {
-    Refuse(call, BadRequest(std::string(body.status().message())));
+    Refuse(call, BadRequest(body.status()));
     return;
   }
   if (context_->lookup->FindModel(body->model) == nullptr) {
--- a/src/posthatch/gateway/delivery-test.cc
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "posthatch/gateway/gateway_test_fixture.h"
+#include "posthatch/gateway/gateway_fixture-test.h"
 
 // Non-repeatable operations: one run at most, and honest answers (invariants N1, N2, N10).
 namespace posthatch::gateway {
--- a/src/posthatch/gateway/delivery_records.cc
+++ b/src/posthatch/gateway/delivery_record_client.cc
@@ -1,4 +1,4 @@
-#include "posthatch/gateway/delivery_records.h"
+#include "posthatch/gateway/delivery_record_client.h"
 
 #include <utility>
 
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-control::Command DeliveryRecords::BeginCommand(const DeliveryKey& key) const {
+control::Command DeliveryRecordClient::BeginCommand(const DeliveryKey& key) const {
   control::Command command;
   command.set_request_id("begin/" + key.attempt);
   control::DeliveryBegin* begin = command.mutable_delivery_begin();
@@ -24,11 +24,12 @@
   return command;
 }
 
-void DeliveryRecords::Begin(const DeliveryKey& key, Done done) {
+void DeliveryRecordClient::Begin(const DeliveryKey& key, Done done) {
   client_->Propose(BeginCommand(key), kBeginTimeout, false, std::move(done));
 }
 
-void DeliveryRecords::Finish(const DeliveryKey& key, control::DeliveryOutcome outcome, Done done) {
+void DeliveryRecordClient::Finish(const DeliveryKey& key, control::DeliveryOutcome outcome,
+                                  Done done) {
   control::Command command;
   command.set_request_id("finish/" + key.attempt);
   control::DeliveryFinish* finish = command.mutable_delivery_finish();
@@ -39,7 +40,7 @@
   client_->Propose(std::move(command), kFinishTimeout, false, std::move(done));
 }
 
-void DeliveryRecords::Abandon(const DeliveryKey& key) {
+void DeliveryRecordClient::Abandon(const DeliveryKey& key) {
   std::weak_ptr<bool> alive = alive_;
   const auto on_begin = [this, alive, key](const absl::StatusOr<control::CommandResult>& result) {
     if (alive.expired() || !result.ok()) return;
--- a/src/posthatch/gateway/delivery_records.h
+++ b/src/posthatch/gateway/delivery_record_client.h
@@ -19,12 +19,12 @@
 
 // The delivery records in the replicated log, as a gateway writes them (DESIGN.md, "Non-repeatable
 // operations"). Event loop thread only.
-class DeliveryRecords {
+class DeliveryRecordClient {
  public:
   // The log's answer, or an error: the begin or finish may still be applied.
   using Done = std::function<void(absl::StatusOr<control::CommandResult>)>;
 
-  DeliveryRecords(control::ControlClient* client, std::string gateway_id)
+  DeliveryRecordClient(control::ControlClient* client, std::string gateway_id)
       : client_(client), gateway_id_(std::move(gateway_id)) {}
 
   void Begin(const DeliveryKey& key, Done done);
--- a/src/posthatch/gateway/delivery_request.cc
+++ b/src/posthatch/gateway/delivery_request.cc
@@ -111,7 +111,7 @@
 
 void DeliveryRequest::Dispatch() {
   if (std::optional<ApiError> error = WhyNotDispatch()) {
-    CloseNotExecuted(*std::move(error));
+    CloseNotExecuted(*error);
     return;
   }
   RouteDecision decision =
@@ -205,13 +205,13 @@
   Dispatch();
 }
 
-void DeliveryRequest::CloseNotExecuted(ApiError refusal) {
+void DeliveryRequest::CloseNotExecuted(const ApiError& refusal) {
   control::DeliveryOutcome outcome;
   outcome.set_kind(control::DeliveryOutcome::NOT_EXECUTED);
   Commit(std::move(outcome), MakeErrorResponse(refusal), refusal.code);
 }
 
-void DeliveryRequest::CloseUnknown(ApiError error) {
+void DeliveryRequest::CloseUnknown(const ApiError& error) {
   control::DeliveryOutcome outcome;
   outcome.set_kind(control::DeliveryOutcome::UNKNOWN);
   Commit(std::move(outcome), MakeErrorResponse(error), error.code);
--- a/src/posthatch/gateway/delivery_request.h
+++ b/src/posthatch/gateway/delivery_request.h
@@ -21,7 +21,7 @@
   // Longest time from sending the begin to the dispatch.
   static constexpr runtime::Duration kDispatchLimit = std::chrono::seconds(2);
   // Longest answer that is kept; a longer one ends as unknown.
-  static constexpr size_t kMaxKeptBodyBytes = 64 * 1024;
+  static constexpr size_t kMaxKeptBodyBytes = size_t{64} * 1024;
 
   DeliveryRequest(GatewayContext* context, CallerCall call, std::string service,
                   std::string operation);
@@ -43,8 +43,8 @@
   void SendTo(BackendPointer backend);
   // Commits the outcome, then answers: `answer` if it was committed, "unknown" if not.
   void Commit(control::DeliveryOutcome outcome, http::Response answer, const std::string& code);
-  void CloseNotExecuted(ApiError refusal);
-  void CloseUnknown(ApiError error);
+  void CloseNotExecuted(const ApiError& refusal);
+  void CloseUnknown(const ApiError& error);
   void OnCommitted(const absl::StatusOr<control::CommandResult>& result, http::Response answer,
                    const std::string& code);
   void Refuse(const ApiError& error);
--- a/src/posthatch/gateway/gateway-test.cc
+++ b/src/posthatch/gateway/gateway-test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "posthatch/gateway/gateway_test_fixture.h"
+#include "posthatch/gateway/gateway_fixture-test.h"
 
 namespace posthatch::gateway {
 namespace {
--- a/src/posthatch/gateway/gateway.cc
+++ b/src/posthatch/gateway/gateway.cc
@@ -6,8 +6,7 @@
 
 Gateway::Gateway(runtime::Runtime* runtime, GatewayOptions options, control::FleetView* view,
                  control::ControlClient* control, index::PrefixLocator* locator)
-    : runtime_(runtime),
-      options_(std::move(options)),
+    : options_(std::move(options)),
       view_(view),
       metrics_(runtime->metrics),
       backends_(runtime, &options_, &lookup_, &metrics_),
--- a/src/posthatch/gateway/gateway.h
+++ b/src/posthatch/gateway/gateway.h
@@ -29,7 +29,6 @@
  private:
   void OnStateChanged();
 
-  runtime::Runtime* const runtime_;
   const GatewayOptions options_;
   control::FleetView* const view_;
   GatewayMetrics metrics_;
@@ -41,7 +40,7 @@
   RetryBudget retry_budget_;
   AdmissionControl admission_;
   InventoryFallback inventory_;
-  DeliveryRecords deliveries_;
+  DeliveryRecordClient deliveries_;
   RequestRegistry requests_;
   GatewayContext context_;
   CallerApi caller_api_;
--- a/src/posthatch/gateway/gateway_context.h
+++ b/src/posthatch/gateway/gateway_context.h
@@ -8,7 +8,7 @@
 #include "posthatch/gateway/admission_control.h"
 #include "posthatch/gateway/api_error.h"
 #include "posthatch/gateway/backend_directory.h"
-#include "posthatch/gateway/delivery_records.h"
+#include "posthatch/gateway/delivery_record_client.h"
 #include "posthatch/gateway/fleet_lookup.h"
 #include "posthatch/gateway/gateway_metrics.h"
 #include "posthatch/gateway/gateway_options.h"
@@ -40,7 +40,7 @@
   LinkSpeedEstimator* links = nullptr;
   RequestRegistry* requests = nullptr;
   InventoryFallback* inventory = nullptr;
-  DeliveryRecords* deliveries = nullptr;
+  DeliveryRecordClient* deliveries = nullptr;
 
   // Why nothing may be decided now, if so: no lease, or the list is too old and was not asked for
   // anew. Asked right before every dispatch.
--- a/src/posthatch/gateway/gateway_options.h
+++ b/src/posthatch/gateway/gateway_options.h
@@ -22,9 +22,9 @@
   // Requests in flight at this gateway. The lowest priority is refused from 70% of it on.
   size_t max_concurrent_requests = 4096;
   // Bytes of one stream that wait for a slow caller before the worker is no longer read.
-  size_t max_stream_buffer_bytes = 256 * 1024;
+  size_t max_stream_buffer_bytes = size_t{256} * 1024;
   // Longest whole answer taken from a back end.
-  size_t max_answer_bytes = 8 * 1024 * 1024;
+  size_t max_answer_bytes = size_t{8} * 1024 * 1024;
   // Dispatches of one request, with the first.
   uint32_t max_attempts = 3;
   // Reads of the platform's list that all gateways together may make, per second.
--- a/src/posthatch/gateway/inference_body.cc
+++ b/src/posthatch/gateway/inference_body.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // Most bodies are parsed without a call to the allocator.
-constexpr size_t kParseBufferBytes = 8 * 1024;
+constexpr size_t kParseBufferBytes = size_t{8} * 1024;
 
 absl::Status Missing(const char* what) { return absl::InvalidArgumentError(what); }
 
--- a/src/posthatch/gateway/inference_request.cc
+++ b/src/posthatch/gateway/inference_request.cc
@@ -137,14 +137,14 @@
   if (absl::Status status = relay_->Finish(); !status.ok()) {
     // The attempt itself has ended and can't fail any more.
     context()->backends->OnFailure(attempt()->backend());
-    OnAttemptFailed({AttemptFailure::Cause::kCut, std::string(status.message())});
+    OnAttemptFailed({AttemptFailure::Cause::kCut, status.ToString()});
     return;
   }
   Complete();
 }
 
 void InferenceRequest::OnStreamBroken(const absl::Status& status) {
-  attempt()->Fail({AttemptFailure::Cause::kBadAnswer, std::string(status.message())});
+  attempt()->Fail({AttemptFailure::Cause::kBadAnswer, status.ToString()});
 }
 
 void InferenceRequest::OnAttemptFailed(AttemptFailure failure) {
--- a/src/posthatch/gateway/inventory_fallback.cc
+++ b/src/posthatch/gateway/inventory_fallback.cc
@@ -13,7 +13,7 @@
 // First reads of gateways that notice at once are spread over this.
 constexpr runtime::Duration kFirstReadSpread = std::chrono::milliseconds(400);
 constexpr runtime::Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
-constexpr size_t kMaxListBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxListBytes = size_t{16} * 1024 * 1024;
 
 std::string Text(const boost::json::object& object, std::string_view name) {
   const boost::json::value* field = object.if_contains(name);
@@ -138,14 +138,14 @@
   call_options.max_body_bytes = kMaxListBytes;
   http::CallObserver observer;
   observer.on_head = [this](const http::Response& head) { answer_ = head; };
-  observer.on_piece = [this](std::string piece) { answer_.body.append(piece); };
-  observer.on_end = [this] { OnAnswer(std::move(answer_)); };
+  observer.on_piece = [this](const std::string& piece) { answer_.body.append(piece); };
+  observer.on_end = [this] { OnAnswer(answer_); };
   observer.on_error = [this](const http::CallError&) { OnUnreachable(); };
   call_ = runtime_->http_client->Start(options_->inventory_endpoint, std::move(request),
                                        call_options, std::move(observer));
 }
 
-void InventoryFallback::OnAnswer(http::Response answer) {
+void InventoryFallback::OnAnswer(const http::Response& answer) {
   if (answer.status == 429) {
     metrics_->inventory_reads.Increment("rate_limited");
     const std::string_view field = answer.headers.Get("Retry-After-Ms");
--- a/src/posthatch/gateway/inventory_fallback.h
+++ b/src/posthatch/gateway/inventory_fallback.h
@@ -38,7 +38,7 @@
  private:
   void Check();
   void Read();
-  void OnAnswer(http::Response answer);
+  void OnAnswer(const http::Response& answer);
   void OnUnreachable();
   // Age of the newer one of the two readings.
   runtime::Duration Age() const;
--- a/src/posthatch/gateway/limits-test.cc
+++ b/src/posthatch/gateway/limits-test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "posthatch/gateway/gateway_test_fixture.h"
+#include "posthatch/gateway/gateway_fixture-test.h"
 
 // Who is let in, where work may go, and how often it may be tried again.
 namespace posthatch::gateway {
--- a/src/posthatch/gateway/repeatable_request.cc
+++ b/src/posthatch/gateway/repeatable_request.cc
@@ -101,7 +101,7 @@
   if (answer.status >= 500) status = absl::UnavailableError("the back end answered with an error");
   if (!status.ok()) {
     context_->backends->OnFailure(attempt_->backend());
-    OnAttemptFailed({AttemptFailure::Cause::kBadAnswer, std::string(status.message())});
+    OnAttemptFailed({AttemptFailure::Cause::kBadAnswer, status.ToString()});
     return;
   }
   context_->backends->OnSuccess(attempt_->backend());
--- a/src/posthatch/gateway/sse_stream_checker.h
+++ b/src/posthatch/gateway/sse_stream_checker.h
@@ -16,7 +16,7 @@
 // differ. Memory is bounded by kMaxEventBytes plus one chunk.
 class SseStreamChecker {
  public:
-  static constexpr size_t kMaxEventBytes = 1024 * 1024;
+  static constexpr size_t kMaxEventBytes = size_t{1024} * 1024;
 
   explicit SseStreamChecker(std::string request_id) : request_id_(std::move(request_id)) {}
 
--- a/src/posthatch/gateway/stream-test.cc
+++ b/src/posthatch/gateway/stream-test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "posthatch/gateway/gateway_test_fixture.h"
+#include "posthatch/gateway/gateway_fixture-test.h"
 #include "posthatch/gateway/sse_stream_checker.h"
 
 // Whole answers and streams: nothing of another request, of another run, or incomplete.
--- a/src/posthatch/gateway/worker_router.cc
+++ b/src/posthatch/gateway/worker_router.cc
@@ -51,9 +51,9 @@
 
 BackendPointer WorkerRouter::BetterOfTwo(const std::vector<BackendPointer>& from, uint64_t revision,
                                          const std::vector<std::string>& tried) {
-  const BackendPointer first = Draw(from, revision, tried);
+  BackendPointer first = Draw(from, revision, tried);
   if (first == nullptr) return nullptr;
-  const BackendPointer second = Draw(from, revision, tried);
+  BackendPointer second = Draw(from, revision, tried);
   if (second == nullptr) return first;
   return RelativeLoad(*second) < RelativeLoad(*first) ? second : first;
 }
