--- a/src/posthatch/control/control_plane-test.cc
+++ b/src/posthatch/control/control_plane-test.cc
@@ -17,8 +17,7 @@
 
 class RaftLog : public LeadershipGuard {
  public:
-  RaftLog(runtime::Runtime* runtime, const consensus::ReplicaOptions& options,
-          ControlState* state)
+  RaftLog(runtime::Runtime* runtime, const consensus::ReplicaOptions& options, ControlState* state)
       : replica_(runtime, options, state) {
     const absl::Status status = replica_.Start();
     EXPECT_TRUE(status.ok()) << status;
@@ -170,19 +169,19 @@
 
 TEST_P(ControlPlaneTest, AcknowledgedChangesStayInForceUnderAnyFault) {
   fleet_.operator_process->Change(0);
-  ASSERT_TRUE(fleet_.world.RunUntil([this] { return fleet_.operator_process->open() == 0; },
-                                    seconds(40)));
+  ASSERT_TRUE(
+      fleet_.world.RunUntil([this] { return fleet_.operator_process->open() == 0; }, seconds(40)));
   end_ = fleet_.world.Now() + kRunTime;
   ScheduleChanges();
   ScheduleFaults();
   fleet_.world.RunFor(kRunTime + seconds(30));
   fleet_.world.HealAll();
-  ASSERT_TRUE(fleet_.world.RunUntil([this] { return fleet_.operator_process->open() == 0; },
-                                    seconds(60)))
+  ASSERT_TRUE(
+      fleet_.world.RunUntil([this] { return fleet_.operator_process->open() == 0; }, seconds(60)))
       << fleet_.operator_process->open() << " changes without a final answer";
   SimHost* leader = nullptr;
-  ASSERT_TRUE(fleet_.world.RunUntil([&] { return (leader = fleet_.Leader()) != nullptr; },
-                                    seconds(20)));
+  ASSERT_TRUE(
+      fleet_.world.RunUntil([&] { return (leader = fleet_.Leader()) != nullptr; }, seconds(20)));
   std::vector<std::pair<uint64_t, std::string>> versions;
   const ControlState& state = fleet_.Controller(leader)->state;
   for (const ConfigurationVersion& version : state.history().versions()) {
@@ -193,10 +192,9 @@
   EXPECT_GT(fleet_.operator_process->refused(), 5);
   EXPECT_GT(fleet_.history.decisions(), 3000);
   EXPECT_GT(fleet_.history.orders(), 3000);
-  const std::vector<std::string> violations =
-      fleet_.history.Violations(runtime::Duration::zero());
-  EXPECT_TRUE(violations.empty()) << violations.size() << " violations, the first: "
-                                  << violations.front();
+  const std::vector<std::string> violations = fleet_.history.Violations(runtime::Duration::zero());
+  EXPECT_TRUE(violations.empty()) << violations.size()
+                                  << " violations, the first: " << violations.front();
 }
 
 }  // namespace
