--- a/src/posthatch/control/configuration_history.cc
+++ b/src/posthatch/control/configuration_history.cc
@@ -87,6 +87,13 @@
   return found == versions_.rend() ? nullptr : &*found;
 }
 
+const ConfigurationVersion* ConfigurationHistory::FindByLogIndex(uint64_t log_index) const {
+  const auto found = std::lower_bound(
+      versions_.begin(), versions_.end(), log_index,
+      [](const ConfigurationVersion& kept, uint64_t index) { return kept.log_index() < index; });
+  return found == versions_.end() || found->log_index() != log_index ? nullptr : &*found;
+}
+
 void ConfigurationHistory::Append(ConfigurationVersion version) {
   bytes_ += version.ByteSizeLong();
   versions_.push_back(std::move(version));
--- a/src/posthatch/control/configuration_history.h
+++ b/src/posthatch/control/configuration_history.h
@@ -29,6 +29,8 @@
   }
   // Null if the version isn't kept.
   const ConfigurationVersion* Find(uint64_t version) const;
+  // The version that was accepted at `log_index`; null if it isn't kept.
+  const ConfigurationVersion* FindByLogIndex(uint64_t log_index) const;
   const std::deque<ConfigurationVersion>& versions() const { return versions_; }
 
   void Save(google::protobuf::RepeatedPtrField<ConfigurationVersion>* history) const;
--- a/src/posthatch/control/configuration_patch.cc
+++ b/src/posthatch/control/configuration_patch.cc
@@ -41,6 +41,20 @@
   }
 }
 
+template <typename Entries, typename Names>
+void CollectChanges(const Entries& from, const Entries& to, Entries* upserts, Names* removals) {
+  std::map<std::string, std::string> before;
+  for (const auto& entry : from) before[entry.name()] = SerializeDeterministically(entry);
+  for (const auto& entry : to) {
+    const auto old = before.find(entry.name());
+    if (old == before.end() || old->second != SerializeDeterministically(entry)) {
+      *upserts->Add() = entry;
+    }
+    if (old != before.end()) before.erase(old);
+  }
+  for (const auto& [name, bytes] : before) *removals->Add() = name;
+}
+
 template <typename Entries>
 void DescribeEntries(const std::string& what, const Entries& from, const Entries& to,
                      std::vector<std::string>* lines) {
@@ -80,6 +94,23 @@
   return result;
 }
 
+ConfigurationPatch MakePatch(const Configuration& from, const Configuration& to) {
+  ConfigurationPatch patch;
+  Configuration* upsert = patch.mutable_upsert();
+  CollectChanges(from.tenants(), to.tenants(), upsert->mutable_tenants(),
+                 patch.mutable_remove_tenants());
+  CollectChanges(from.isolation_rules(), to.isolation_rules(), upsert->mutable_isolation_rules(),
+                 patch.mutable_remove_isolation_rules());
+  CollectChanges(from.services(), to.services(), upsert->mutable_services(),
+                 patch.mutable_remove_services());
+  CollectChanges(from.models(), to.models(), upsert->mutable_models(),
+                 patch.mutable_remove_models());
+  if (SerializeDeterministically(from.routing()) != SerializeDeterministically(to.routing())) {
+    *upsert->mutable_routing() = to.routing();
+  }
+  return patch;
+}
+
 std::vector<std::string> DescribeDifferences(const Configuration& from, const Configuration& to) {
   std::vector<std::string> lines;
   DescribeEntries("tenant", from.tenants(), to.tenants(), &lines);
--- a/src/posthatch/control/configuration_patch.h
+++ b/src/posthatch/control/configuration_patch.h
@@ -13,6 +13,9 @@
 Configuration ApplyPatch(const Configuration& base, const ConfigurationPatch& patch,
                          std::vector<std::string>* errors);
 
+// The patch that makes `to` of `from`, but for the order of entries.
+ConfigurationPatch MakePatch(const Configuration& from, const Configuration& to);
+
 // What differs between two configurations, entry by entry ("tenant alpha: changed", "model m:
 // added"), at most kMaxDifferences lines. Empty if they are equal but for the order of entries.
 std::vector<std::string> DescribeDifferences(const Configuration& from, const Configuration& to);
--- a/src/posthatch/control/control_state-test.cc
+++ b/src/posthatch/control/control_state-test.cc
@@ -8,6 +8,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "posthatch/control/commands-test.h"
+#include "posthatch/control/configuration_patch.h"
+#include "posthatch/control/fleet_sections.h"
 #include "posthatch/runtime/random.h"
 
 namespace posthatch::control {
@@ -197,6 +199,34 @@
   EXPECT_FALSE(state_.RestoreSnapshot("\xff\xff").ok());
 }
 
+TEST(FleetSectionsTest, ASectionNeverGoesBack) {
+  FleetState state;
+  state.set_configuration_index(9);
+  state.set_configuration_version(3);
+  FleetState older;
+  older.set_configuration_index(8);
+  older.set_configuration_version(2);
+  older.set_leases_index(10);
+  google::protobuf::RepeatedPtrField<std::string> names;
+  *names.Add() = "configuration";
+  EXPECT_FALSE(ApplyNewerSections(older, names, &state));
+  *names.Add() = "leases";
+  EXPECT_TRUE(ApplyNewerSections(older, names, &state));
+  EXPECT_EQ(state.configuration_version(), 3);
+  EXPECT_EQ(state.leases_index(), 10);
+}
+
+TEST(FleetSectionsTest, ADifferenceForAnotherConfigurationIsNotUsed) {
+  FleetState state;
+  state.set_configuration_index(5);
+  FleetState changed;
+  changed.set_configuration_index(9);
+  changed.set_patch_base_index(4);
+  EXPECT_FALSE(MakeConfigurationWhole(state, &changed));
+  changed.set_patch_base_index(5);
+  EXPECT_TRUE(MakeConfigurationWhole(state, &changed));
+}
+
 // By seed: random commands with resends and races.
 class ControlStateSeedTest : public testing::TestWithParam<uint64_t> {};
 
@@ -234,6 +264,30 @@
   EXPECT_EQ(restored.TakeSnapshot(), first.TakeSnapshot());
 }
 
+TEST_P(ControlStateSeedTest, ADifferenceMakesTheNewConfigurationOfTheOldOne) {
+  runtime::Random random(GetParam());
+  const auto random_configuration = [&random] {
+    Configuration configuration;
+    for (int i = 0; i < 8; ++i) {
+      if (random.Chance(0.4)) continue;
+      Tenant* tenant = configuration.add_tenants();
+      tenant->set_name(absl::StrCat("t", i));
+      tenant->set_priority(static_cast<uint32_t>(random.Uniform(2)));
+      if (random.Chance(0.5)) configuration.add_services()->set_name(absl::StrCat("s", i));
+    }
+    if (random.Chance(0.5)) configuration.mutable_routing()->set_slow_start_ms(5);
+    return configuration;
+  };
+  for (int i = 0; i < 20; ++i) {
+    const Configuration from = random_configuration();
+    const Configuration to = random_configuration();
+    std::vector<std::string> errors;
+    const Configuration made = ApplyPatch(from, MakePatch(from, to), &errors);
+    EXPECT_EQ(DescribeDifferences(made, to), std::vector<std::string>());
+    EXPECT_EQ(errors, std::vector<std::string>());
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ControlStateSeedTest, testing::Range<uint64_t>(1, 31));
 
 }  // namespace
--- a/src/posthatch/control/controller_service-test.cc
+++ b/src/posthatch/control/controller_service-test.cc
@@ -106,6 +106,20 @@
   ExpectNoViolation();
 }
 
+TEST_P(ControllerServiceTest, ALateGrantIsCountedFromWhenItsRenewalWasSent) {
+  fleet_.world.SlowLink("c0", "g0", milliseconds(2500));
+  fleet_.world.RunFor(seconds(6));
+  // No more renewals arrive; grants that are under way do.
+  fleet_.world.Cut("g0", "c0");
+  fleet_.world.Cut("g0", "c1");
+  fleet_.operator_process->avoid = fleet_.gateway_hosts[0]->http_endpoint();
+  for (int i = 0; i < 8; ++i) {
+    TimeOfOneChange();
+    fleet_.world.RunFor(milliseconds(700));
+  }
+  ExpectNoViolation();
+}
+
 TEST_P(ControllerServiceTest, ALeaderThatLostItsMajorityGrantsNothing) {
   cluster_.Elect("10.0.9.9:7000");  // someone whom nobody reaches
   fleet_.world.RunFor(seconds(6));
@@ -115,6 +129,34 @@
   ExpectNoViolation();
 }
 
+TEST_P(ControllerServiceTest, AFormerLeaderThatStillBelievesToLeadGrantsNothing) {
+  cluster_.deaf_endpoint = fleet_.controller_hosts[0]->internal_endpoint();
+  Elect(1);
+  fleet_.operator_process->avoid = fleet_.controller_hosts[0]->http_endpoint();
+  TimeOfOneChange();
+  TimeOfOneChange();
+  EXPECT_TRUE(fleet_.Controller(fleet_.controller_hosts[0])->service.leading());
+  ExpectNoViolation();
+}
+
+TEST_P(ControllerServiceTest, AWorkerTakenFromALiveHolderWaitsUntilTheHolderKnows) {
+  fleet_.gateway_hosts[2]->Crash();  // its zone's workers go to the others
+  ASSERT_TRUE(RunUntil([this] { return Session(1).state().leases_size() == 6; }, seconds(5)));
+  fleet_.world.RunFor(seconds(10));
+  ASSERT_EQ(Session(1).state().leases_size(), 6);
+  for (const char* gateway : {"g0", "g1", "g3"}) {
+    fleet_.world.SlowLink("c0", gateway, milliseconds(1500));
+  }
+  fleet_.gateway_hosts[2]->Start();
+  const auto holds_again = [this] {
+    uint64_t token = 0;
+    return Session(2).HoldsWorker("w2", &token) && Session(2).HoldsWorker("w5", &token);
+  };
+  EXPECT_TRUE(RunUntil(holds_again, seconds(20)));
+  fleet_.world.RunFor(seconds(3));
+  ExpectNoViolation();
+}
+
 TEST_P(ControllerServiceTest, EachWorkerHasOneHolderOfItsZoneAndIsHandedOverWithoutOverlap) {
   const auto all_held_in_zone = [this] {
     const FleetState& state = Session(1).state();
--- a/src/posthatch/control/controller_service.cc
+++ b/src/posthatch/control/controller_service.cc
@@ -166,6 +166,8 @@
   grant->set_inventory_age_ms(InventoryAgeMs());
   CopyNewerSections(state_->fleet(), IndicesOf(renewal), grant->mutable_changed(),
                     grant->mutable_changed_sections());
+  SendConfigurationAsPatch(state_->history(), renewal.configuration_index(),
+                           grant->mutable_changed());
   if (session != nullptr) {
     session->sent_up_to = HighestIndex(IndicesOf(state_->fleet()));
     session->sent_at = runtime_->clock->Now();
@@ -175,7 +177,14 @@
 
 void ControllerService::OnPushAck(const StatePushAck& ack) {
   if (!leading_) return;
-  sessions_.Acknowledge({ack.gateway(), ack.incarnation()}, ack.applied_index(), state_->fleet());
+  const SessionKey key{ack.gateway(), ack.incarnation()};
+  sessions_.Acknowledge(key, ack.applied_index(), state_->fleet());
+  Session* session = sessions_.Find(key);
+  if (session != nullptr &&
+      HighestIndex(session->known) < HighestIndex(IndicesOf(state_->fleet()))) {
+    session->sent_up_to = 0;  // changed again meanwhile: the next push is made from what it has now
+    SchedulePush();
+  }
   if (waiters_.size() > 0) ScheduleCheck(kCheckDelay);
 }
 
@@ -203,6 +212,8 @@
       push->set_inventory_age_ms(InventoryAgeMs());
       CopyNewerSections(fleet, session.known, push->mutable_changed(),
                         push->mutable_changed_sections());
+      SendConfigurationAsPatch(state_->history(), IndexOf(session.known, Section::kConfiguration),
+                               push->mutable_changed());
     }
     session.sent_up_to = newest;
     session.sent_at = now;
--- a/src/posthatch/control/fleet_sections.cc
+++ b/src/posthatch/control/fleet_sections.cc
@@ -1,6 +1,9 @@
 #include "posthatch/control/fleet_sections.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "posthatch/control/configuration_patch.h"
 
 namespace posthatch::control {
 namespace {
@@ -110,6 +113,28 @@
   }
 }
 
+void SendConfigurationAsPatch(const ConfigurationHistory& history, uint64_t known_index,
+                              FleetState* changed) {
+  if (known_index == 0 || !changed->has_configuration()) return;
+  const ConfigurationVersion* known = history.FindByLogIndex(known_index);
+  if (known == nullptr) return;
+  ConfigurationPatch patch = MakePatch(known->configuration(), changed->configuration());
+  if (patch.ByteSizeLong() >= changed->configuration().ByteSizeLong()) return;
+  changed->clear_configuration();
+  *changed->mutable_configuration_patch() = std::move(patch);
+  changed->set_patch_base_index(known_index);
+}
+
+bool MakeConfigurationWhole(const FleetState& state, FleetState* changed) {
+  if (changed->patch_base_index() == 0) return true;
+  if (changed->configuration_index() <= state.configuration_index()) return true;  // not newer
+  if (changed->patch_base_index() != state.configuration_index()) return false;
+  std::vector<std::string> errors;
+  *changed->mutable_configuration() =
+      ApplyPatch(state.configuration(), changed->configuration_patch(), &errors);
+  return errors.empty();
+}
+
 bool ApplyNewerSections(const FleetState& changed,
                         const google::protobuf::RepeatedPtrField<std::string>& names,
                         FleetState* state) {
--- a/src/posthatch/control/fleet_sections.h
+++ b/src/posthatch/control/fleet_sections.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "google/protobuf/repeated_ptr_field.h"
+#include "posthatch/control/configuration_history.h"
 #include "posthatch/control/control.pb.h"
 
 // The sections of FleetState, each with the log index of its last change. Grants and pushes carry
@@ -18,6 +19,10 @@
 
 using SectionIndices = std::array<uint64_t, kSectionCount>;
 
+inline uint64_t IndexOf(const SectionIndices& indices, Section section) {
+  return indices[static_cast<size_t>(section)];
+}
+
 // Name of a section in `changed_sections`.
 std::string_view SectionName(Section section);
 
@@ -33,6 +38,15 @@
 void CopyNewerSections(const FleetState& state, const SectionIndices& known, FleetState* changed,
                        google::protobuf::RepeatedPtrField<std::string>* names);
 
+// Replaces a whole configuration in `changed` by its difference from the one with index
+// `known_index`, if that is still in `history` and the difference is smaller.
+void SendConfigurationAsPatch(const ConfigurationHistory& history, uint64_t known_index,
+                              FleetState* changed);
+
+// The other way: makes the configuration whole again from `state`'s. False if the patch is for
+// another configuration than `state` has: the sections can't be used.
+bool MakeConfigurationWhole(const FleetState& state, FleetState* changed);
+
 // Puts the named sections of `changed` into `state` where they are newer: a section never goes
 // back. Returns true if any was.
 bool ApplyNewerSections(const FleetState& changed,
--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -16,6 +16,7 @@
 constexpr size_t kMaxOpenRenewals = 32;
 // A lease longer than this is a damaged message.
 constexpr uint32_t kMaxLeaseMs = 60000;
+constexpr runtime::Duration kRenewSoon = std::chrono::milliseconds(5);
 constexpr uint32_t kNeverRead = UINT32_MAX;
 
 prometheus::Counter* AddCounter(prometheus::Registry* registry, const char* name,
@@ -172,8 +173,12 @@
   term_ = grant.term();
   answered_renewal_ = renewal_;
   locator_.Heard(from_endpoint);
-  bool changed = false;
-  if (!PutInForce(grant.changed(), grant.changed_sections(), &changed)) return;
+  const Outcome outcome = PutInForce(grant.changed(), grant.changed_sections());
+  if (outcome == Outcome::kOutOfStep) {
+    // A push came in between; the next renewal says what is in force now.
+    renew_timer_.Start(kRenewSoon, [this] { Renew(); });
+  }
+  if (outcome == Outcome::kOutOfStep || outcome == Outcome::kRejected) return;
   if (grant.inventory_age_ms() != kNeverRead) {
     // The leader wrote the age down after the renewal was sent, so the reading is not older.
     inventory_read_at_ = sent_at - std::chrono::milliseconds(grant.inventory_age_ms());
@@ -187,17 +192,18 @@
   const runtime::Duration passed = runtime_->clock->Now() - sent_at;
   renew_timer_.Start(std::max(options_.renew_interval - passed, runtime::Duration::zero()),
                      [this] { Renew(); });
-  if (!changed) return;
+  if (outcome == Outcome::kNothingNew) return;
   Acknowledge(from_endpoint, 0);
   NotifyListeners();
 }
 
 void GatewaySession::OnPush(const std::string& from_endpoint, const StatePush& push) {
   if (left_ || push.term() < term_) return;
-  bool changed = false;
-  if (!PutInForce(push.changed(), push.changed_sections(), &changed)) return;
+  const Outcome outcome = PutInForce(push.changed(), push.changed_sections());
+  if (outcome == Outcome::kRejected) return;
+  // Out of step it tells the leader what to make the next difference from.
   Acknowledge(from_endpoint, push.push());
-  if (changed) NotifyListeners();
+  if (outcome == Outcome::kChanged) NotifyListeners();
 }
 
 void GatewaySession::OnLeaderHint(const std::string& from_endpoint, const std::string& hint) {
@@ -209,13 +215,13 @@
   locator_.FollowHint(hint);
   if (left_) return;
   if (!LeaseValid() || renewal_ > answered_renewal_) {
-    renew_timer_.Start(std::chrono::milliseconds(5), [this] { Renew(); });
+    renew_timer_.Start(kRenewSoon, [this] { Renew(); });
   }
 }
 
-bool GatewaySession::PutInForce(const FleetState& changed,
-                                const google::protobuf::RepeatedPtrField<std::string>& names,
-                                bool* any) {
+GatewaySession::Outcome GatewaySession::PutInForce(
+    FleetState changed, const google::protobuf::RepeatedPtrField<std::string>& names) {
+  if (!MakeConfigurationWhole(state_, &changed)) return Outcome::kOutOfStep;
   const bool new_configuration = changed.configuration_index() > state_.configuration_index();
   if (new_configuration) {
     const std::vector<std::string> errors = ValidateConfiguration(changed.configuration());
@@ -224,14 +230,14 @@
       if (rejections_counter_ != nullptr) rejections_counter_->Increment();
       runtime_->trace->Event(runtime::Severity::kError, "ConfigurationRejected",
                              {{"version", changed.configuration_version()}, {"error", rejection_}});
-      return false;
+      return Outcome::kRejected;
     }
   }
-  *any = ApplyNewerSections(changed, names, &state_);
+  const bool any = ApplyNewerSections(changed, names, &state_);
   if (new_configuration && version_gauge_ != nullptr) {
     version_gauge_->Set(static_cast<double>(state_.configuration_version()));
   }
-  return true;
+  return any ? Outcome::kChanged : Outcome::kNothingNew;
 }
 
 void GatewaySession::Acknowledge(const std::string& endpoint, uint64_t push) {
--- a/src/posthatch/control/gateway_session.h
+++ b/src/posthatch/control/gateway_session.h
@@ -68,9 +68,15 @@
   void OnGrant(const std::string& from_endpoint, const SessionGrant& grant);
   void OnPush(const std::string& from_endpoint, const StatePush& push);
   void OnLeaderHint(const std::string& from_endpoint, const std::string& hint);
-  // Puts newer sections in force. False if the configuration was rejected: nothing was applied.
-  bool PutInForce(const FleetState& changed,
-                  const google::protobuf::RepeatedPtrField<std::string>& names, bool* any);
+  enum class Outcome {
+    kNothingNew,
+    kChanged,
+    kRejected,   // the configuration can't be used: nothing was applied
+    kOutOfStep,  // it is a patch for another configuration than ours: nothing was applied
+  };
+  // Puts newer sections in force.
+  Outcome PutInForce(FleetState changed,
+                     const google::protobuf::RepeatedPtrField<std::string>& names);
   void Acknowledge(const std::string& endpoint, uint64_t push);
   void Renew();
   void ScheduleRenewal();
--- a/src/posthatch/control/memory_log-test.h
+++ b/src/posthatch/control/memory_log-test.h
@@ -22,6 +22,8 @@
   std::vector<Entry> entries;
   std::string leader_endpoint;
   uint64_t term = 0;
+  // A controller that hears of nothing, and so goes on believing what it believed.
+  std::string deaf_endpoint;
 
   void Elect(const std::string& endpoint) {
     ++term;
@@ -82,6 +84,7 @@
  private:
   void Hear() {
     timer_.Start(kHearInterval, [this] { Hear(); });
+    if (cluster_->deaf_endpoint == runtime_->transport->endpoint()) return;
     ApplyUpTo(cluster_->entries.size());
     const bool leads = cluster_->leader_endpoint == runtime_->transport->endpoint();
     const bool changed = leads != leading_ || (leads && term_ != cluster_->term);
