--- a/src/posthatch/standins/answer_reader-test.cc
+++ b/src/posthatch/standins/answer_reader-test.cc
@@ -17,12 +17,12 @@
          "\"}]}\n\n";
 }
 
-const std::string kEnd = "data: [DONE]\n\n";
+constexpr char kEnd[] = "data: [DONE]\n\n";
 
 AnswerFindings Read(const std::string& stream, size_t chunk, uint32_t expected = 3) {
   StreamReader reader("n", expected);
   for (size_t start = 0; start < stream.size(); start += chunk) {
-    reader.Take(std::string_view(stream).substr(start, chunk));
+    reader.Take(std::string_view{stream}.substr(start, chunk));
   }
   reader.End();
   return reader.findings();
--- a/src/posthatch/standins/answer_reader.cc
+++ b/src/posthatch/standins/answer_reader.cc
@@ -46,7 +46,7 @@
   for (;;) {
     const size_t end = pending_.find(kEventEnd, start);
     if (end == std::string::npos) break;
-    TakeEvent(std::string_view(pending_).substr(start, end - start));
+    TakeEvent(std::string_view{pending_}.substr(start, end - start));
     start = end + kEventEnd.size();
   }
   pending_.erase(0, start);
@@ -60,9 +60,9 @@
     absl::string_view value = line;
     if (absl::StartsWith(line, ":")) continue;  // a comment keeps the connection alive
     if (absl::ConsumePrefix(&value, "event: ")) {
-      type = std::string(value);
+      type = std::string{util::ToStd(value)};
     } else if (absl::ConsumePrefix(&value, "data: ")) {
-      data += std::string(value);
+      data += util::ToStd(value);
     } else {
       Fault("line that is neither data nor event");
     }
--- a/src/posthatch/standins/caller_load-test.cc
+++ b/src/posthatch/standins/caller_load-test.cc
@@ -39,7 +39,7 @@
 
 class CallerLoadTest : public StandInWorld {
  protected:
-  std::string Stub(const std::string& name, StubServer::Answer answer) {
+  std::string Stub(const std::string& name, const StubServer::Answer& answer) {
     simulation::SimHost* const host = AddHost(name);
     host->SetBoot([host, answer](runtime::Runtime* runtime) {
       return std::make_shared<StubServer>(runtime, host->http_endpoint(), answer);
--- a/src/posthatch/standins/field_table.h
+++ b/src/posthatch/standins/field_table.h
@@ -53,10 +53,12 @@
   for (const auto& [key, value] : object) {
     const std::string_view name(key.data(), key.size());
     bool assigned = false;
+    const boost::json::value* const source = &value;
     for (const Field<Struct>& field : table) {
       if (field.name != name) continue;
       assigned = std::visit(
-          [&](auto member) { return internal::Assign(value, &(changed.*member)); }, field.member);
+          [source, &changed](auto member) { return internal::Assign(*source, &(changed.*member)); },
+          field.member);
     }
     if (!assigned) {
       return absl::InvalidArgumentError(
--- a/src/posthatch/standins/kv_event_log.cc
+++ b/src/posthatch/standins/kv_event_log.cc
@@ -74,7 +74,8 @@
   AnswerWaiting(/*all=*/true);
 }
 
-void KvEventLog::Poll(const RoutedRequest& request, std::shared_ptr<http::ResponseWriter> writer) {
+void KvEventLog::Poll(const RoutedRequest& request,
+                      const std::shared_ptr<http::ResponseWriter>& writer) {
   const bool same_epoch = request.QueryNumber("epoch", 0) == epoch_;
   const uint64_t after = same_epoch ? request.QueryNumber("after", 0) : 0;
   const uint64_t wait_ms = std::min(request.QueryNumber("wait_ms", 0), kLongestWaitMs);
--- a/src/posthatch/standins/kv_event_log.h
+++ b/src/posthatch/standins/kv_event_log.h
@@ -27,7 +27,7 @@
   void Removed(const std::vector<index::BlockHash>& blocks, const WorkerBehaviour& behaviour);
   // A new epoch: all events are forgotten and `seq` starts again; waiting polls are answered.
   void StartEpoch(uint64_t epoch);
-  void Poll(const RoutedRequest& request, std::shared_ptr<http::ResponseWriter> writer);
+  void Poll(const RoutedRequest& request, const std::shared_ptr<http::ResponseWriter>& writer);
 
  private:
   // All that shows up at one `seq`: usually one event, none if it got lost.
--- a/src/posthatch/standins/program_options.cc
+++ b/src/posthatch/standins/program_options.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "posthatch/util/string_view.h"
 
 namespace posthatch::standins {
 namespace {
@@ -171,10 +172,10 @@
 
 // The value of --config among the arguments, or empty.
 std::string ConfigPath(const std::vector<std::string>& arguments) {
-  const std::string kFlag = "--config";
+  const std::string flag = "--config";
   for (size_t i = 0; i < arguments.size(); ++i) {
-    if (arguments[i] == kFlag && i + 1 < arguments.size()) return arguments[i + 1];
-    if (arguments[i].rfind(kFlag + "=", 0) == 0) return arguments[i].substr(kFlag.size() + 1);
+    if (arguments[i] == flag && i + 1 < arguments.size()) return arguments[i + 1];
+    if (arguments[i].rfind(flag + "=", 0) == 0) return arguments[i].substr(flag.size() + 1);
   }
   return "";
 }
@@ -205,7 +206,7 @@
     const auto from_file = ReadConfig(path, &options->inventory);
     if (!from_file.ok()) {
       result.exit_code = kExitBadOptions;
-      result.message = std::string(from_file.status().message());
+      result.message = util::ToStd(from_file.status().message());
       return result;
     }
     arguments.insert(arguments.begin() + 1, from_file->begin(), from_file->end());
--- a/src/posthatch/standins/service_standin.cc
+++ b/src/posthatch/standins/service_standin.cc
@@ -24,7 +24,7 @@
 
 const std::vector<Field<ServiceBehaviour>>& BehaviourFields() {
   using B = ServiceBehaviour;
-  static const auto* const kFields = new std::vector<Field<B>>{
+  static const auto* const fields = new std::vector<Field<B>>{
       {"answers_late_ms", &B::answers_late_ms},
       {"answers_late_share", &B::answers_late_share},
       {"start_late_ms", &B::start_late_ms},
@@ -37,7 +37,7 @@
       {"answers_cut_share", &B::answers_cut_share},
       {"slow_factor", &B::slow_factor},
   };
-  return *kFields;
+  return *fields;
 }
 
 // One operation on its way through the service.
--- a/src/posthatch/standins/standin_world.h
+++ b/src/posthatch/standins/standin_world.h
@@ -63,7 +63,7 @@
     JsonClient json_client(client->runtime());
     absl::StatusOr<http::Response> result = absl::UnknownError("no end");
     json_client.Send(endpoint, std::move(request), {},
-                     [&result](absl::StatusOr<http::Response> answer) { result = answer; });
+                     [&result](const absl::StatusOr<http::Response>& answer) { result = answer; });
     world.RunUntil([&json_client] { return json_client.in_flight() == 0; },
                    std::chrono::minutes(2));
     http::Response broken;
--- a/src/posthatch/standins/store_standin.h
+++ b/src/posthatch/standins/store_standin.h
@@ -15,7 +15,7 @@
   std::string zone;
   std::string listen = "127.0.0.1:0";  // "ip:port"; port 0: chosen by the system
   uint64_t capacity_blocks = 200000;   // the least recently used block goes first
-  uint64_t kv_bytes_per_block = 2 * 1024 * 1024;
+  uint64_t kv_bytes_per_block = 2ull * 1024 * 1024;
   uint64_t link_bytes_per_second = 1024ull * 1024 * 1024;
 };
 
--- a/src/posthatch/standins/worker_settings.h
+++ b/src/posthatch/standins/worker_settings.h
@@ -17,7 +17,7 @@
   double batching_slowdown = 0.05;
   runtime::Duration weight_loading = std::chrono::seconds(3);
   // Transfer of kept blocks from this worker to a peer.
-  uint64_t kv_bytes_per_block = 2 * 1024 * 1024;
+  uint64_t kv_bytes_per_block = 2ull * 1024 * 1024;
   uint64_t link_bytes_per_second = 2ull * 1024 * 1024 * 1024;
 };
 
--- a/src/posthatch/standins/worker_standin-test.cc
+++ b/src/posthatch/standins/worker_standin-test.cc
@@ -133,6 +133,7 @@
   settings.max_waiting = 3;
   WorkerStandIn* worker = BootWorker(settings);
   std::vector<CallPlan> plans;
+  plans.reserve(8);
   for (int i = 0; i < 8; ++i) plans.push_back(Completion(worker->endpoint(), "p", 5, false));
   std::map<uint32_t, int> statuses;
   for (const auto& ended : Run(plans)) {
--- a/src/posthatch/standins/worker_standin.cc
+++ b/src/posthatch/standins/worker_standin.cc
@@ -26,7 +26,7 @@
 
 const std::vector<Field<WorkerBehaviour>>& BehaviourFields() {
   using B = WorkerBehaviour;
-  static const auto* const kFields = new std::vector<Field<B>>{
+  static const auto* const fields = new std::vector<Field<B>>{
       {"answers_late_ms", &B::answers_late_ms},
       {"answers_late_share", &B::answers_late_share},
       {"answers_twice_share", &B::answers_twice_share},
@@ -49,7 +49,7 @@
       {"keep_blocks_on_load", &B::keep_blocks_on_load},
       {"freeze_loading", &B::freeze_loading},
   };
-  return *kFields;
+  return *fields;
 }
 
 }  // namespace
