Echo the attempt in the stand-ins' refusals

Cause: completions ended with 502 within 2 ms: workers refused with 409 wrong_revision / 503 loading without the attempt's nonce, which docs/BACKENDS.md asks for, and the gateway rightly took them for crossed answers. Ruled out: a gateway that takes unmarked refusals (a crossed one would then prove the wrong request not executed). Change: refusals of worker and application service carry X-Posthatch-Attempt.

--- a/src/posthatch/standins/service_standin.cc
+++ b/src/posthatch/standins/service_standin.cc
@@ -115,7 +115,9 @@
 
 void ServiceStandIn::Impl::Take(const RoutedRequest& routed, const WriterPointer& writer) {
   if (running_ >= settings_.max_running) {
-    writer->SendWhole(NotExecuted(429, "overloaded", "too many operations in progress"));
+    http::Response refusal = NotExecuted(429, "overloaded", "too many operations in progress");
+    refusal.headers.Add("X-Posthatch-Attempt", routed.request.headers.Get("X-Posthatch-Attempt"));
+    writer->SendWhole(std::move(refusal));
     return;
   }
   if (runtime_->random->Chance(behaviour.requests_lost_share)) {
--- a/src/posthatch/standins/worker_standin.cc
+++ b/src/posthatch/standins/worker_standin.cc
@@ -52,6 +52,14 @@
   return *fields;
 }
 
+// A refusal that proves that nothing ran; like every answer it carries the attempt's nonce.
+void SendRefusal(const RunRequest& request, int status, std::string_view code,
+                 std::string_view message, http::ResponseWriter* writer) {
+  http::Response response = NotExecuted(status, code, message);
+  response.headers.Add("X-Posthatch-Attempt", request.attempt);
+  writer->SendWhole(std::move(response));
+}
+
 }  // namespace
 
 class WorkerStandIn::Impl {
@@ -176,7 +184,7 @@
   if (Refuse(*request, writer.get())) return;
   if (waiting_.size() >= state.settings.max_waiting &&
       state.running >= state.settings.max_running) {
-    writer->SendWhole(NotExecuted(429, "overloaded", "queue is full"));
+    SendRefusal(*request, 429, "overloaded", "queue is full", writer.get());
     return;
   }
   const uint64_t number = next_number_++;
@@ -185,19 +193,18 @@
   StartWaiting();
 }
 
-// Refusals that prove that nothing ran.
 bool WorkerStandIn::Impl::Refuse(const RunRequest& request, http::ResponseWriter* writer) const {
   if (loading_) {
-    writer->SendWhole(NotExecuted(503, "loading", "weights are being loaded"));
+    SendRefusal(request, 503, "loading", "weights are being loaded", writer);
     return true;
   }
   if (request.model != state.settings.model) {
-    writer->SendWhole(NotExecuted(404, "not_found", "this worker serves another model"));
+    SendRefusal(request, 404, "not_found", "this worker serves another model", writer);
     return true;
   }
   if (request.expected_revision.value_or(state.model_revision) != state.model_revision) {
-    writer->SendWhole(
-        NotExecuted(409, "wrong_revision", absl::StrCat("serves revision ", state.model_revision)));
+    SendRefusal(request, 409, "wrong_revision",
+                absl::StrCat("serves revision ", state.model_revision), writer);
     return true;
   }
   return false;
