--- a/src/posthatch/standins/answer_reader-test.cc
+++ b/src/posthatch/standins/answer_reader-test.cc
@@ -74,8 +74,10 @@
         BrokenStream{"PieceAfterEnd", Piece(0) + kEnd + Piece(1), "event after [DONE]"},
         BrokenStream{"TextChanged", Replaced(Piece(0), "r.0", "r.9") + kEnd,
                      "text is not what the run said"},
-        BrokenStream{"NotJson", "data: {\n\n" + kEnd, "event that is not a JSON object"},
-        BrokenStream{"StrayLine", "hello\n\n" + kEnd, "line that is neither data nor event"}),
+        BrokenStream{"NotJson", std::string("data: {\n\n") + kEnd,
+                     "event that is not a JSON object"},
+        BrokenStream{"StrayLine", std::string("hello\n\n") + kEnd,
+                     "line that is neither data nor event"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(StreamReaderTest, ErrorEventEndsTheStreamWithItsCode) {
