--- a/src/posthatch/asio/asio-bench.cc
+++ b/src/posthatch/asio/asio-bench.cc
@@ -80,7 +80,8 @@
   constexpr int64_t kCalls = 20000;
   const auto asio_runtime = MakeRuntime();
   auto server = asio_runtime->runtime()->http_servers->Listen(
-      "127.0.0.1:0", {}, [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+      "127.0.0.1:0", {},
+      [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
         http::Response response;
         response.headers.Add("Content-Type", "application/json");
         response.body = std::string(300, 'y');
@@ -107,7 +108,8 @@
   constexpr int64_t kCalls = 1000;
   const auto asio_runtime = MakeRuntime();
   auto server = asio_runtime->runtime()->http_servers->Listen(
-      "127.0.0.1:0", {}, [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+      "127.0.0.1:0", {},
+      [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
         writer->StartStream({});
         for (int piece = 0; piece < kPieces; ++piece) writer->WritePiece(std::string(100, 'z'));
         writer->FinishStream();
--- a/src/posthatch/asio/asio_clock.cc
+++ b/src/posthatch/asio/asio_clock.cc
@@ -9,7 +9,8 @@
 runtime::MonotonicTime AsioClock::Now() const { return BootNow(); }
 
 int64_t AsioClock::WallNanoseconds() const {
-  return std::chrono::nanoseconds(std::chrono::system_clock::now().time_since_epoch()).count();
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(since_epoch).count();
 }
 
 }  // namespace posthatch::asio
--- a/src/posthatch/asio/asio_file_system-test.cc
+++ b/src/posthatch/asio/asio_file_system-test.cc
@@ -101,7 +101,7 @@
 }
 
 TEST_F(AsioFileSystemTest, StopsAtTheFirstErrorAndMapsIt) {
-  const absl::Status missing = Run({On(Kind::kSync, "missing"), Append("after", "x")});
+  absl::Status missing = Run({On(Kind::kSync, "missing"), Append("after", "x")});
   EXPECT_EQ(missing.code(), absl::StatusCode::kNotFound);
   EXPECT_EQ(files()->ReadFile("after").status().code(), absl::StatusCode::kNotFound);
   EXPECT_EQ(files()->ListDirectory("missing").status().code(), absl::StatusCode::kNotFound);
@@ -156,7 +156,7 @@
   small.rlim_cur = 1500;
   const auto former_handler = signal(SIGXFSZ, SIG_IGN);
   setrlimit(RLIMIT_FSIZE, &small);
-  const absl::Status status = Run({Append("f", std::string(1000, 'b'))});
+  absl::Status status = Run({Append("f", std::string(1000, 'b'))});
   setrlimit(RLIMIT_FSIZE, &former);
   signal(SIGXFSZ, former_handler);
   EXPECT_FALSE(status.ok());
--- a/src/posthatch/asio/asio_file_system.cc
+++ b/src/posthatch/asio/asio_file_system.cc
@@ -86,7 +86,7 @@
   }
 
   absl::StatusOr<std::string> ReadFile(const std::string& path) override {
-    const absl::Status valid = CheckRelativePath(path);
+    absl::Status valid = CheckRelativePath(path);
     if (!valid.ok()) return valid;
     errno = 0;
     std::ifstream file(options_.data_folder + "/" + path, std::ios::binary);
@@ -98,7 +98,7 @@
   }
 
   absl::StatusOr<std::vector<std::string>> ListDirectory(const std::string& path) override {
-    const absl::Status valid = CheckRelativePath(path);
+    absl::Status valid = CheckRelativePath(path);
     if (!valid.ok()) return valid;
     std::error_code error;
     std::filesystem::directory_iterator entry(options_.data_folder + "/" + path, error);
@@ -150,7 +150,7 @@
     if (operations_.uncertain()) {
       return absl::InternalError("an earlier disk error left the files uncertain");
     }
-    const absl::Status injected = InjectFault(operation);
+    absl::Status injected = InjectFault(operation);
     return injected.ok() ? operations_.Run(operation) : injected;
   }
 
--- a/src/posthatch/asio/asio_runtime.cc
+++ b/src/posthatch/asio/asio_runtime.cc
@@ -151,7 +151,7 @@
   auto trace = JsonTraceSink::Open(options.log_file, options.node_id, options.log_level);
   if (!trace.ok()) return trace.status();
   auto created = std::make_unique<AsioRuntimeImpl>(*std::move(trace));
-  const absl::Status status = created->Open(options);
+  absl::Status status = created->Open(options);
   if (!status.ok()) return status;
   return created;
 }
--- a/src/posthatch/asio/asio_transport.cc
+++ b/src/posthatch/asio/asio_transport.cc
@@ -10,6 +10,7 @@
 #include "posthatch/asio/envelope_codec.h"
 #include "posthatch/asio/tcp_listener.h"
 #include "posthatch/asio/transport_peer.h"
+#include "posthatch/util/string_view.h"
 
 namespace posthatch::asio {
 namespace {
@@ -31,7 +32,7 @@
 class AsioTransport;
 
 // A connection made by a peer: frames come in, nothing goes out. Owned by the transport.
-class InboundConnection : public TcpStream::Owner {
+class InboundConnection final : public TcpStream::Owner {
  public:
   InboundConnection(AsioTransport* transport, IoEnvironment* environment, TcpSocket socket,
                     std::string remote_endpoint, size_t max_message_bytes)
@@ -140,7 +141,7 @@
 
 void InboundConnection::OnBytes(std::string_view bytes) {
   transport_->CountReceived(bytes.size());
-  const absl::Status status =
+  absl::Status status =
       decoder_.Feed(bytes, [this](const Envelope& envelope) { return Receive(envelope); });
   if (status.ok()) return;
   transport_->Malformed(stream_->remote_endpoint(), status);
@@ -184,7 +185,7 @@
 }
 
 absl::Status AsioTransport::Bind(const TcpEndpoint& wanted) {
-  const absl::Status status =
+  absl::Status status =
       listener_.Listen(wanted, [this](TcpSocket socket, std::string remote_endpoint) {
         Accept(std::move(socket), std::move(remote_endpoint));
       });
@@ -303,7 +304,7 @@
 void AsioTransport::ReceiveDatagram(std::string_view bytes, const std::string& remote_endpoint) {
   CountReceived(bytes.size());
   Envelope envelope;
-  const absl::Status status = ParseEnvelope(bytes, &envelope);
+  absl::Status status = ParseEnvelope(bytes, &envelope);
   if (!status.ok()) return Malformed(remote_endpoint, status);
   const FaultInjection* faults = environment_->faults;
   if (faults != nullptr && faults->DropsFrom(envelope.from_endpoint())) return;
@@ -317,7 +318,7 @@
   if (now < next_malformed_event_) return;
   next_malformed_event_ = now + kMalformedEventInterval;
   trace_->Event(Severity::kWarning, "TransportMalformed",
-                {{"remote", remote_endpoint}, {"error", std::string(status.message())}});
+                {{"remote", remote_endpoint}, {"error", util::ToStd(status.message())}});
 }
 
 void AsioTransport::Dispatch(const Envelope& envelope) {
@@ -351,7 +352,7 @@
     runtime::Random* random, runtime::TraceSink* trace, prometheus::Registry* metrics) {
   auto transport =
       std::make_unique<AsioTransport>(environment, identity, limits, random, trace, metrics);
-  const absl::Status status = transport->Listen();
+  absl::Status status = transport->Listen();
   if (!status.ok()) return status;
   return transport;
 }
--- a/src/posthatch/asio/asio_transport_limits.h
+++ b/src/posthatch/asio/asio_transport_limits.h
@@ -9,9 +9,9 @@
 
 struct TransportLimits {
   // A longer message is dropped by the sender, and ends the connection at the receiver.
-  size_t max_message_bytes = 16 * 1024 * 1024;
+  size_t max_message_bytes = size_t{16} * 1024 * 1024;
   // What waits for one endpoint; further messages are dropped.
-  size_t max_queue_bytes = 32 * 1024 * 1024;
+  size_t max_queue_bytes = size_t{32} * 1024 * 1024;
   size_t max_inbound_connections = 4096;
   runtime::Duration connect_timeout = std::chrono::milliseconds(500);
   // A peer that takes nothing for so long is taken for cut off: the connection is closed and what
--- a/src/posthatch/asio/asio_types.h
+++ b/src/posthatch/asio/asio_types.h
@@ -21,13 +21,12 @@
 using UdpSocket = boost::asio::basic_datagram_socket<boost::asio::ip::udp, IoExecutor>;
 using TcpEndpoint = boost::asio::ip::tcp::endpoint;
 
-// CLOCK_BOOTTIME as a standard clock, for Asio's timers: it counts while the machine is suspended.
+// CLOCK_BOOTTIME as a clock for Asio's timers: it counts while the machine is suspended.
 struct BootClock {
   using duration = std::chrono::nanoseconds;
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now() {
     timespec now{};
--- a/src/posthatch/asio/beast_http_client-test.cc
+++ b/src/posthatch/asio/beast_http_client-test.cc
@@ -146,7 +146,8 @@
 
 TEST_F(HttpClientTest, AbortedStreamIsDataLoss) {
   auto server = runtime_->runtime()->http_servers->Listen(
-      "127.0.0.1:0", {}, [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+      "127.0.0.1:0", {},
+      [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
         writer->StartStream({});
         writer->WritePiece("piece");
         writer->Abort();
@@ -178,7 +179,7 @@
   std::vector<uint64_t> connections;
   auto server = runtime_->runtime()->http_servers->Listen(
       "127.0.0.1:0", {},
-      [&](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+      [&](const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
         connections.push_back(request.connection_id);
         writer->SendWhole({});
       });
@@ -254,7 +255,8 @@
 TEST_F(HttpClientTest, DestroyedHandleClosesTheConnectionAndNothingIsCalled) {
   bool gone = false;
   auto server = runtime_->runtime()->http_servers->Listen(
-      "127.0.0.1:0", {}, [&](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+      "127.0.0.1:0", {},
+      [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
         writer->StartStream({});
         writer->OnCallerGone([&gone, writer] { gone = true; });
       });
--- a/src/posthatch/asio/beast_http_server-test.cc
+++ b/src/posthatch/asio/beast_http_server-test.cc
@@ -24,7 +24,8 @@
     limits_.header_timeout = std::chrono::milliseconds(150);
     limits_.body_timeout = std::chrono::milliseconds(150);
     limits_.idle_timeout = std::chrono::milliseconds(300);
-    handler_ = [](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+    handler_ = [](const http::Request& request,
+                  const std::shared_ptr<http::ResponseWriter>& writer) {
       writer->SendWhole({.status = 200, .headers = {}, .body = "echo:" + request.body});
     };
   }
@@ -176,7 +177,7 @@
 TEST_F(HttpServerTest, KeptConnectionServesPipelinedRequestsInOrder) {
   std::vector<uint64_t> connections;
   handler_ = [&connections](const http::Request& request,
-                            std::shared_ptr<http::ResponseWriter> writer) {
+                            const std::shared_ptr<http::ResponseWriter>& writer) {
     connections.push_back(request.connection_id);
     writer->SendWhole({.status = 200, .headers = {}, .body = "echo:" + request.body + ";"});
   };
@@ -198,7 +199,7 @@
 }
 
 TEST_F(HttpServerTest, AbortLeavesTheChunkedBodyUnterminated) {
-  handler_ = [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+  handler_ = [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     writer->StartStream({});
     writer->WritePiece("piece");
     writer->Abort();
@@ -220,7 +221,7 @@
 }
 
 TEST_F(HttpServerTest, PiecesOfOneTurnAndTheEndArriveWhole) {
-  handler_ = [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+  handler_ = [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     writer->StartStream({});
     for (int k = 0; k < 3; ++k) writer->WritePiece("p" + std::to_string(k));
     writer->WritePiece("");  // must not end the body
@@ -269,7 +270,7 @@
 
 TEST_F(HttpServerTest, CallerThatTakesNothingIsCut) {
   bool gone = false;
-  handler_ = [&gone](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+  handler_ = [&gone](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     writer->OnCallerGone([&gone, writer] { gone = true; });
     writer->StartStream({});
     writer->WritePiece(std::string(32 * 1024 * 1024, 'x'));
@@ -284,7 +285,7 @@
 TEST_F(HttpServerTest, CallerGoneWhileStreamingIsNoticed) {
   bool gone = false;
   std::weak_ptr<http::ResponseWriter> held;
-  handler_ = [&](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+  handler_ = [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     held = writer;
     writer->StartStream({});
     writer->OnCallerGone([&gone, writer] { gone = true; });
@@ -303,7 +304,7 @@
 
 TEST_F(HttpServerTest, CallbackHoldingTheWriterIsReleasedWhenTheAnswerEnds) {
   std::weak_ptr<http::ResponseWriter> held;
-  handler_ = [&](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+  handler_ = [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     held = writer;
     writer->OnCallerGone([writer] {});
     writer->SendWhole({});
@@ -328,7 +329,7 @@
 }
 
 TEST_F(HttpServerTest, FieldThatWouldSplitTheAnswerIsNotSent) {
-  handler_ = [](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+  handler_ = [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     http::Response response;
     response.headers.Add("X-Note", "a\r\nX-Injected: b");
     writer->SendWhole(std::move(response));
--- a/src/posthatch/asio/beast_http_server.cc
+++ b/src/posthatch/asio/beast_http_server.cc
@@ -69,7 +69,7 @@
   }
 
   absl::Status Listen(const TcpEndpoint& endpoint) {
-    const absl::Status status =
+    absl::Status status =
         listener_.Listen(endpoint, [this](TcpSocket socket, std::string remote_endpoint) {
           Accept(std::move(socket), std::move(remote_endpoint));
         });
@@ -125,7 +125,7 @@
     if (!address.ok()) return address.status();
     auto server = std::make_unique<BeastHttpServer>(environment_, limits, std::move(handler),
                                                     &metrics_, &last_connection_id_);
-    const absl::Status status = server->Listen(*address);
+    absl::Status status = server->Listen(*address);
     if (!status.ok()) return status;
     return server;
   }
--- a/src/posthatch/asio/envelope_codec.cc
+++ b/src/posthatch/asio/envelope_codec.cc
@@ -44,7 +44,7 @@
       return absl::InvalidArgumentError(absl::StrCat("frame of ", length, " bytes is too long"));
     }
     if (bytes->size() < kFrameHeaderBytes + length) break;
-    const absl::Status status = ParseEnvelope(bytes->substr(kFrameHeaderBytes, length), &envelope);
+    absl::Status status = ParseEnvelope(bytes->substr(kFrameHeaderBytes, length), &envelope);
     if (!status.ok()) return status;
     bytes->remove_prefix(kFrameHeaderBytes + length);
     if (!received(envelope)) {
@@ -69,7 +69,7 @@
     joined = std::exchange(partial_, {});
     bytes = joined;
   }
-  const absl::Status status = TakeFrames(&bytes, received);
+  absl::Status status = TakeFrames(&bytes, received);
   if (status.ok() && !stopped_) partial_.assign(bytes);
   return status;
 }
--- a/src/posthatch/asio/fault_injection.cc
+++ b/src/posthatch/asio/fault_injection.cc
@@ -100,7 +100,7 @@
   if (object == nullptr) return absl::InvalidArgumentError("not a JSON object");
   FaultRules rules;
   for (const auto& [key, value] : *object) {
-    const absl::Status status = ReadRule({key.data(), key.size()}, value, &rules);
+    absl::Status status = ReadRule({key.data(), key.size()}, value, &rules);
     if (!status.ok()) return status;
   }
   return rules;
--- a/src/posthatch/asio/file_operations.cc
+++ b/src/posthatch/asio/file_operations.cc
@@ -59,7 +59,7 @@
 }
 
 absl::Status FileOperations::Run(const FileOperation& operation) {
-  const absl::Status valid = CheckRelativePath(operation.path);
+  absl::Status valid = CheckRelativePath(operation.path);
   if (!valid.ok()) return valid;
   switch (operation.kind) {
     case FileOperation::Kind::kAppend:
@@ -126,7 +126,7 @@
   if (found != open_.end()) return SyncDescriptor(found->second, path);
   const int descriptor = open(Absolute(path).c_str(), O_WRONLY | O_CLOEXEC);
   if (descriptor < 0) return FileError("open", path, errno);
-  const absl::Status status = SyncDescriptor(descriptor, path);
+  absl::Status status = SyncDescriptor(descriptor, path);
   close(descriptor);
   return status;
 }
@@ -134,13 +134,13 @@
 absl::Status FileOperations::SyncDirectory(const std::string& path) {
   const int descriptor = open(Absolute(path).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (descriptor < 0) return FileError("open folder", path, errno);
-  const absl::Status status = SyncDescriptor(descriptor, path);
+  absl::Status status = SyncDescriptor(descriptor, path);
   close(descriptor);
   return status;
 }
 
 absl::Status FileOperations::Rename(const std::string& path, const std::string& target) {
-  const absl::Status valid = CheckRelativePath(target);
+  absl::Status valid = CheckRelativePath(target);
   if (!valid.ok()) return valid;
   Close(path);
   Close(target);
--- a/src/posthatch/asio/http_client_connection.h
+++ b/src/posthatch/asio/http_client_connection.h
@@ -27,8 +27,8 @@
 
 // One connection to a server, and the call that runs on it. Shared by the pool while idle, and by
 // the call's handle while it runs. Event loop thread only.
-class HttpClientConnection : public TcpStream::Owner,
-                             public std::enable_shared_from_this<HttpClientConnection> {
+class HttpClientConnection final : public TcpStream::Owner,
+                                   public std::enable_shared_from_this<HttpClientConnection> {
  public:
   HttpClientConnection(IoEnvironment* environment, std::string endpoint, HttpConnectionPool* pool);
   ~HttpClientConnection();
--- a/src/posthatch/asio/http_server_connection.h
+++ b/src/posthatch/asio/http_server_connection.h
@@ -28,8 +28,8 @@
 
 // One caller's connection: reads a request, hands it to the handler, sends the answer, and so on.
 // Shared by the server, the answer's writer and pending operations. Event loop thread only.
-class HttpServerConnection : public TcpStream::Owner,
-                             public std::enable_shared_from_this<HttpServerConnection> {
+class HttpServerConnection final : public TcpStream::Owner,
+                                   public std::enable_shared_from_this<HttpServerConnection> {
  public:
   HttpServerConnection(std::shared_ptr<HttpServerContext> context, TcpSocket socket,
                        std::string remote_endpoint, uint64_t connection_id);
--- a/src/posthatch/asio/transport_peer.h
+++ b/src/posthatch/asio/transport_peer.h
@@ -23,7 +23,7 @@
 // a break, with back-off. Messages that were queued when an attempt fails or a connection breaks
 // are dropped; those sent while it backs off wait for the next attempt. Owned by the transport;
 // event loop thread only.
-class TransportPeer : public TcpStream::Owner {
+class TransportPeer final : public TcpStream::Owner {
  public:
   TransportPeer(const TransportPeerContext* context, std::string endpoint, TcpEndpoint address);
   ~TransportPeer();
--- a/src/posthatch/daemon/command_line.cc
+++ b/src/posthatch/daemon/command_line.cc
@@ -98,11 +98,11 @@
   const auto runtime = MakeRuntime(settings.node, command.enable_fault_injection);
   if (!runtime.ok()) return ReportStartFailure(runtime.status());
   settings.node.internal_endpoint = (*runtime)->runtime()->transport->endpoint();
-  const absl::Status status = RunProcess(runtime->get(), settings.node, settings.limits,
-                                         [&](const std::string& http_endpoint) {
-                                           settings.node.http_endpoint = http_endpoint;
-                                           return make((*runtime)->runtime(), settings);
-                                         });
+  absl::Status status = RunProcess(runtime->get(), settings.node, settings.limits,
+                                   [&](const std::string& http_endpoint) {
+                                     settings.node.http_endpoint = http_endpoint;
+                                     return make((*runtime)->runtime(), settings);
+                                   });
   return status.ok() ? kExitOk : ReportStartFailure(status);
 }
 
--- a/src/posthatch/daemon/common_http.cc
+++ b/src/posthatch/daemon/common_http.cc
@@ -111,7 +111,7 @@
     return ErrorResponse(400, "bad_request", R"(expected {"level": "info"})", "no");
   }
   const json::string& name = level->get_string();
-  const absl::Status status = options_.set_log_level({name.data(), name.size()});
+  absl::Status status = options_.set_log_level({name.data(), name.size()});
   if (!status.ok()) {
     return ErrorResponse(400, "bad_request", util::ToStd(status.message()), "no");
   }
@@ -120,7 +120,7 @@
 
 http::Response CommonHttp::SetFaults(const http::Request& request) const {
   if (!Authorized(request)) return ErrorResponse(401, "unauthorized", "no such token", "no");
-  const absl::Status status = options_.set_faults(request.body);
+  absl::Status status = options_.set_faults(request.body);
   if (!status.ok()) {
     return ErrorResponse(400, "bad_request", util::ToStd(status.message()), "no");
   }
--- a/src/posthatch/daemon/process_runner.cc
+++ b/src/posthatch/daemon/process_runner.cc
@@ -36,7 +36,7 @@
     server_ = *std::move(server);
     process_ = make_process(server_->endpoint());
     common_http_.emplace(MakeOptions());
-    const absl::Status started = process_->Start();
+    absl::Status started = process_->Start();
     if (!started.ok()) return started;
     runtime_->trace->Event(Severity::kInfo, "ProcessStarted",
                            {{"http_endpoint", server_->endpoint()},
--- a/src/posthatch/daemon/settings_loader.cc
+++ b/src/posthatch/daemon/settings_loader.cc
@@ -138,7 +138,7 @@
     }
     if (!found->second) return;  // already reported
     const Located& located = *found->second;
-    const absl::Status status = StoreSetting(setting, located.value, draft);
+    absl::Status status = StoreSetting(setting, located.value, draft);
     if (!status.ok()) {
       Add(located.file, located.line, setting.Key(), std::string(status.message()));
     }
