--- a/src/posthatch/membership/gossip_membership-test.cc
+++ b/src/posthatch/membership/gossip_membership-test.cc
@@ -79,6 +79,16 @@
   EXPECT_TRUE(fleet.false_deaths().empty());
 }
 
+TEST_P(GossipTest, MemberThatDiesRightAfterJoiningIsNoticed) {
+  GossipFleet fleet(&world_, 60);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(30)));
+  world_.RunFor(seconds(60));
+  const size_t added = fleet.Add();
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(10)));
+  fleet.host(added)->PowerLoss();
+  EXPECT_TRUE(fleet.RunUntilGone(added, seconds(20)));
+}
+
 TEST_P(GossipTest, AnAddressTakenOverByAnotherProcessDoesNotKeepTheOldOneAlive) {
   GossipFleet fleet(&world_, 10);
   ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
--- a/src/posthatch/membership/member_table.cc
+++ b/src/posthatch/membership/member_table.cc
@@ -44,6 +44,10 @@
   if (entry->member.node_id == self_node_id_) return;
   entry->live_position = live_.size();
   live_.push_back(entry);
+  // Into the running round at a random place: waiting for the next one would leave a newcomer
+  // unprobed for up to a whole round, minutes in a large fleet.
+  probe_order_.push_back(entry->member.node_id);
+  std::swap(probe_order_.back(), probe_order_[random_->Uniform(probe_order_.size())]);
 }
 
 MemberEntry* MemberTable::Put(const Member& member, uint32_t version, runtime::MonotonicTime now) {
--- a/src/posthatch/membership/member_table.h
+++ b/src/posthatch/membership/member_table.h
@@ -62,8 +62,8 @@
   size_t live_count() const { return live_.size(); }
   // Up to `count` different live members, without this process and without `except`.
   std::vector<MemberEntry*> PickLive(size_t count, const std::string& except);
-  // Next member to probe: each live one once per round, in an order drawn anew each round (SWIM,
-  // section 4.3). Null if there is none.
+  // Next member to probe: each live one once per round, in an order drawn anew each round, with
+  // newcomers mixed in (SWIM, section 4.3). Null if there is none.
   MemberEntry* NextToProbe();
 
   const Digests& digests() const { return digests_; }
--- /dev/null
+++ b/src/posthatch/membership/membership-bench.cc
@@ -0,0 +1,177 @@
+// Measures GossipMembership in the simulator, in virtual time except for processor time, and prints
+// one JSON line per figure. Deterministic but for processor time.
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <boost/json.hpp>
+#include <chrono>
+#include <ctime>
+#include <iostream>
+#include <vector>
+
+#include "posthatch/membership/gossip_fleet.h"
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Envelope (node id, endpoint, incarnation), UDP and IPv4 headers of each datagram.
+constexpr double kHeaderBytes = 40 + 8 + 20;
+constexpr runtime::Duration kLimit = std::chrono::minutes(10);
+
+struct Settings {
+  std::vector<size_t> sizes = {10, 100, 400, 1000, 1300};
+  std::vector<double> losses = {0, 0.01, 0.05, 0.2};
+  uint64_t seed = 1;
+  size_t failures = 20;
+  int steady_seconds = 120;
+};
+
+double Seconds(runtime::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+double ProcessorSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
+
+void Print(const boost::json::object& line) {
+  std::cout << boost::json::serialize(line) << std::endl;
+}
+
+double Quantile(std::vector<double> values, double quantile) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto index = static_cast<size_t>(quantile * static_cast<double>(values.size()));
+  return values[std::min(index, values.size() - 1)];
+}
+
+// One fleet of one size, measured in several ways one after another.
+class FleetMeasurement {
+ public:
+  FleetMeasurement(const Settings& settings, size_t size)
+      : settings_(settings), size_(size), world_(settings.seed), fleet_(&world_, size) {}
+
+  void Run() {
+    MeasureStart();
+    for (const double loss : settings_.losses) MeasureSteadyState(loss);
+    MeasureJoin();
+    MeasureDetection();
+  }
+
+ private:
+  boost::json::object Line(const char* figure) const {
+    return {{"figure", figure}, {"nodes", size_}, {"seed", settings_.seed}};
+  }
+
+  // All start at once from three seeds.
+  void MeasureStart() {
+    const bool converged = fleet_.RunUntilConverged(kLimit);
+    boost::json::object line = Line("start_all");
+    line["converged"] = converged;
+    line["seconds"] = Seconds(world_.Now().time_since_epoch());
+    line["bytes_per_node"] = static_cast<double>(fleet_.sent_bytes()) / static_cast<double>(size_);
+    Print(line);
+    world_.RunFor(seconds(60));  // until what is left of the start has been passed on
+  }
+
+  void MeasureSteadyState(double loss) {
+    simulation::NetworkBehaviour behaviour;
+    behaviour.loss = loss;
+    world_.SetNetwork(behaviour);
+    fleet_.ClearFalseDeaths();
+    const uint64_t bytes = fleet_.sent_bytes();
+    const uint64_t datagrams = fleet_.sent_datagrams();
+    const double processor = ProcessorSeconds();
+    world_.RunFor(seconds(settings_.steady_seconds));
+    const double node_seconds = static_cast<double>(size_) * settings_.steady_seconds;
+    const auto sent = static_cast<double>(fleet_.sent_datagrams() - datagrams);
+    const auto payload = static_cast<double>(fleet_.sent_bytes() - bytes);
+    boost::json::object line = Line("steady");
+    line["loss"] = loss;
+    line["processor_us_per_node_second"] = (ProcessorSeconds() - processor) * 1e6 / node_seconds;
+    line["datagrams_per_node_second"] = sent / node_seconds;
+    line["payload_bytes_per_node_second"] = payload / node_seconds;
+    line["wire_bytes_per_node_second"] = (payload + sent * kHeaderBytes) / node_seconds;
+    line["false_deaths"] = fleet_.false_deaths().size();
+    line["node_hours"] = node_seconds / 3600;
+    Print(line);
+    world_.SetNetwork({});
+  }
+
+  // A new node, until it knows all, and until all know it.
+  void MeasureJoin() {
+    world_.RunFor(seconds(30));
+    const runtime::MonotonicTime start = world_.Now();
+    const size_t added = fleet_.Add();
+    const bool knows_all =
+        world_.RunUntil([&] { return fleet_.membership(added)->live_count() == size_; }, kLimit);
+    const double knows_all_seconds = Seconds(world_.Now() - start);
+    const bool known = fleet_.RunUntilConverged(kLimit);
+    boost::json::object line = Line("join");
+    line["converged"] = knows_all && known;
+    line["knows_all_seconds"] = knows_all_seconds;
+    line["known_to_all_seconds"] = Seconds(world_.Now() - start);
+    Print(line);
+  }
+
+  // Nodes lose power one by one; per failure, until the first and until the last has noticed.
+  void MeasureDetection() {
+    std::vector<double> first;
+    std::vector<double> last;
+    size_t unnoticed = 0;
+    for (size_t i = 0; i < settings_.failures; ++i) {
+      const size_t victim = fleet_.size() - 1 - i % (fleet_.size() / 2);
+      const runtime::MonotonicTime start = world_.Now();
+      fleet_.host(victim)->PowerLoss();
+      const auto noticed = [&](size_t observer) {
+        return fleet_.StateSeen(observer, victim) == MemberState::kDead;
+      };
+      const auto anyone = [&] {
+        for (size_t observer = 0; observer < fleet_.size(); ++observer) {
+          if (observer != victim && noticed(observer)) return true;
+        }
+        return false;
+      };
+      while (!anyone() && world_.Now() - start < kLimit) world_.RunFor(milliseconds(50));
+      first.push_back(Seconds(world_.Now() - start));
+      if (!fleet_.RunUntilGone(victim, kLimit)) ++unnoticed;
+      last.push_back(Seconds(world_.Now() - start));
+      fleet_.host(victim)->Start();
+      world_.RunFor(seconds(20));
+    }
+    boost::json::object line = Line("detection");
+    line["failures"] = settings_.failures;
+    line["unnoticed"] = unnoticed;
+    line["first_p50_seconds"] = Quantile(first, 0.5);
+    line["first_p99_seconds"] = Quantile(first, 0.99);
+    line["all_p50_seconds"] = Quantile(last, 0.5);
+    line["all_p99_seconds"] = Quantile(last, 0.99);
+    Print(line);
+  }
+
+  const Settings settings_;
+  const size_t size_;
+  simulation::SimWorld world_;
+  GossipFleet fleet_;
+};
+
+int Main(int argc, char** argv) {
+  Settings settings;
+  CLI::App app{"Measures gossip membership in the simulator and prints JSON lines"};
+  app.add_option("--nodes", settings.sizes, "Sizes of the fleets")->capture_default_str();
+  app.add_option("--loss", settings.losses, "Shares of datagrams lost")->capture_default_str();
+  app.add_option("--seed", settings.seed, "Seed of the simulation")->capture_default_str();
+  app.add_option("--failures", settings.failures, "Failures per size")->capture_default_str();
+  app.add_option("--steady-seconds", settings.steady_seconds,
+                 "Virtual seconds of steady state per loss")
+      ->capture_default_str();
+  CLI11_PARSE(app, argc, argv);
+  for (const size_t size : settings.sizes) FleetMeasurement(settings, size).Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace posthatch::membership
+
+int main(int argc, char** argv) { return posthatch::membership::Main(argc, argv); }
