--- a/src/posthatch/rehearse/checks/recorded_history.cc
+++ b/src/posthatch/rehearse/checks/recorded_history.cc
@@ -6,7 +6,6 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "posthatch/util/string_view.h"
 
 namespace posthatch::rehearse {
 
@@ -26,19 +25,16 @@
 
 std::vector<std::string> ChangeRecord::Details(std::string_view name) const {
   std::vector<std::string> values;
-  for (const absl::string_view word : absl::StrSplit(detail, ' ', absl::SkipEmpty())) {
-    const std::string_view text = util::ToStd(word);
-    const size_t equals = text.find('=');
-    if (equals != std::string_view::npos && text.substr(0, equals) == name) {
-      values.emplace_back(text.substr(equals + 1));
-    }
+  for (const auto& [key, value] : details) {
+    if (key == name) values.push_back(value);
   }
   return values;
 }
 
 bool ChangeRecord::HasDetail(std::string_view name, std::string_view value) const {
-  const std::vector<std::string> values = Details(name);
-  return std::find(values.begin(), values.end(), value) != values.end();
+  return std::any_of(details.begin(), details.end(), [&](const auto& detail) {
+    return detail.first == name && detail.second == value;
+  });
 }
 
 namespace {
@@ -67,6 +63,14 @@
   return RotationDetail(detail);
 }
 
+std::vector<std::pair<std::string, std::string>> ParseDetails(const std::string& text) {
+  std::vector<std::pair<std::string, std::string>> details;
+  for (const absl::string_view word : absl::StrSplit(text, ' ', absl::SkipEmpty())) {
+    details.push_back(absl::StrSplit(word, absl::MaxSplits('=', 1)));
+  }
+  return details;
+}
+
 }  // namespace
 
 RecordedHistory::RecordedHistory(std::vector<HistoryEvent> events) : events_(std::move(events)) {
@@ -110,7 +114,7 @@
     if (added) {
       changes_.push_back({sent.request_id(),
                           sent.kind(),
-                          NormalizedDetail(sent.kind(), sent.detail()),
+                          ParseDetails(NormalizedDetail(sent.kind(), sent.detail())),
                           sent.expected_version(),
                           {},
                           {}});
--- a/src/posthatch/rehearse/checks/recorded_history.h
+++ b/src/posthatch/rehearse/checks/recorded_history.h
@@ -35,7 +35,8 @@
 struct ChangeRecord {
   std::string request_id;
   std::string kind;
-  std::string detail;
+  // The detail, a list of "name=value" separated by blanks, taken apart.
+  std::vector<std::pair<std::string, std::string>> details;
   uint64_t expected_version = 0;
   std::vector<int64_t> sent_ns;
   std::vector<std::pair<int64_t, const ChangeAnswered*>> answers;
@@ -46,7 +47,7 @@
   int64_t acknowledged_ns() const;
   // The version (configuration) or revision (model) that was acknowledged, or 0.
   uint64_t acknowledged_version() const;
-  // Values of `name` in the detail, a list of "name=value" separated by blanks.
+  // Values of `name` in the detail.
   std::vector<std::string> Details(std::string_view name) const;
   bool HasDetail(std::string_view name, std::string_view value) const;
 };
--- a/src/posthatch/rehearse/checks/stale_wake_check.cc
+++ b/src/posthatch/rehearse/checks/stale_wake_check.cc
@@ -17,6 +17,8 @@
 constexpr int64_t kLongFreezeNs = 20 * kSecondNs;
 constexpr int64_t kWatchedNs = 30 * kSecondNs;
 
+using DrainingByBackend = std::map<std::string, std::vector<Period>>;
+
 struct Wake {
   std::string process;
   bool controller = false;
@@ -82,10 +84,11 @@
 }
 
 // Why this run shows a decision by something old, or nothing.
-std::optional<std::string> StaleDecision(const RecordedHistory& history, const RunRecord& record) {
+std::optional<std::string> StaleDecision(const RecordedHistory& history,
+                                         const DrainingByBackend& draining,
+                                         const RunRecord& record) {
   const RunStarted& run = *record.run;
   const int64_t time_ns = record.started_ns;
-  const auto draining = history.DrainingPeriods(kDrainBoundNs);
   const auto marked = draining.find(run.backend());
   if (marked != draining.end() && Within(marked->second, time_ns)) return "a draining back end";
   if (Within(history.CertainPeriods("evacuate", "lift", run.zone(), kEvacuationBoundNs), time_ns)) {
@@ -101,12 +104,13 @@
 }
 
 void CheckRuns(const RecordedHistory& history, const Wake& wake, CheckResult* result) {
+  const DrainingByBackend draining = history.DrainingPeriods(kDrainBoundNs);
   for (const RunRecord& record : history.runs()) {
     const bool concerned = wake.watched.Contains(record.started_ns) &&
                            (wake.controller || record.run->gateway() == wake.process);
     if (!concerned) continue;
     result->Examine();
-    if (const auto stale = StaleDecision(history, record)) {
+    if (const auto stale = StaleDecision(history, draining, record)) {
       result->Violate(fmt::format("{:.1f} s after {} woke, {} used {} for request {}",
                                   Seconds(record.started_ns - wake.watched.from_ns), wake.process,
                                   record.run->gateway(), *stale, record.run->nonce()));
--- /dev/null
+++ b/src/posthatch/rehearse/fault_injector-test.cc
@@ -0,0 +1,234 @@
+#include "posthatch/rehearse/fault_injector.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "posthatch/rehearse/history/recorders.h"
+#include "posthatch/rehearse/target_resolver.h"
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::rehearse {
+namespace {
+
+using std::chrono::seconds;
+using ::testing::ElementsAre;
+using ::testing::HasSubstr;
+using ::testing::IsEmpty;
+
+// Notes what is asked of it, on a simulated clock.
+class NotingFleet : public Fleet {
+ public:
+  NotingFleet() : world_(1) {
+    simulation::SimHost* host = world_.AddHost("callers", "z0", "10.0.0.1");
+    host->SetBoot([this](runtime::Runtime* runtime) -> std::shared_ptr<void> {
+      runtime_ = runtime;
+      return std::make_shared<int>(0);
+    });
+    host->Start();
+    recorder_ = std::make_unique<MemoryHistoryRecorder>(runtime_->clock, "test", &events_);
+  }
+
+  absl::Status Start() override { return absl::OkStatus(); }
+  void RunFor(runtime::Duration duration) override { world_.RunFor(duration); }
+  runtime::Runtime* runtime() override { return runtime_; }
+  HistoryRecorder* recorder() override { return recorder_.get(); }
+  std::vector<ProcessInfo> processes() const override { return processes_; }
+  absl::Status Kill(const std::string& name) override { return Note("kill " + name); }
+  absl::Status Stop(const std::string& name) override { return Note("stop " + name); }
+  absl::Status Restart(const std::string& name) override {
+    if (draining_ > 0) {
+      --draining_;
+      return absl::UnavailableError("it is still running");
+    }
+    return Note("restart " + name);
+  }
+  absl::Status Freeze(const std::string& name) override { return Note("freeze " + name); }
+  absl::Status Thaw(const std::string& name) override { return Note("thaw " + name); }
+  absl::Status PowerOff(const std::string& /*name*/) override {
+    return absl::UnimplementedError("no power switch");
+  }
+  absl::Status ClearDisk(const std::string& name) override { return Note("clear " + name); }
+  absl::Status SetDiskDelay(const std::string& name, runtime::Duration /*delay*/) override {
+    return Note("slow " + name);
+  }
+  absl::Status JumpClock(const std::string& name, runtime::Duration /*delta*/) override {
+    return Note("jump " + name);
+  }
+  absl::Status SetLink(const std::string& from, const std::string& to, LinkState state) override {
+    cut_[from + ">" + to] = state.cut;
+    return absl::OkStatus();
+  }
+  absl::StatusOr<ProcessInfo> Replace(const std::string& name) override {
+    return ProcessInfo{name + "b", Role::kWorker, "z1", {}, "10.0.0.9:80"};
+  }
+  absl::StatusOr<ProcessInfo> Move(const std::string& name) override {
+    return ProcessInfo{name, Role::kController, "z1", {}, "10.0.0.9:80"};
+  }
+  absl::StatusOr<std::vector<HistoryEvent>> TakeHistory() override { return events_; }
+
+  std::vector<std::string> CutLinks() const {
+    std::vector<std::string> links;
+    for (const auto& [link, cut] : cut_) {
+      if (cut) links.push_back(link);
+    }
+    return links;
+  }
+
+  std::vector<ProcessInfo> processes_ = {
+      {"controller-1", Role::kController, "z1", {}, "10.0.0.2:80"},
+      {"gateway-1", Role::kGateway, "z1", {}, "10.0.0.3:80"},
+      {"gateway-2", Role::kGateway, "z2", {}, "10.0.0.4:80"}};
+  std::vector<std::string> notes_;
+  std::vector<HistoryEvent> events_;
+  std::map<std::string, bool> cut_;
+  int draining_ = 0;
+
+ private:
+  absl::Status Note(const std::string& note) {
+    notes_.push_back(note);
+    return absl::OkStatus();
+  }
+
+  simulation::SimWorld world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<MemoryHistoryRecorder> recorder_;
+};
+
+class FaultInjectorTest : public ::testing::Test {
+ protected:
+  FaultInjectorTest()
+      : injector_(
+            {&fleet_, nullptr, nullptr, [] { return std::string(); }, [this] { ++changes_; }}) {}
+
+  static Fault MakeFault(FaultKind kind, const std::string& name, int at_s, int duration_s) {
+    Fault fault;
+    fault.kind = kind;
+    fault.target.name = name;
+    fault.at = seconds(at_s);
+    fault.duration = seconds(duration_s);
+    return fault;
+  }
+
+  NotingFleet fleet_;
+  FaultInjector injector_;
+  int changes_ = 0;
+};
+
+TEST_F(FaultInjectorTest, BringsAFaultAboutEndsItAndRecordsBoth) {
+  injector_.Start({MakeFault(FaultKind::kDiskLoss, "controller-1", 2, 3)});
+  fleet_.RunFor(seconds(4));
+  EXPECT_THAT(fleet_.notes_, ElementsAre("kill controller-1", "clear controller-1"));
+  fleet_.RunFor(seconds(2));
+  EXPECT_EQ(fleet_.notes_.back(), "restart controller-1");
+  ASSERT_EQ(fleet_.events_.size(), 2u);
+  EXPECT_EQ(fleet_.events_[0].fault_injected().kind(), "disk_loss");
+  EXPECT_TRUE(fleet_.events_[1].fault_injected().ended());
+  EXPECT_EQ(fleet_.events_[1].time_ns() - fleet_.events_[0].time_ns(), 3'000'000'000);
+}
+
+TEST_F(FaultInjectorTest, SaysWhatTheFleetCannotDo) {
+  injector_.Start({MakeFault(FaultKind::kPowerLoss, "controller-1", 1, 3)});
+  fleet_.RunFor(seconds(2));
+  ASSERT_EQ(injector_.outcomes().size(), 1u);
+  EXPECT_EQ(injector_.outcomes()[0].result, "not applicable: no power switch");
+  EXPECT_THAT(fleet_.events_, IsEmpty());
+}
+
+TEST_F(FaultInjectorTest, SkipsAProcessThatAnotherFaultHoldsAndSaysSo) {
+  injector_.Start({MakeFault(FaultKind::kFreeze, "gateway-1", 1, 5),
+                   MakeFault(FaultKind::kKill, "gateway-1", 2, 1),
+                   MakeFault(FaultKind::kKill, "nobody", 2, 1)});
+  fleet_.RunFor(seconds(10));
+  EXPECT_THAT(fleet_.notes_, ElementsAre("freeze gateway-1", "thaw gateway-1"));
+  ASSERT_EQ(injector_.outcomes().size(), 3u);
+  EXPECT_THAT(injector_.outcomes()[1].result, HasSubstr("skipped"));
+  EXPECT_THAT(injector_.outcomes()[2].result, HasSubstr("no process matches"));
+}
+
+TEST_F(FaultInjectorTest, WaitsForADrainingProcessBeforeItStartsAgain) {
+  fleet_.draining_ = 4;
+  injector_.Start({MakeFault(FaultKind::kStop, "gateway-1", 1, 1)});
+  fleet_.RunFor(seconds(2));
+  EXPECT_THAT(fleet_.notes_, ElementsAre("stop gateway-1"));
+  fleet_.RunFor(seconds(2));
+  EXPECT_THAT(fleet_.notes_, ElementsAre("stop gateway-1", "restart gateway-1"));
+}
+
+TEST_F(FaultInjectorTest, OverlappingCutsHealOnlyWhenBothHaveEnded) {
+  Fault one_way = MakeFault(FaultKind::kCut, "gateway-1", 1, 2);
+  one_way.one_way = true;
+  one_way.peer.role = Role::kController;
+  injector_.Start({one_way, MakeFault(FaultKind::kCut, "gateway-1", 2, 4)});
+  fleet_.RunFor(seconds(1) + std::chrono::milliseconds(500));
+  EXPECT_THAT(fleet_.CutLinks(), ElementsAre("gateway-1>controller-1"));
+  fleet_.RunFor(seconds(3));
+  EXPECT_THAT(fleet_.CutLinks(), ElementsAre("controller-1>gateway-1", "gateway-1>controller-1",
+                                             "gateway-1>gateway-2", "gateway-2>gateway-1"));
+  fleet_.RunFor(seconds(2));
+  EXPECT_THAT(fleet_.CutLinks(), IsEmpty());
+}
+
+TEST_F(FaultInjectorTest, EndAllThawsHealsAndRestarts) {
+  injector_.Start({MakeFault(FaultKind::kFreeze, "gateway-1", 1, 500),
+                   MakeFault(FaultKind::kCut, "gateway-2", 1, 500),
+                   MakeFault(FaultKind::kKill, "controller-1", 1, 500)});
+  fleet_.RunFor(seconds(2));
+  injector_.EndAll();
+  EXPECT_THAT(fleet_.CutLinks(), IsEmpty());
+  EXPECT_EQ(std::count(fleet_.notes_.begin(), fleet_.notes_.end(), "thaw gateway-1"), 1);
+  EXPECT_EQ(std::count(fleet_.notes_.begin(), fleet_.notes_.end(), "restart controller-1"), 1);
+}
+
+TEST_F(FaultInjectorTest, ReplacementIsToldToTheOthers) {
+  injector_.Start({MakeFault(FaultKind::kReplace, "gateway-1", 1, 1)});
+  fleet_.RunFor(seconds(2));
+  EXPECT_EQ(changes_, 1);
+}
+
+TEST_F(FaultInjectorTest, ChaosLeavesTimeBetweenLostDisks) {
+  injector_.StartChaos({MakeFault(FaultKind::kDiskLoss, "controller-1", 1, 1),
+                        MakeFault(FaultKind::kDiskLoss, "controller-1", 6, 1)});
+  fleet_.RunFor(seconds(10));
+  EXPECT_THAT(injector_.outcomes()[1].result, HasSubstr("may not be repaired"));
+}
+
+TEST(TargetResolver, DrawsTheSameChaosFromTheSameSeed) {
+  Chaos chaos;
+  chaos.kinds = {FaultKind::kKill, FaultKind::kCut, FaultKind::kEvents};
+  chaos.until = std::chrono::minutes(2);
+  runtime::Random one(7);
+  runtime::Random same(7);
+  const std::vector<Fault> faults = DrawChaos(chaos, &one);
+  const std::vector<Fault> again = DrawChaos(chaos, &same);
+  ASSERT_EQ(faults.size(), again.size());
+  EXPECT_GT(faults.size(), 10u);
+  for (size_t index = 0; index < faults.size(); ++index) {
+    EXPECT_EQ(faults[index].kind, again[index].kind);
+    EXPECT_EQ(faults[index].at, again[index].at);
+    EXPECT_EQ(faults[index].target.role, again[index].target.role);
+  }
+}
+
+TEST(TargetResolver, PicksByRoleZoneLabelAndNumber) {
+  const std::vector<ProcessInfo> processes = {
+      {"worker-1", Role::kWorker, "z1", {{"pool", "odd"}}, ""},
+      {"worker-2", Role::kWorker, "z2", {{"pool", "even"}}, ""},
+      {"inventory", Role::kInventory, "z1", {}, ""}};
+  runtime::Random random(1);
+  Target zone;
+  zone.zone = "z1";
+  ASSERT_EQ(ResolveTarget(zone, processes, "", &random).size(), 1u) << "not the inventory";
+  Target label;
+  label.label = "pool=even";
+  EXPECT_EQ(ResolveTarget(label, processes, "", &random).at(0).name, "worker-2");
+  Target both;
+  both.role = Role::kWorker;
+  both.name = "random";
+  both.count = 5;
+  EXPECT_EQ(ResolveTarget(both, processes, "", &random).size(), 2u);
+}
+
+}  // namespace
+}  // namespace posthatch::rehearse
