--- a/src/posthatch/consensus/raft_core.cc
+++ b/src/posthatch/consensus/raft_core.cc
@@ -42,8 +42,8 @@
 }
 
 const ClusterConfiguration& RaftCore::configuration() const {
-  static const ClusterConfiguration kNone;
-  return configurations_.empty() ? kNone : configurations_.back().second;
+  static const ClusterConfiguration none;
+  return configurations_.empty() ? none : configurations_.back().second;
 }
 
 ClusterConfiguration RaftCore::ConfigurationAt(uint64_t index) const {
--- a/src/posthatch/consensus/raft_replica.cc
+++ b/src/posthatch/consensus/raft_replica.cc
@@ -34,7 +34,8 @@
       install_retry_timer_(runtime->timers) {}
 
 RaftReplica::~RaftReplica() {
-  if (active_) runtime_->transport->SetReceiver(runtime::SERVICE_CONSENSUS, nullptr);
+  if (core_ == nullptr) return;
+  runtime_->transport->SetReceiver(runtime::SERVICE_CONSENSUS, [](const runtime::Envelope&) {});
 }
 
 // ---------------------------------------------------------------------------------- start
@@ -163,7 +164,7 @@
   do {
     Ready ready = core_->TakeReady(Now());
     Persist(&ready);
-    SendAll(std::move(ready.messages));
+    SendAll(ready.messages);
     SendAll(bootstrap_->TakeMessages());
     if (ready.install != nullptr) {
       installing_ = std::move(ready.install);
@@ -189,7 +190,7 @@
                       });
 }
 
-void RaftReplica::SendAll(std::vector<OutgoingMessage> messages) {
+void RaftReplica::SendAll(const std::vector<OutgoingMessage>& messages) {
   for (const OutgoingMessage& outgoing : messages) {
     runtime_->transport->Send(outgoing.endpoint, runtime::SERVICE_CONSENSUS,
                               outgoing.message.SerializeAsString(), runtime::Delivery::kStream);
--- a/src/posthatch/consensus/raft_replica.h
+++ b/src/posthatch/consensus/raft_replica.h
@@ -122,7 +122,7 @@
   void ScheduleFlush();
   void Flush();
   void Persist(Ready* ready);
-  void SendAll(std::vector<OutgoingMessage> messages);
+  void SendAll(const std::vector<OutgoingMessage>& messages);
   void Apply(const std::vector<storage::LogEntry>& entries);
   void AnswerReads(const std::vector<uint64_t>& reads);
   void CheckLeadership();
--- a/src/posthatch/consensus/raft_simulation-test.cc
+++ b/src/posthatch/consensus/raft_simulation-test.cc
@@ -533,6 +533,17 @@
   EXPECT_FALSE(read_answered);
 }
 
+TEST(RaftReplicaTest, SingleControllerFormsAClusterAndSurvivesPowerLoss) {
+  RaftWorld cluster(17, 1);
+  ASSERT_TRUE(cluster.RunUntilLeader());
+  cluster.RunClients();
+  cluster.world().RunFor(seconds(5));
+  cluster.nodes()[0].host->PowerLoss();
+  EXPECT_EQ(cluster.Settle(), "");
+  EXPECT_TRUE(cluster.history().Check(cluster.Length(0)).empty());
+  EXPECT_GT(cluster.history().acknowledged(), 50U);
+}
+
 TEST(RaftReplicaTest, TwoControllersOfThreeFormNoCluster) {
   RaftWorld cluster(16, 3);
   cluster.nodes()[2].host->Crash();
--- a/src/posthatch/storage/log_recovery-test.cc
+++ b/src/posthatch/storage/log_recovery-test.cc
@@ -55,6 +55,7 @@
                                      const std::optional<SnapshotMetadata>& snapshot = {},
                                      uint64_t first_sequence = 1) {
   std::vector<SegmentFile> files;
+  files.reserve(segments.size());
   for (const std::string& contents : segments) files.push_back({first_sequence++, contents});
   return RecoverLog("raft", files, snapshot);
 }
--- a/src/posthatch/storage/record_format.cc
+++ b/src/posthatch/storage/record_format.cc
@@ -126,7 +126,7 @@
   endian::store_little_u32(Bytes(header) + kVersionOffset, kFormatVersion);
   endian::store_little_u64(Bytes(header) + kSequenceOffset, sequence);
   endian::store_little_u32(Bytes(header) + kSegmentCrcOffset,
-                           Crc32c(std::string_view(header).substr(0, kSegmentCrcOffset)));
+                           Crc32c(std::string_view{header}.substr(0, kSegmentCrcOffset)));
   return header;
 }
 
@@ -140,7 +140,7 @@
   endian::store_little_u64(bytes + kBatchOffset, batch_start);
   endian::store_little_u32(bytes + kPayloadCrcOffset, Crc32c(payload));
   endian::store_little_u32(bytes + kHeaderCrcOffset,
-                           Crc32c(std::string_view(header).substr(0, kHeaderCrcOffset)));
+                           Crc32c(std::string_view{header}.substr(0, kHeaderCrcOffset)));
   out->append(header);
   out->append(payload);
 }
--- a/src/posthatch/storage/snapshot_file.cc
+++ b/src/posthatch/storage/snapshot_file.cc
@@ -28,7 +28,7 @@
   std::string contents(kHeaderBytes, '\0');
   contents.append(metadata);
   contents.append(snapshot.data);
-  const uint32_t body_crc = Crc32c(std::string_view(contents).substr(kHeaderBytes));
+  const uint32_t body_crc = Crc32c(std::string_view{contents}.substr(kHeaderBytes));
   contents.replace(0, kSnapshotMagic.size(), kSnapshotMagic);
   auto* bytes = reinterpret_cast<unsigned char*>(contents.data());
   endian::store_little_u32(bytes + kVersionOffset, kFormatVersion);
@@ -36,7 +36,7 @@
   endian::store_little_u64(bytes + kDataLengthOffset, snapshot.data.size());
   endian::store_little_u32(bytes + kBodyCrcOffset, body_crc);
   endian::store_little_u32(bytes + kHeaderCrcOffset,
-                           Crc32c(std::string_view(contents).substr(0, kHeaderCrcOffset)));
+                           Crc32c(std::string_view{contents}.substr(0, kHeaderCrcOffset)));
   return contents;
 }
 
