--- /dev/null
+++ b/src/posthatch/consensus/log_history-test.cc
@@ -0,0 +1,83 @@
+// The checks of log_history-test.h are fed histories that violate them.
+#include "posthatch/consensus/log_history-test.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+
+namespace posthatch::consensus {
+namespace {
+
+LogHistory::Operation NewOperation(bool is_read, const std::string& command, int64_t begin,
+                                   int64_t end, uint64_t position) {
+  return {is_read, command, begin, end, position};
+}
+
+TEST(LogHistoryTest, AcceptsALinearizableHistory) {
+  LogHistory history;
+  history.OnApplied("a", 1, "x");
+  history.OnApplied("a", 2, "y");
+  history.OnApplied("b", 1, "x");
+  history.AddOperation(NewOperation(false, "x", 0, 10, 1));
+  history.AddOperation(NewOperation(true, "", 5, 12, 2));
+  history.AddOperation({false, "y", 8, std::nullopt, 0});
+  history.AddOperation(NewOperation(true, "", 13, 14, 2));
+  EXPECT_TRUE(history.Check(2).empty());
+}
+
+TEST(LogHistoryTest, FindsALostCommand) {
+  LogHistory history;
+  history.OnApplied("a", 1, "x");
+  history.AddOperation(NewOperation(false, "y", 0, 10, 2));
+  EXPECT_FALSE(history.Check(1).empty());
+  LogHistory forgotten;
+  forgotten.OnApplied("a", 1, "x");
+  forgotten.AddOperation(NewOperation(false, "x", 0, 10, 1));
+  EXPECT_FALSE(forgotten.Check(0).empty());
+}
+
+TEST(LogHistoryTest, FindsReplicasThatDifferAndCommandsAppliedTwice) {
+  LogHistory differ;
+  differ.OnApplied("a", 1, "x");
+  differ.OnApplied("b", 1, "y");
+  EXPECT_FALSE(differ.Check(1).empty());
+  LogHistory twice;
+  twice.OnApplied("a", 1, "x");
+  twice.OnApplied("a", 2, "x");
+  EXPECT_FALSE(twice.Check(2).empty());
+}
+
+TEST(LogHistoryTest, FindsTwoLeadersAndTwoQuorums) {
+  LogHistory history;
+  history.OnLeader("a", 3);
+  history.OnLeader("a", 3);
+  EXPECT_TRUE(history.Check(0).empty());
+  history.OnLeader("b", 3);
+  EXPECT_FALSE(history.Check(0).empty());
+  LogHistory quorums;
+  quorums.OnTwoQuorums();
+  EXPECT_FALSE(quorums.Check(0).empty());
+}
+
+TEST(LogHistoryTest, FindsStaleReadsAndReadsOfTheFuture) {
+  LogHistory stale;
+  stale.OnApplied("a", 1, "x");
+  stale.AddOperation(NewOperation(false, "x", 0, 10, 1));
+  stale.AddOperation(NewOperation(true, "", 11, 12, 0));
+  EXPECT_FALSE(stale.Check(1).empty());
+  LogHistory back;
+  back.OnApplied("a", 1, "x");
+  back.AddOperation({false, "x", 0, std::nullopt, 0});
+  back.AddOperation(NewOperation(true, "", 1, 2, 1));
+  back.AddOperation(NewOperation(true, "", 3, 4, 0));
+  EXPECT_FALSE(back.Check(1).empty());
+  LogHistory future;
+  future.OnApplied("a", 1, "x");
+  future.AddOperation(NewOperation(true, "", 1, 2, 1));
+  future.AddOperation(NewOperation(false, "x", 3, 4, 1));
+  EXPECT_FALSE(future.Check(1).empty());
+}
+
+}  // namespace
+}  // namespace posthatch::consensus
