--- a/src/posthatch/standins/kv_event_log.cc
+++ b/src/posthatch/standins/kv_event_log.cc
@@ -106,9 +106,9 @@
   if (after + 1 < first_kept) {
     events.push_back(json::object{{"seq", first_kept - 1}, {"type", "lost"}});
   }
-  for (const Slot& slot : slots_) {
-    if (slot.seq <= after || slot.seq > up_to) continue;
-    for (const json::object& event : slot.events) events.push_back(event);
+  // Slots are contiguous in `seq`.
+  for (uint64_t seq = std::max(after + 1, first_kept); seq <= up_to; ++seq) {
+    for (const json::object& event : slots_[seq - first_kept].events) events.push_back(event);
   }
   const json::object body = {
       {"epoch", epoch_}, {"next", std::max(after, up_to)}, {"events", std::move(events)}};
