--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -169,7 +169,6 @@
   if (grant.term() < term_ || grant.lease_ms() > kMaxLeaseMs) return;
   const runtime::MonotonicTime sent_at = sent->second;
   sent_.erase(sent_.begin(), std::next(sent));  // older answers are of no more use
-  sent_.erase(grant.renewal());
   term_ = grant.term();
   answered_renewal_ = renewal_;
   locator_.Heard(from_endpoint);
--- a/src/posthatch/ctl/target_caller.cc
+++ b/src/posthatch/ctl/target_caller.cc
@@ -30,7 +30,7 @@
   const runtime::Duration left = deadline_ - runtime_->clock->Now();
   if (left <= runtime::Duration::zero()) {
     call_.reset();
-    done_(std::move(outcome_));
+    Finish();
     return;
   }
   const std::string& target = targets_[tries_++ % targets_.size()];
@@ -49,7 +49,7 @@
 void TargetCaller::OnEnd() {
   if (outcome_.response.status != kStatusUnavailable) {
     outcome_.answered = true;
-    done_(std::move(outcome_));
+    Finish();
     return;
   }
   outcome_.error = outcome_.response.body;
@@ -64,6 +64,12 @@
   TryNext();
 }
 
+// Moved out first: `done_` may start the next call.
+void TargetCaller::Finish() {
+  const Done done = std::exchange(done_, nullptr);
+  done(std::exchange(outcome_, {}));
+}
+
 void TargetCaller::TryNext() {
   timer_.Start(kPauseBetweenTries, [this] { Try(); });
 }
--- a/src/posthatch/ctl/target_caller.h
+++ b/src/posthatch/ctl/target_caller.h
@@ -34,6 +34,7 @@
   void OnEnd();
   void OnFailure(const http::CallError& error);
   void TryNext();
+  void Finish();
 
   runtime::Runtime* const runtime_;
   const std::vector<std::string> targets_;
