Format heads by Beast's field writer; follow clang-tidy

The serializer holds an optional whose false 'maybe uninitialized' warning broke the asan-ubsan build; only the head was ever taken from it.

--- a/src/posthatch/asio/asio_transport-test.cc
+++ b/src/posthatch/asio/asio_transport-test.cc
@@ -172,7 +172,7 @@
       std::string("\x00\x00\x00\x04garb", 8),
       std::string(4, '\0'),  // an empty envelope
       "GET / HTTP/1.1\r\n\r\n",
-      std::string(10 * 1024 * 1024, 'x'),
+      std::string(10UL * 1024 * 1024, 'x'),
       EncodeFrame(no_sender),
       EncodeFrame(no_service),
   };
--- a/src/posthatch/asio/asio_transport.cc
+++ b/src/posthatch/asio/asio_transport.cc
@@ -21,7 +21,7 @@
 
 // How often peers that nothing was sent to are looked for.
 constexpr runtime::Duration kSweepInterval = std::chrono::seconds(60);
-constexpr size_t kMaxDatagramReceiveBytes = 64 * 1024;
+constexpr size_t kMaxDatagramReceiveBytes = 64UL * 1024;
 // Datagrams read in one turn, so that a flood doesn't starve the rest.
 constexpr int kMaxDatagramsPerTurn = 64;
 // A flood of garbage must not fill the log; each is counted.
--- a/src/posthatch/asio/beast_http_client-test.cc
+++ b/src/posthatch/asio/beast_http_client-test.cc
@@ -231,7 +231,7 @@
 }
 
 TEST_F(HttpClientTest, PausedReadingHoldsTheServerBackAndSpendsNoTimeout) {
-  constexpr size_t kBody = 32 * 1024 * 1024;
+  constexpr size_t kBody = 32UL * 1024 * 1024;
   RawListener listener;
   Outcome outcome;
   const auto call = Start(listener.endpoint(), &outcome);
--- a/src/posthatch/asio/beast_http_server-test.cc
+++ b/src/posthatch/asio/beast_http_server-test.cc
@@ -71,7 +71,7 @@
 
 TEST_F(HttpServerTest, GarbageGetsAClearErrorOrACloseAndServingGoesOn) {
   Listen();
-  const std::string big_field = "X: " + std::string(10 * 1024 * 1024, 'a');
+  const std::string big_field = "X: " + std::string(10UL * 1024 * 1024, 'a');
   const std::vector<Garbage> cases = {
       {"binary", std::string("\x00\x01\x02\xff\xfe\r\n\r\n", 9), "400"},
       {"no method", " / HTTP/1.1\r\n\r\n", "400"},
@@ -91,7 +91,7 @@
        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(20000, 'x'), "400"},
       {"body over the limit", "POST / HTTP/1.1\r\nContent-Length: 10001\r\n\r\n", "413"},
       {"10 MB field", "GET / HTTP/1.1\r\n" + big_field + "\r\n\r\n", "431"},
-      {"10 MB target", "GET /" + std::string(10 * 1024 * 1024, 'a'), "431"},
+      {"10 MB target", "GET /" + std::string(10UL * 1024 * 1024, 'a'), "431"},
       {"slow header", "GET / HTTP/1.1\r\nHost:", "408"},
       {"slow body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", "408"},
       {"slow chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408"},
@@ -236,7 +236,7 @@
 }
 
 TEST_F(HttpServerTest, SlowReaderHoldsBackTheWriterUntilItReads) {
-  constexpr size_t kPiece = 64 * 1024;
+  constexpr size_t kPiece = 64UL * 1024;
   limits_.max_buffered_bytes = 4 * kPiece;
   limits_.body_timeout = std::chrono::seconds(10);
   std::shared_ptr<http::ResponseWriter> writer;
@@ -273,7 +273,7 @@
   handler_ = [&gone](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     writer->OnCallerGone([&gone, writer] { gone = true; });
     writer->StartStream({});
-    writer->WritePiece(std::string(32 * 1024 * 1024, 'x'));
+    writer->WritePiece(std::string(32UL * 1024 * 1024, 'x'));
   };
   Listen();
   RawSocket socket = Connect();
--- a/src/posthatch/asio/http_client_connection.cc
+++ b/src/posthatch/asio/http_client_connection.cc
@@ -12,7 +12,7 @@
 // What may wait for the rest of a chunk's or trailer's line.
 constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + 4096;
 // Bodies up to this size are copied behind the head, so that both leave in one buffer.
-constexpr size_t kJoinBodyBytes = 8 * 1024;
+constexpr size_t kJoinBodyBytes = 8UL * 1024;
 
 bool IsInformational(int status) { return status >= 100 && status < 200; }
 
--- a/src/posthatch/asio/http_message.cc
+++ b/src/posthatch/asio/http_message.cc
@@ -7,7 +7,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/serializer.hpp>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -19,7 +18,7 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr size_t kMaxFieldBytes = 32 * 1024;
+constexpr size_t kMaxFieldBytes = 32UL * 1024;
 
 bool IsTokenCharacter(char character) {
   constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
@@ -47,17 +46,6 @@
   }
 }
 
-template <bool kIsRequest>
-void AppendHead(beast_http::message<kIsRequest, beast_http::empty_body>& message,
-                std::string* out) {
-  beast_http::serializer<kIsRequest, beast_http::empty_body> serializer(message);
-  serializer.split(true);
-  boost::beast::error_code error;
-  serializer.next(error, [out](boost::beast::error_code&, const auto& buffers) {
-    AppendBuffers(buffers, out);
-  });
-}
-
 void CopyFields(const http::Headers& headers, beast_http::fields* fields) {
   for (const auto& [name, value] : headers.fields()) {
     if (!IsConnectionField(name)) fields->insert(name, value);
@@ -108,7 +96,8 @@
   if (!request.body.empty() || !bodiless) {
     message.insert(beast_http::field::content_length, std::to_string(request.body.size()));
   }
-  AppendHead(message, out);
+  const beast_http::fields::writer writer(message, message.version(), message.method());
+  AppendBuffers(writer.get(), out);
 }
 
 void AppendResponseHead(const http::Response& response, const ResponseFraming& framing,
@@ -127,7 +116,8 @@
   } else if (framing.version == 10) {
     message.insert(beast_http::field::connection, "keep-alive");
   }
-  AppendHead(message, out);
+  const beast_http::fields::writer writer(message, message.version(), message.result_int());
+  AppendBuffers(writer.get(), out);
 }
 
 void AppendChunkStart(size_t size, std::string* out) {
--- a/src/posthatch/asio/http_server_connection.cc
+++ b/src/posthatch/asio/http_server_connection.cc
@@ -16,13 +16,13 @@
 // How long, and how far, a caller that was refused may go on sending before the connection is cut:
 // closing at once would reset it and lose the refusal (RFC 9112, 9.6).
 constexpr runtime::Duration kLingerTime = std::chrono::seconds(1);
-constexpr uint64_t kLingerBytes = 64 * 1024 * 1024;
+constexpr uint64_t kLingerBytes = 64UL * 1024 * 1024;
 // Pipelined bytes kept while an answer runs.
-constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr size_t kMaxPipelinedBytes = 64UL * 1024;
 // What a chunk's line or a trailer may add to the header limit.
 constexpr size_t kMaxUnparsedExtraBytes = 4096;
 // Bodies up to this size are copied behind the head, so that both leave in one buffer.
-constexpr size_t kJoinBodyBytes = 8 * 1024;
+constexpr size_t kJoinBodyBytes = 8UL * 1024;
 
 bool HasNoBody(int status) { return status == 204 || status == 304; }
 
--- a/src/posthatch/asio/stream_faults.cc
+++ b/src/posthatch/asio/stream_faults.cc
@@ -6,7 +6,7 @@
 namespace posthatch::asio {
 
 StreamFaults::StreamFaults(boost::asio::io_context* io_context, FaultInjection* faults,
-                           std::function<void()> resume)
+                           const std::function<void()>& resume)
     : faults_(faults), subscription_(faults->Subscribe(resume)), timer_(io_context, resume) {}
 
 StreamFaults::~StreamFaults() { faults_->Unsubscribe(subscription_); }
--- a/src/posthatch/asio/stream_faults.h
+++ b/src/posthatch/asio/stream_faults.h
@@ -18,7 +18,7 @@
  public:
   // `resume` runs when rules have changed or something held back has come due.
   StreamFaults(boost::asio::io_context* io_context, FaultInjection* faults,
-               std::function<void()> resume);
+               const std::function<void()>& resume);
   ~StreamFaults();
   StreamFaults(const StreamFaults&) = delete;
   StreamFaults& operator=(const StreamFaults&) = delete;
--- a/src/posthatch/asio/tcp_stream.cc
+++ b/src/posthatch/asio/tcp_stream.cc
@@ -14,7 +14,7 @@
 // Buffers handed to one system call.
 constexpr size_t kMaxBuffersPerWrite = 16;
 // A piece of the queue grows up to this by copying; beyond it a new piece is begun.
-constexpr size_t kCopyLimitBytes = 16 * 1024;
+constexpr size_t kCopyLimitBytes = 16UL * 1024;
 // Reads of one connection in one turn, so that a fast sender doesn't starve the others.
 constexpr int kMaxReadsPerTurn = 4;
 
--- a/src/posthatch/asio/tcp_stream.h
+++ b/src/posthatch/asio/tcp_stream.h
@@ -24,7 +24,7 @@
   // not see the end before the cut heals.
   std::vector<std::pair<std::string, TcpSocket>> cut_off_sockets;
   // Bytes are read into this and handed on at once, so an idle connection holds no buffer.
-  std::string read_buffer = std::string(64 * 1024, '\0');
+  std::string read_buffer = std::string(64UL * 1024, '\0');
 };
 
 // Closes the kept sockets whose peers are no longer cut off; run after each change of the rules.
--- a/src/posthatch/asio/transport_peer.cc
+++ b/src/posthatch/asio/transport_peer.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 TransportPeer::TransportPeer(const TransportPeerContext* context, std::string endpoint,
-                             TcpEndpoint address)
+                             const TcpEndpoint& address)
     : context_(context),
       endpoint_(std::move(endpoint)),
       address_(address),
--- a/src/posthatch/asio/transport_peer.h
+++ b/src/posthatch/asio/transport_peer.h
@@ -25,7 +25,8 @@
 // event loop thread only.
 class TransportPeer final : public TcpStream::Owner {
  public:
-  TransportPeer(const TransportPeerContext* context, std::string endpoint, TcpEndpoint address);
+  TransportPeer(const TransportPeerContext* context, std::string endpoint,
+                const TcpEndpoint& address);
   ~TransportPeer();
   TransportPeer(const TransportPeer&) = delete;
   TransportPeer& operator=(const TransportPeer&) = delete;
--- a/src/posthatch/daemon/common_http.cc
+++ b/src/posthatch/daemon/common_http.cc
@@ -42,7 +42,8 @@
 }
 
 std::string_view PathOf(const http::Request& request) {
-  return std::string_view(request.target).substr(0, request.target.find('?'));
+  const std::string_view target = request.target;
+  return target.substr(0, target.find('?'));
 }
 
 }  // namespace
--- a/src/posthatch/daemon/settings_loader-test.cc
+++ b/src/posthatch/daemon/settings_loader-test.cc
@@ -24,6 +24,7 @@
 
 std::vector<std::string> Texts(const std::vector<SettingsError>& errors) {
   std::vector<std::string> texts;
+  texts.reserve(errors.size());
   for (const SettingsError& error : errors) texts.push_back(error.ToString());
   return texts;
 }
--- a/src/posthatch/daemon/settings_loader.cc
+++ b/src/posthatch/daemon/settings_loader.cc
@@ -120,7 +120,7 @@
       if (raw.ok()) {
         seen_.insert_or_assign(key, Located{*raw, kCommandLine, 0});
       } else {
-        Add(kCommandLine, 0, key, std::string(raw.status().message()));
+        Add(kCommandLine, 0, key, absl::StrCat(raw.status().message()));
         seen_.insert_or_assign(key, std::nullopt);
       }
     }
@@ -140,7 +140,7 @@
     const Located& located = *found->second;
     absl::Status status = StoreSetting(setting, located.value, draft);
     if (!status.ok()) {
-      Add(located.file, located.line, setting.Key(), std::string(status.message()));
+      Add(located.file, located.line, setting.Key(), absl::StrCat(status.message()));
     }
   }
 
--- a/src/posthatch/daemon/settings_table.cc
+++ b/src/posthatch/daemon/settings_table.cc
@@ -275,14 +275,14 @@
 }
 
 const std::vector<SettingDescription>& SettingsTable() {
-  static const std::vector<SettingDescription>* const kTable = [] {
+  static const auto* const settings = [] {
     auto* table = new std::vector<SettingDescription>();
     for (const auto& part : {NodeTable(), LimitsTable(), GatewayTable(), ControllerTable()}) {
       table->insert(table->end(), part.begin(), part.end());
     }
     return table;
   }();
-  return *kTable;
+  return *settings;
 }
 
 std::string AllowedRange(const SettingDescription& setting) {
