--- a/src/posthatch/membership/gossip_fleet.cc
+++ b/src/posthatch/membership/gossip_fleet.cc
@@ -48,9 +48,10 @@
 
  private:
   void OnChange(const Member& member) {
-    if (member.state != MemberState::kDead) return;
     const simulation::SimHost* host = fleet_->world_->FindHost(member.node_id);
-    if (host != nullptr && host->running()) {
+    if (host == nullptr || !host->running()) return;
+    if (member.state == MemberState::kSuspect) ++fleet_->false_suspicions_;
+    if (member.state == MemberState::kDead) {
       fleet_->false_deaths_.push_back({node_, member.node_id, fleet_->world_->Now()});
     }
   }
--- a/src/posthatch/membership/gossip_fleet.h
+++ b/src/posthatch/membership/gossip_fleet.h
@@ -49,7 +49,12 @@
   bool RunUntilGone(size_t member, runtime::Duration limit);
 
   const std::vector<FalseDeath>& false_deaths() const { return false_deaths_; }
-  void ClearFalseDeaths() { false_deaths_.clear(); }
+  // Reports that a running process is suspected.
+  uint64_t false_suspicions() const { return false_suspicions_; }
+  void ClearFalseDeaths() {
+    false_deaths_.clear();
+    false_suspicions_ = 0;
+  }
 
  private:
   struct Node {
@@ -74,6 +79,7 @@
   std::vector<std::string> seeds_;
   std::vector<Node> nodes_;
   std::vector<FalseDeath> false_deaths_;
+  uint64_t false_suspicions_ = 0;
 };
 
 }  // namespace posthatch::membership
--- a/src/posthatch/membership/gossip_membership-test.cc
+++ b/src/posthatch/membership/gossip_membership-test.cc
@@ -134,12 +134,32 @@
   EXPECT_TRUE(fleet.false_deaths().empty());
 }
 
-TEST_P(GossipTest, OneWayCutBetweenTwoKillsNobody) {
+TEST_P(GossipTest, SuspicionThatAPauseInterruptedIsNotCarriedOutOnWaking) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  // Long enough cut off for a suspicion, not for a death.
+  for (size_t other = 0; other < fleet.size(); ++other) {
+    if (other != 6) CutBothWays(other, 6);
+  }
+  ASSERT_TRUE(
+      world_.RunUntil([&] { return fleet.StateSeen(5, 6) == MemberState::kSuspect; }, seconds(15)));
+  fleet.host(5)->Freeze();
+  world_.HealAll();
+  world_.RunFor(seconds(60));
+  fleet.ClearFalseDeaths();
+  fleet.host(5)->Thaw();
+  world_.RunFor(seconds(20));
+  EXPECT_TRUE(fleet.false_deaths().empty());
+  EXPECT_TRUE(fleet.Converged());
+}
+
+TEST_P(GossipTest, OneWayCutBetweenTwoIsBridgedByHelpers) {
   GossipFleet fleet(&world_, 20);
   ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
   world_.Cut("n4", "n5");
   world_.RunFor(seconds(120));
   EXPECT_TRUE(fleet.false_deaths().empty());
+  EXPECT_EQ(fleet.false_suspicions(), 0u);
 }
 
 TEST_P(GossipTest, ProcessThatHearsNothingAccusesNobody) {
