--- a/src/posthatch/membership/membership-bench.cc
+++ b/src/posthatch/membership/membership-bench.cc
@@ -1,11 +1,16 @@
 // Measures GossipMembership in the simulator, in virtual time except for processor time, and prints
 // one JSON line per figure. Deterministic but for processor time.
+#include <fmt/format.h>
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
+#include <cmath>
 #include <ctime>
 #include <iostream>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "posthatch/membership/gossip_fleet.h"
@@ -33,10 +38,20 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Three digits after the point: enough for all figures here.
+double Rounded(double value) { return std::round(value * 1000) / 1000; }
+
 double ProcessorSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
 
 void Print(const boost::json::object& line) {
-  std::cout << boost::json::serialize(line) << std::endl;
+  // Numbers are written by fmt: Boost.JSON prints every double with an exponent.
+  std::string text;
+  for (const auto& [key, value] : line) {
+    text += fmt::format("{}\"{}\": {}", text.empty() ? "" : ", ", std::string_view(key),
+                        value.is_double() ? fmt::format("{}", Rounded(value.as_double()))
+                                          : boost::json::serialize(value));
+  }
+  std::cout << "{" << text << "}" << std::endl;
 }
 
 double Quantile(std::vector<double> values, double quantile) {
@@ -57,6 +72,8 @@
     for (const double loss : settings_.losses) MeasureSteadyState(loss);
     MeasureJoin();
     MeasureDetection();
+    MeasurePauses();
+    MeasureSplit();
   }
 
  private:
@@ -150,6 +167,55 @@
     Print(line);
   }
 
+  // A twentieth of the nodes stand still for 25 s; deaths of the others are false.
+  void MeasurePauses() {
+    std::set<std::string> paused;
+    while (paused.size() < fleet_.size() / 20 + 1) {
+      const size_t node = world_.random()->Uniform(fleet_.size());
+      fleet_.host(node)->Freeze();
+      paused.insert(fleet_.host(node)->name());
+    }
+    fleet_.ClearFalseDeaths();
+    world_.RunFor(seconds(25));
+    const runtime::MonotonicTime start = world_.Now();
+    for (const std::string& name : paused) world_.FindHost(name)->Thaw();
+    const bool converged = fleet_.RunUntilConverged(kLimit);
+    boost::json::object line = Line("pause_25s");
+    line["paused"] = paused.size();
+    line["converged"] = converged;
+    line["all_back_seconds"] = Seconds(world_.Now() - start);
+    world_.RunFor(seconds(30));
+    line["deaths_of_others"] = std::count_if(
+        fleet_.false_deaths().begin(), fleet_.false_deaths().end(),
+        [&](const GossipFleet::FalseDeath& death) { return !paused.contains(death.member); });
+    Print(line);
+  }
+
+  // Two halves are cut from each other for two minutes.
+  void MeasureSplit() {
+    const size_t border = fleet_.size() / 2;
+    for (size_t low = 0; low < border; ++low) {
+      for (size_t high = border; high < fleet_.size(); ++high) {
+        world_.Cut(fleet_.host(low)->name(), fleet_.host(high)->name());
+        world_.Cut(fleet_.host(high)->name(), fleet_.host(low)->name());
+      }
+    }
+    world_.RunFor(seconds(120));
+    world_.HealAll();
+    fleet_.ClearFalseDeaths();
+    const uint64_t bytes = fleet_.sent_bytes();
+    const runtime::MonotonicTime start = world_.Now();
+    const bool converged = fleet_.RunUntilConverged(kLimit);
+    const double merge_seconds = Seconds(world_.Now() - start);
+    boost::json::object line = Line("split_heal");
+    line["converged"] = converged;
+    line["merge_seconds"] = merge_seconds;
+    line["payload_bytes_per_node"] =
+        static_cast<double>(fleet_.sent_bytes() - bytes) / static_cast<double>(fleet_.size());
+    line["false_deaths_after_heal"] = fleet_.false_deaths().size();
+    Print(line);
+  }
+
   const Settings settings_;
   const size_t size_;
   simulation::SimWorld world_;
--- a/src/posthatch/simulation/pipe.cc
+++ b/src/posthatch/simulation/pipe.cc
@@ -72,8 +72,7 @@
 void Pipe::Arrive() {
   if (broken_ || network_.empty() || Stalled() || !BindReceiver()) return;
   while (!network_.empty() && network_.front().arrival <= core_->queue.now()) {
-    unread_.push_back(std::move(network_.front()));
-    network_.pop_front();
+    unread_.push_back(network_.pop_front());
   }
   if (!network_.empty()) ScheduleArrival(network_.front().arrival);
   RequestDrain();
@@ -137,8 +136,7 @@
 void Pipe::Drain() {
   drain_requested_ = false;
   while (!broken_ && !paused_ && !unread_.empty() && to_->life() == to_life_) {
-    Message message = std::move(unread_.front());
-    unread_.pop_front();
+    Message message = unread_.pop_front();
     window_bytes_ -= message.bytes;
     core_->Mix(kind_, to_->number(), from_->number(),
                {reinterpret_cast<const char*>(&message.digest), sizeof(message.digest)});
@@ -152,8 +150,7 @@
 
 void Pipe::Refill() {
   while (!broken_ && !buffered_.empty() && window_bytes_ < kWindowBytes) {
-    Message message = std::move(buffered_.front());
-    buffered_.pop_front();
+    Message message = buffered_.pop_front();
     buffered_bytes_ -= message.bytes;
     Transmit(std::move(message));
   }
--- a/src/posthatch/simulation/pipe.h
+++ b/src/posthatch/simulation/pipe.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <string_view>
 
+#include "posthatch/simulation/fifo.h"
 #include "posthatch/simulation/world_core.h"
 
 namespace posthatch::simulation {
@@ -82,9 +82,9 @@
   Accept accept_;
   Callback on_error_;
 
-  std::deque<Message> buffered_;
-  std::deque<Message> network_;
-  std::deque<Message> unread_;
+  Fifo<Message> buffered_;
+  Fifo<Message> network_;
+  Fifo<Message> unread_;
   size_t buffered_bytes_ = 0;
   size_t window_bytes_ = 0;  // in network_ and unread_
   size_t writable_threshold_ = 0;
--- a/src/posthatch/simulation/sim_http_client.cc
+++ b/src/posthatch/simulation/sim_http_client.cc
@@ -69,7 +69,7 @@
 }
 
 void SimHttpClient::Shutdown() {
-  std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle;
+  absl::btree_map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle;
   idle.swap(idle_);
   std::map<uint64_t, std::weak_ptr<HttpConnection>> connections;
   connections.swap(connections_);
--- a/src/posthatch/simulation/sim_http_client.h
+++ b/src/posthatch/simulation/sim_http_client.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/btree_map.h"
 #include "posthatch/http/http.h"
 #include "posthatch/runtime/timer_service.h"
 #include "posthatch/simulation/http_connection.h"
@@ -42,7 +43,7 @@
   const uint64_t life_;
   const runtime::Clock* const clock_;
   runtime::TimerService* const timers_;
-  std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
+  absl::btree_map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
   std::map<uint64_t, std::weak_ptr<HttpConnection>> connections_;
   size_t sweep_at_ = kMinSweep;  // size of connections_ at which dead ones are dropped
 };
--- a/src/posthatch/simulation/sim_transport.h
+++ b/src/posthatch/simulation/sim_transport.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <array>
-#include <map>
 #include <memory>
 #include <string>
 
+#include "absl/container/btree_map.h"
 #include "posthatch/runtime/transport.h"
 #include "posthatch/simulation/pipe.h"
 #include "posthatch/simulation/world_core.h"
@@ -49,7 +49,7 @@
   const std::string endpoint_;
   const uint64_t incarnation_;
   std::array<Receiver, runtime::Service_ARRAYSIZE> receivers_;
-  std::map<std::string, std::shared_ptr<Pipe>> streams_;
+  absl::btree_map<std::string, std::shared_ptr<Pipe>> streams_;
   uint64_t dropped_ = 0;
 };
 
