Make the freeze test hold against contact counted from receipt

The answer it used was no newer than those already counted; now it is. Tried: with contact counted from receipt the test fails.

--- a/src/posthatch/consensus/raft_core-test.cc
+++ b/src/posthatch/consensus/raft_core-test.cc
@@ -91,6 +91,7 @@
   CoreHarness cluster(3);
   const uint64_t leader = cluster.RunUntilLeader();
   const auto [a, b] = CoreHarness::Others(leader);
+  cluster.JumpClock(milliseconds(50));  // a heartbeat later than all that was answered so far
   const int64_t sent_at_ns = runtime::ToNanoseconds(cluster.now());
   cluster.JumpClock(seconds(20));
   for (uint64_t id : {a, b}) {
