--- a/src/posthatch/standins/answer_reader-test.cc
+++ b/src/posthatch/standins/answer_reader-test.cc
@@ -17,12 +17,12 @@
          "\"}]}\n\n";
 }
 
-const std::string kEnd = "data: [DONE]\n\n";
+constexpr char kEnd[] = "data: [DONE]\n\n";
 
 AnswerFindings Read(const std::string& stream, size_t chunk, uint32_t expected = 3) {
   StreamReader reader("n", expected);
   for (size_t start = 0; start < stream.size(); start += chunk) {
-    reader.Take(std::string_view(stream).substr(start, chunk));
+    reader.Take(std::string_view{stream}.substr(start, chunk));
   }
   reader.End();
   return reader.findings();
@@ -74,8 +74,10 @@
         BrokenStream{"PieceAfterEnd", Piece(0) + kEnd + Piece(1), "event after [DONE]"},
         BrokenStream{"TextChanged", Replaced(Piece(0), "r.0", "r.9") + kEnd,
                      "text is not what the run said"},
-        BrokenStream{"NotJson", "data: {\n\n" + kEnd, "event that is not a JSON object"},
-        BrokenStream{"StrayLine", "hello\n\n" + kEnd, "line that is neither data nor event"}),
+        BrokenStream{"NotJson", std::string("data: {\n\n") + kEnd,
+                     "event that is not a JSON object"},
+        BrokenStream{"StrayLine", std::string("hello\n\n") + kEnd,
+                     "line that is neither data nor event"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(StreamReaderTest, ErrorEventEndsTheStreamWithItsCode) {
