--- a/src/posthatch/consensus/raft_core-test.cc
+++ b/src/posthatch/consensus/raft_core-test.cc
@@ -424,6 +424,25 @@
   EXPECT_EQ(ready.reset->index(), source.applied_index());
 }
 
+TEST(RaftCoreTest, CompactionKeepsTheEndOfTheLogWithinBothLimits) {
+  CoreHarness cluster(3);
+  const uint64_t leader = cluster.RunUntilLeader();
+  RaftCore& core = cluster.core(leader);
+  const auto append_and_compact = [&](size_t bytes) {
+    for (int i = 0; i < 10; ++i) {
+      ASSERT_TRUE(core.Propose(std::string(bytes, 'x'), cluster.now()).ok());
+    }
+    cluster.Run(milliseconds(200));
+    auto snapshot = std::make_shared<storage::Snapshot>();
+    snapshot->metadata.set_index(core.applied_index());
+    core.OnSnapshotTaken(snapshot, {.entries = 5, .bytes = 3'500}, cluster.now());
+  };
+  append_and_compact(1);
+  EXPECT_EQ(core.log().last_index() - core.log().base_index(), 5U);
+  append_and_compact(1'000);
+  EXPECT_EQ(core.log().last_index() - core.log().base_index(), 3U);
+}
+
 TEST(RaftCoreTest, SnapshotKeepsEntriesThatContinueIt) {
   CoreHarness cluster(3);
   const uint64_t leader = cluster.RunUntilLeader();
--- a/src/posthatch/consensus/raft_core.h
+++ b/src/posthatch/consensus/raft_core.h
@@ -50,9 +50,9 @@
   void OnSnapshotInstalled(const std::shared_ptr<const storage::Snapshot>& snapshot,
                            runtime::MonotonicTime now);
   // A snapshot of the state machine at applied_index() or before is durable. Forgets entries before
-  // it, but for the last `keep_entries`.
+  // it, but for the last ones.
   void OnSnapshotTaken(const std::shared_ptr<const storage::Snapshot>& snapshot,
-                       uint64_t keep_entries, runtime::MonotonicTime now);
+                       const LogTail& keep, runtime::MonotonicTime now);
   void SetSyncP95(uint64_t microseconds) { sync_p95_us_ = microseconds; }
 
   // ------------------------------------------------------------------ output
@@ -162,6 +162,8 @@
   void TakeReads(Ready* ready, runtime::MonotonicTime now);
 
   // raft_snapshot.cc
+  uint64_t CompactionIndex(uint64_t snapshot_index, const LogTail& keep,
+                           runtime::MonotonicTime now) const;
   void StartSnapshot(uint64_t to, Progress* progress, runtime::MonotonicTime now);
   void SendChunk(uint64_t to, Progress* progress, runtime::MonotonicTime now);
   void HandleSnapshotChunk(const RaftMessage& message, runtime::MonotonicTime now);
--- a/src/posthatch/consensus/raft_replica.cc
+++ b/src/posthatch/consensus/raft_replica.cc
@@ -338,7 +338,7 @@
   if (!active_) return;
   if (status.ok()) {
     if (snapshots_total_ != nullptr) snapshots_total_->Increment();
-    core_->OnSnapshotTaken(snapshot, options_.keep_entries, Now());
+    core_->OnSnapshotTaken(snapshot, {options_.keep_entries, options_.keep_bytes}, Now());
     log_writer_->RemovePrefix(core_->log().base_index());
   } else {
     // The log goes on growing; it is tried again.
--- a/src/posthatch/consensus/raft_replica.h
+++ b/src/posthatch/consensus/raft_replica.h
@@ -37,7 +37,9 @@
   // it are kept for followers that lag.
   uint64_t snapshot_every_entries = 10'000;
   uint64_t snapshot_every_bytes = 32u << 20;
+  // Entries before it that are kept for followers that lag, as far back as both allow.
   uint64_t keep_entries = 2'000;
+  uint64_t keep_bytes = 8u << 20;
   // A leader whose disk syncs have a 95th percentile above this for `slow_sync_patience` hands over
   // to a follower whose disk is at least twice as fast.
   runtime::Duration slow_sync_threshold = std::chrono::milliseconds(250);
--- a/src/posthatch/consensus/raft_snapshot.cc
+++ b/src/posthatch/consensus/raft_snapshot.cc
@@ -19,13 +19,17 @@
 
 }  // namespace
 
-void RaftCore::OnSnapshotTaken(const std::shared_ptr<const storage::Snapshot>& snapshot,
-                               uint64_t keep_entries, MonotonicTime now) {
-  if (snapshot_ != nullptr && snapshot->metadata.index() <= snapshot_->metadata.index()) return;
-  snapshot_ = snapshot;
-  const uint64_t index = snapshot->metadata.index();
-  uint64_t compact_to = std::min(index, durable_index_);
-  compact_to = compact_to > keep_entries ? compact_to - keep_entries : 0;
+// Up to where the log may be forgotten once there is a snapshot at `snapshot_index`.
+uint64_t RaftCore::CompactionIndex(uint64_t snapshot_index, const LogTail& keep,
+                                   MonotonicTime now) const {
+  const uint64_t end = std::min(snapshot_index, durable_index_);
+  uint64_t compact_to = end;
+  uint64_t bytes = 0;
+  while (compact_to > log_.base_index() && end - compact_to < keep.entries) {
+    bytes += log_.Entry(compact_to).data().size();
+    if (bytes > keep.bytes) break;
+    --compact_to;
+  }
   // A live follower that is being sent an older snapshot will need the entries behind that one.
   for (const auto& [id, progress] : progress_) {
     const bool alive = now - progress.last_heard < options_.election_timeout_max;
@@ -33,6 +37,15 @@
       compact_to = std::min(compact_to, progress.snapshot->metadata.index());
     }
   }
+  return compact_to;
+}
+
+void RaftCore::OnSnapshotTaken(const std::shared_ptr<const storage::Snapshot>& snapshot,
+                               const LogTail& keep, MonotonicTime now) {
+  if (snapshot_ != nullptr && snapshot->metadata.index() <= snapshot_->metadata.index()) return;
+  snapshot_ = snapshot;
+  const uint64_t index = snapshot->metadata.index();
+  const uint64_t compact_to = CompactionIndex(index, keep, now);
   if (compact_to > log_.base_index()) log_.CompactTo(compact_to);
   while (configurations_.size() > 1 && configurations_[1].first <= index) {
     configurations_.erase(configurations_.begin());
--- a/src/posthatch/consensus/raft_types.h
+++ b/src/posthatch/consensus/raft_types.h
@@ -39,6 +39,12 @@
   uint64_t max_promotion_lag = 256;
 };
 
+// How much of the log before a snapshot is kept for followers that lag: as far back as both allow.
+struct LogTail {
+  uint64_t entries = 2'000;
+  uint64_t bytes = 8u << 20;
+};
+
 // What a replica starts with.
 struct RecoveredState {
   storage::HardState hard_state;
