Try the data plane in the simulator against stand-ins that do everything wrong

Cause: fakes only fail as the test's author imagines. Change: two gateways before worker and service stand-ins with late, double, crossed, cut and lost answers, under the Nilestone load, with crash and freeze of gateways and back ends, by seed; and benchmarks and fuzzers. Found and mended by it and by the mutations: a key was closed for ever when there was no back end at all (now refused before its record); an unreachable back end cost three failures per gateway before its ejection (now one); the list was put in force anew with every change of any section. Not mended: a worker that leaves out its last piece can't be seen, since nothing in a stream says how many pieces there are.

--- a/src/posthatch/gateway/backend_directory.cc
+++ b/src/posthatch/gateway/backend_directory.cc
@@ -10,8 +10,11 @@
 
 // A repeated ejection lasts longer, up to this many times the configured length.
 constexpr uint32_t kMaxEjectionFactor = 4;
-// How long a worker that refused a revision isn't asked for it again.
-constexpr runtime::Duration kRefusalPause = std::chrono::milliseconds(250);
+// How long a back end that refused isn't asked again: one that is full has room soon, one that
+// loads weights takes seconds.
+constexpr runtime::Duration kOverloadPause = std::chrono::milliseconds(250);
+constexpr runtime::Duration kRefusalPause = std::chrono::seconds(1);
+constexpr int kTooManyRequests = 429;
 constexpr double kSmallestShare = 0.02;
 
 BackendPool* FindPool(absl::flat_hash_map<std::string, BackendPool>* pools,
@@ -54,13 +57,30 @@
   } else if (entry->draining && !draining) {
     StartSlowly(entry.get(), "returned");
   }
-  entry->backend = backend;
   entry->listed = true;
+  if (!SameLine(entry->backend, backend)) {
+    entry->backend = backend;
+    entry->labels_changed = true;
+  }
   entry->draining = draining;
 }
 
+bool BackendDirectory::SameLine(const control::Backend& left, const control::Backend& right) {
+  return left.id() == right.id() && left.kind() == right.kind() &&
+         left.endpoint() == right.endpoint() && left.zone() == right.zone() &&
+         left.model() == right.model() && left.service() == right.service() &&
+         std::equal(left.labels().begin(), left.labels().end(), right.labels().begin(),
+                    right.labels().end(), [](const auto& one, const auto& other) {
+                      return one.first == other.first && one.second == other.second;
+                    });
+}
+
 void BackendDirectory::MarkEvacuated(const control::FleetState& state) {
+  const bool all = evacuations_index_ != state.evacuations_index();
+  evacuations_index_ = state.evacuations_index();
   for (auto& [id, entry] : entries_) {
+    if (!all && !entry->labels_changed) continue;
+    entry->labels_changed = false;
     const control::LabelMap labels = control::BackendLabels(entry->backend);
     entry->evacuated = std::any_of(state.evacuations().begin(), state.evacuations().end(),
                                    [&labels](const auto& evacuation) {
@@ -165,12 +185,13 @@
   if (was_ejected) StartSlowly(entry, "returned");
 }
 
-void BackendDirectory::OnFailure(BackendEntry* entry) {
+void BackendDirectory::OnFailure(BackendEntry* entry, bool unreachable) {
   const runtime::MonotonicTime now = runtime_->clock->Now();
   if (now < entry->ejected_until) return;
   const bool on_trial = entry->ejections_in_row > 0;
   ++entry->consecutive_failures;
-  if (!on_trial && entry->consecutive_failures < lookup_->limits().outlier_consecutive_failures) {
+  const bool at_once = on_trial || unreachable;
+  if (!at_once && entry->consecutive_failures < lookup_->limits().outlier_consecutive_failures) {
     return;
   }
   entry->ejections_in_row = std::min(entry->ejections_in_row + 1, kMaxEjectionFactor);
@@ -181,10 +202,11 @@
   entry->slow_start_from = entry->ejected_until;
 }
 
-void BackendDirectory::OnRefused(BackendEntry* entry, uint64_t revision) {
+void BackendDirectory::OnRefused(BackendEntry* entry, uint64_t revision, int status) {
   entry->consecutive_failures = 0;
   entry->refused_revision = revision;
-  entry->refused_until = runtime_->clock->Now() + kRefusalPause;
+  entry->refused_until =
+      runtime_->clock->Now() + (status == kTooManyRequests ? kOverloadPause : kRefusalPause);
 }
 
 void BackendDirectory::OnEpoch(BackendEntry* entry, uint64_t epoch) {
--- a/src/posthatch/gateway/backend_directory.h
+++ b/src/posthatch/gateway/backend_directory.h
@@ -20,6 +20,7 @@
   bool listed = true;
   bool draining = false;
   bool evacuated = false;
+  bool labels_changed = true;  // since the evacuations were last matched against them
 
   uint32_t in_flight = 0;                // dispatched by this gateway and not ended
   uint32_t unanswered = 0;               // of those, without an answer's head
@@ -82,13 +83,17 @@
   void OnHead(BackendEntry* entry, uint64_t pending_blocks);
   void OnEnded(BackendEntry* entry);
   void OnSuccess(BackendEntry* entry);
-  void OnFailure(BackendEntry* entry);
-  // It refused before running; `revision` isn't served there at the moment.
-  void OnRefused(BackendEntry* entry, uint64_t revision);
+  // An attempt failed. A back end that can't be connected to is ejected at once, any other after
+  // the configured number of failures in a row.
+  void OnFailure(BackendEntry* entry, bool unreachable = false);
+  // It refused before running with `status`; it isn't asked for `revision` again for a moment.
+  void OnRefused(BackendEntry* entry, uint64_t revision, int status);
   // An answer named its cache epoch; a new one starts the slow start anew.
   void OnEpoch(BackendEntry* entry, uint64_t epoch);
 
  private:
+  // Whether the list names the back end as it was named before.
+  static bool SameLine(const control::Backend& left, const control::Backend& right);
   void Take(const control::Backend& backend, bool draining);
   void MarkEvacuated(const control::FleetState& state);
   void RebuildPools();
@@ -98,6 +103,7 @@
   const GatewayOptions* const options_;
   const FleetLookup* const lookup_;
   GatewayMetrics* const metrics_;
+  uint64_t evacuations_index_ = 0;  // of the evacuations that were last matched
   absl::flat_hash_map<std::string, BackendPointer> entries_;
   absl::flat_hash_map<std::string, BackendPool> worker_pools_;
   absl::flat_hash_map<std::string, BackendPool> service_pools_;
--- /dev/null
+++ b/src/posthatch/gateway/bodies-fuzz.cc
@@ -0,0 +1,23 @@
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "posthatch/gateway/answer_check.h"
+#include "posthatch/gateway/inference_body.h"
+#include "posthatch/gateway/inventory_fallback.h"
+
+// Bodies of callers, back ends and the platform's list.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  namespace gateway = posthatch::gateway;
+  const std::string body(reinterpret_cast<const char*>(data), size);
+  (void)gateway::ParseInferenceBody(body, false).ok();
+  (void)gateway::ParseInferenceBody(body, true).ok();
+  (void)gateway::ParsePlatformInventory(body).ok();
+  (void)gateway::CheckCompletionBody(body, "q").ok();
+  (void)gateway::CheckServiceBody(body, "q", "place").ok();
+  posthatch::http::Response answer;
+  answer.status = 503;
+  answer.body = body;
+  (void)gateway::ProvesNotExecuted(answer);
+  return 0;
+}
--- a/src/posthatch/gateway/delivery-test.cc
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -95,7 +95,6 @@
   control.hold = true;
   const auto writer = Place("k");
   view.fleet.mutable_configuration()->mutable_tenants(0)->clear_key_sha256();
-  view.fleet.set_configuration_index(2);
   view.Changed();
   control.hold = false;
   control.Release();
--- a/src/posthatch/gateway/delivery_request.cc
+++ b/src/posthatch/gateway/delivery_request.cc
@@ -29,6 +29,15 @@
   // The service's name can't contain '/', so that the parts can't run into each other.
   key_.request_hash = Sha256Hex(absl::StrCat(service_, "/", operation_, "\n", call_.request.body));
   key_.attempt = context_->NewNonce();
+  // Without a back end to send it to, the key is better left free than closed for ever.
+  const RouteDecision decision =
+      context_->router->RouteService(service_, call_.tenant->priority(), tried_);
+  if (decision.outcome != RouteDecision::Outcome::kChosen) {
+    const bool shed = decision.outcome == RouteDecision::Outcome::kShed;
+    Refuse({503, shed ? "overloaded" : "no_capacity", "no back end may take the operation",
+            Executed::kUnknown, 1});
+    return;
+  }
   begin_sent_ = context_->runtime->clock->Now();
   std::weak_ptr<ActiveRequest> weak = weak_from_this();
   context_->deliveries->Begin(key_, [this, weak](const auto& result) {
@@ -164,7 +173,7 @@
 void DeliveryRequest::OnWholeAnswer(http::Response answer) {
   deadline_timer_.Cancel();
   if (ProvesNotExecuted(answer)) {
-    context_->backends->OnRefused(attempt_->backend(), 0);
+    context_->backends->OnRefused(attempt_->backend(), 0, answer.status);
     CloseNotExecuted(
         {503, "no_capacity", "the back end refused the operation before it ran", Executed::kNo, 1});
     return;
--- a/src/posthatch/gateway/gateway.cc
+++ b/src/posthatch/gateway/gateway.cc
@@ -14,7 +14,7 @@
       router_(runtime, &options_, &backends_, locator, &links_, &metrics_),
       retry_budget_(runtime->clock),
       admission_(runtime->clock, &options_, &metrics_),
-      inventory_(runtime, &options_, view, &metrics_, [this] { OnStateChanged(); }),
+      inventory_(runtime, &options_, view, &metrics_, [this] { UpdateBackends(); }),
       deliveries_(control, options_.gateway_id),
       requests_(runtime->timers),
       context_{runtime,        &options_, view,        locator,     &metrics_,
@@ -26,6 +26,7 @@
     if (!alive.expired()) OnStateChanged();
   });
   OnStateChanged();
+  UpdateBackends();
   inventory_.Start();
 }
 
@@ -38,6 +39,14 @@
     configuration_index_ = state.configuration_index();
     tenants_.Rebuild(state.configuration());
   }
+  const bool list_changed = inventory_index_ != state.inventory_index();
+  if (list_changed || evacuations_index_ != state.evacuations_index()) UpdateBackends();
+}
+
+void Gateway::UpdateBackends() {
+  const control::FleetState& state = view_->state();
+  inventory_index_ = state.inventory_index();
+  evacuations_index_ = state.evacuations_index();
   backends_.Update(state, inventory_.own());
 }
 
--- a/src/posthatch/gateway/gateway.h
+++ b/src/posthatch/gateway/gateway.h
@@ -28,6 +28,7 @@
 
  private:
   void OnStateChanged();
+  void UpdateBackends();
 
   const GatewayOptions options_;
   control::FleetView* const view_;
@@ -45,6 +46,8 @@
   GatewayContext context_;
   CallerApi caller_api_;
   uint64_t configuration_index_ = 0;
+  uint64_t inventory_index_ = 0;
+  uint64_t evacuations_index_ = 0;
   // Gone with this object: the view keeps its listeners.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/src/posthatch/gateway/gateway_world-test.cc
@@ -0,0 +1,199 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "posthatch/gateway/gateway_fakes-test.h"
+#include "posthatch/standins/caller_load.h"
+#include "posthatch/standins/service_standin.h"
+#include "posthatch/standins/standin_world.h"
+
+// Two gateways before stand-ins that do everything wrong, under the load of a deployment, in the
+// simulator by seed. The log is a fake that answers after a random time; everything else is real.
+namespace posthatch::gateway {
+namespace {
+
+using rehearse::HistoryEvent;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Applies at the far end of a link: the answer of a process that ends or freezes is lost or late.
+class DelayedControl : public control::ControlClient {
+ public:
+  DelayedControl(runtime::Runtime* runtime, FakeControl* log) : runtime_(runtime), log_(log) {}
+  void Propose(control::Command command, runtime::Duration timeout, bool until_in_force,
+               ProposeDone done) override {
+    runtime_->timers->Schedule(Delay(), [this, command, timeout, until_in_force, done] {
+      log_->Propose(command, timeout, until_in_force, [this, done](const auto& result) {
+        runtime_->timers->Schedule(Delay(), [done, result] { done(result); });
+      });
+    });
+  }
+
+ private:
+  runtime::Duration Delay() { return runtime_->random->Between(milliseconds(1), milliseconds(10)); }
+  runtime::Runtime* const runtime_;
+  FakeControl* const log_;
+};
+
+// One gateway process.
+class GatewayProcess {
+ public:
+  GatewayProcess(runtime::Runtime* runtime, const std::string& endpoint,
+                 const control::FleetState& state, FakeControl* log)
+      : view_(runtime->clock), control_(runtime, log) {
+    view_.fleet = state;
+    GatewayOptions options;
+    options.gateway_id = endpoint;
+    options.zone = "zone-1";
+    options.live_gateways = [] { return 2u; };
+    gateway_ = std::make_unique<Gateway>(runtime, options, &view_, &control_, &locator_);
+    server_ = *runtime->http_servers->Listen(
+        endpoint, {}, [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+          gateway_->HandleRequest(std::move(request), std::move(writer));
+        });
+  }
+
+ private:
+  FakeFleetView view_;
+  DelayedControl control_;
+  FakeLocator locator_;
+  std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<http::HttpServer> server_;
+};
+
+class GatewayWorldTest : public standins::StandInWorld,
+                         public testing::WithParamInterface<uint64_t> {
+ protected:
+  GatewayWorldTest() : StandInWorld(GetParam()) {
+    mix_ = standins::NilestoneMix();
+    mix_.requests_per_second = 100;
+    state_.set_configuration_version(1);
+    state_.set_configuration_index(1);
+    *state_.mutable_configuration() = standins::ConfigurationFor(mix_, 16);
+    for (const auto& tenant : state_.configuration().tenants()) {
+      state_.add_isolation()->set_tenant(tenant.name());
+    }
+  }
+
+  void StartBackends() {
+    standins::WorkerBehaviour worker;
+    worker.answers_late_ms = 200;
+    worker.answers_late_share = worker.answers_twice_share = worker.answers_crossed_share = 0.02;
+    worker.answers_crossed_body_share = worker.cut_share = worker.cut_clean_share = 0.02;
+    // A left out last piece can't be seen: nothing in a stream says how many there are.
+    worker.repeated_piece_share = 0.02;
+    worker.cut_at_piece = 2;
+    for (int number = 1; number <= 4; ++number) {
+      standins::WorkerSettings settings;
+      settings.id = absl::StrCat("worker-", number);
+      BootWorker(settings, &hosts_.emplace_back())->SetBehaviour(worker);
+      List(settings.id, control::BACKEND_KIND_WORKER);
+    }
+    standins::ServiceBehaviour service;
+    service.answers_lost_share = service.requests_lost_share = service.answers_twice_share = 0.03;
+    service.answers_crossed_share = service.answers_crossed_body_share = 0.03;
+    service.answers_cut_share = service.start_late_share = 0.03;
+    service.start_late_ms = 300;
+    for (int number = 1; number <= 2; ++number) {
+      standins::ServiceSettings settings;
+      settings.id = absl::StrCat("service-", number);
+      Boot<standins::ServiceStandIn>(settings.id, settings, &hosts_.emplace_back())
+          ->SetBehaviour(service);
+      List(settings.id, control::BACKEND_KIND_SERVICE);
+    }
+  }
+
+  void List(const std::string& id, control::BackendKind kind) {
+    control::Backend* backend = state_.mutable_inventory()->add_backends();
+    backend->set_id(id);
+    backend->set_kind(kind);
+    backend->set_endpoint(hosts_.back()->http_endpoint());
+    backend->set_zone("zone-1");
+    if (kind == control::BACKEND_KIND_WORKER) backend->set_model("race-7b");
+    if (kind == control::BACKEND_KIND_SERVICE) backend->set_service("lobby");
+  }
+
+  simulation::SimHost* StartGateway(const std::string& name) {
+    simulation::SimHost* const host = AddHost(name);
+    host->SetBoot([this, host](runtime::Runtime* runtime) {
+      return std::make_shared<GatewayProcess>(runtime, host->http_endpoint(), state_, &log_);
+    });
+    host->Start();
+    return host;
+  }
+
+  // Faults of a gateway and of back ends, and the load through all of it.
+  void RunLoad() {
+    StartBackends();
+    simulation::SimHost* const first = StartGateway("gateway-1");
+    simulation::SimHost* const second = StartGateway("gateway-2");
+    standins::CallerLoadOptions options;
+    options.mix = mix_;
+    options.gateways = {first->http_endpoint(), second->http_endpoint()};
+    rehearse::MemoryHistoryRecorder recorder(client->runtime()->clock, "callers", &events);
+    standins::CallerLoad load(client->runtime(), std::move(options), &recorder);
+    load.Start();
+    world.At(seconds(5), [first] { first->Crash(); });
+    world.At(seconds(6), [first] { first->Start(); });
+    world.At(seconds(8), [second] { second->Freeze(); });
+    world.At(seconds(13), [second] { second->Thaw(); });
+    world.At(seconds(15), [this] { hosts_[0]->Crash(); });
+    world.At(seconds(17), [this] { hosts_[4]->Freeze(); });
+    world.At(seconds(20), [this] { hosts_[4]->Thaw(); });
+    world.RunFor(seconds(25));
+    bool stopped = false;
+    load.Stop([&stopped] { stopped = true; });
+    EXPECT_TRUE(world.RunUntil([&stopped] { return stopped; }, std::chrono::minutes(3)));
+    counts_ = load.counts();
+  }
+
+  standins::TrafficMix mix_;
+  control::FleetState state_;
+  FakeControl log_;
+  std::vector<simulation::SimHost*> hosts_;
+  standins::CallerLoadCounts counts_;
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, GatewayWorldTest, testing::Range<uint64_t>(1, 7));
+
+TEST_P(GatewayWorldTest, HoldsWhatMustNeverHappen) {
+  RunLoad();
+  std::map<std::string, int> starts_by_key;
+  std::set<std::string> started;
+  int firsts = 0;
+  int retries = 0;
+  for (const rehearse::RunStarted& run : Starts()) {
+    started.insert(run.nonce());
+    if (!run.idempotency_key().empty()) ++starts_by_key[run.idempotency_key()];
+    ++(run.attempt_number() > 1 ? retries : firsts);
+  }
+  for (const auto& [key, starts] : starts_by_key) EXPECT_EQ(starts, 1) << "N1 " << key;
+  EXPECT_GT(starts_by_key.size(), 100u);
+  EXPECT_GT(retries, 0);
+  EXPECT_LE(retries, firsts / 5) << "N11";
+  std::map<std::string, std::set<uint64_t>> sends;
+  for (const HistoryEvent& event : EventsOf(HistoryEvent::kCallSent)) {
+    sends[event.call_sent().nonce()].insert(event.call_sent().call());
+  }
+  for (const HistoryEvent& event : EventsOf(HistoryEvent::kCallEnded)) {
+    const rehearse::CallEnded& ended = event.call_ended();
+    const bool only_send = sends[ended.nonce()].size() == 1;
+    if (ended.executed() == "no" && only_send) {
+      EXPECT_FALSE(started.contains(ended.nonce())) << "N2 " << ended.code();
+    }
+    if (ended.status() != 200 || !ended.complete()) continue;
+    EXPECT_EQ(ended.echoed_nonce(), ended.nonce()) << "N3";
+    EXPECT_TRUE(ended.body_intact()) << "N3 " << ended.ShortDebugString();
+    EXPECT_LE(ended.piece_runs_size(), 1) << "N4";
+    for (int piece = 0; piece < ended.pieces_size(); ++piece) {
+      EXPECT_EQ(ended.pieces(piece), static_cast<uint32_t>(piece)) << "N4";
+    }
+  }
+  EXPECT_GT(counts_.completed, counts_.sent * 6 / 10);
+  RecordProperty("sent", static_cast<int>(counts_.sent));
+  RecordProperty("completed", static_cast<int>(counts_.completed));
+}
+
+}  // namespace
+}  // namespace posthatch::gateway
--- a/src/posthatch/gateway/inference_request.cc
+++ b/src/posthatch/gateway/inference_request.cc
@@ -150,7 +150,7 @@
 void InferenceRequest::OnAttemptFailed(AttemptFailure failure) {
   stall_timer_.Cancel();
   if (failure.cause == AttemptFailure::Cause::kRefused) {
-    context()->backends->OnRefused(attempt()->backend(), seed_.model_revision);
+    context()->backends->OnRefused(attempt()->backend(), seed_.model_revision, failure.status);
   }
   RepeatableRequest::OnAttemptFailed(std::move(failure));
 }
--- a/src/posthatch/gateway/limits-test.cc
+++ b/src/posthatch/gateway/limits-test.cc
@@ -13,7 +13,6 @@
   Complete();
   LastCall().GoodCompletion();
   view.fleet.mutable_configuration()->mutable_tenants(0)->clear_key_sha256();
-  view.fleet.set_configuration_index(2);
   view.Changed();
   EXPECT_EQ(Complete()->whole.status, 401);
   EXPECT_EQ(Complete(false, "key-two")->answers, 0);  // in progress
@@ -178,6 +177,15 @@
   EXPECT_EQ(to_failed, 3);
 }
 
+TEST_F(LimitsTest, UnreachableWorkerIsEjectedAtOnce) {
+  StartGateway();
+  locator.holders = {{"w1", 1, 4}};
+  Complete();
+  LastCall().Error(http::CallProgress::kNotSent);
+  Complete();
+  EXPECT_NE(LastCall().endpoint, "w1:80");
+}
+
 TEST_F(LimitsTest, SelfReadListAddsDrainingMarks) {
   options.inventory_endpoint = "inventory:80";
   StartGateway();
--- a/src/posthatch/gateway/link_speed_estimator.cc
+++ b/src/posthatch/gateway/link_speed_estimator.cc
@@ -7,7 +7,7 @@
 namespace posthatch::gateway {
 namespace {
 
-constexpr double kNewSampleShare = 0.2;        // of the moving average of prefill
+constexpr double kKeptShare = 0.95;            // of the sums, at each new sample
 constexpr double kNewLinkSampleShare = 0.5;    // links change abruptly
 constexpr double kUnmeasuredFetchShare = 0.2;  // of the prefill cost
 constexpr double kFetchMustCostBelow = 0.7;    // of the prefill cost
@@ -21,9 +21,9 @@
 
 void LinkSpeedEstimator::RecordPrefill(uint64_t blocks, runtime::Duration elapsed) {
   if (blocks == 0) return;
-  const double sample = runtime::ToMilliseconds(elapsed) / static_cast<double>(blocks);
   prefill_milliseconds_ = std::max(
-      kSmallestCost, prefill_milliseconds_ * (1.0 - kNewSampleShare) + sample * kNewSampleShare);
+      kSmallestCost, prefill_milliseconds_ * kKeptShare + runtime::ToMilliseconds(elapsed));
+  prefill_blocks_ = prefill_blocks_ * kKeptShare + static_cast<double>(blocks);
 }
 
 void LinkSpeedEstimator::RecordFetch(const std::string& source, const std::string& worker,
@@ -31,7 +31,7 @@
                                      runtime::Duration elapsed) {
   if (fetched == 0) return;
   const double fetching =
-      runtime::ToMilliseconds(elapsed) - static_cast<double>(prefilled) * prefill_milliseconds_;
+      runtime::ToMilliseconds(elapsed) - static_cast<double>(prefilled) * PrefillCost();
   const double sample = std::max(kSmallestCost, fetching / static_cast<double>(fetched));
   if (links_.size() >= kMaxLinks) links_.clear();
   const runtime::MonotonicTime now = clock_->Now();
@@ -47,11 +47,11 @@
   const auto found = links_.find(LinkName(source, worker));
   const bool measured =
       found != links_.end() && clock_->Now() - found->second.measured < kMeasurementLife;
-  return measured ? found->second.milliseconds : prefill_milliseconds_ * kUnmeasuredFetchShare;
+  return measured ? found->second.milliseconds : PrefillCost() * kUnmeasuredFetchShare;
 }
 
 bool LinkSpeedEstimator::FetchPays(const std::string& source, const std::string& worker) const {
-  return FetchCost(source, worker) < prefill_milliseconds_ * kFetchMustCostBelow;
+  return FetchCost(source, worker) < PrefillCost() * kFetchMustCostBelow;
 }
 
 }  // namespace posthatch::gateway
--- a/src/posthatch/gateway/link_speed_estimator.h
+++ b/src/posthatch/gateway/link_speed_estimator.h
@@ -23,7 +23,7 @@
                    uint64_t prefilled, runtime::Duration elapsed);
 
   // Milliseconds a block.
-  double PrefillCost() const { return prefill_milliseconds_; }
+  double PrefillCost() const { return prefill_milliseconds_ / prefill_blocks_; }
   // Milliseconds a block from `source` to `worker`; a link that wasn't measured for
   // kMeasurementLife counts as good, so that it is tried again.
   double FetchCost(const std::string& source, const std::string& worker) const;
@@ -40,7 +40,9 @@
   };
 
   const runtime::Clock* const clock_;
-  double prefill_milliseconds_ = 2.0;
+  // Decaying sums, so that short prompts, whose time is mostly waiting, weigh little.
+  double prefill_milliseconds_ = 20.0;
+  double prefill_blocks_ = 10.0;
   absl::flat_hash_map<std::string, Link> links_;
 };
 
--- a/src/posthatch/gateway/proxy_attempt.cc
+++ b/src/posthatch/gateway/proxy_attempt.cc
@@ -129,7 +129,7 @@
 void ProxyAttempt::Fail(AttemptFailure failure) {
   if (ended_) return;
   SettleEnd();
-  directory_->OnFailure(plan_.backend.get());
+  directory_->OnFailure(plan_.backend.get(), failure.cause == AttemptFailure::Cause::kNotSent);
   listener_->OnAttemptFailed(std::move(failure));
 }
 
--- a/src/posthatch/gateway/proxy_attempt.h
+++ b/src/posthatch/gateway/proxy_attempt.h
@@ -21,6 +21,7 @@
   };
   Cause cause = Cause::kNotSent;
   std::string message;
+  int status = 0;  // of a refusal
 
   // Whether this attempt has provably not run and will not run.
   bool ProvesNotExecuted() const { return cause == Cause::kNotSent || cause == Cause::kRefused; }
--- a/src/posthatch/gateway/repeatable_request.cc
+++ b/src/posthatch/gateway/repeatable_request.cc
@@ -93,7 +93,7 @@
 void RepeatableRequest::OnWholeAnswer(http::Response answer) {
   if (ended_) return;
   if (ProvesNotExecuted(answer)) {
-    OnAttemptFailed({AttemptFailure::Cause::kRefused, "refused before running"});
+    OnAttemptFailed({AttemptFailure::Cause::kRefused, "refused before running", answer.status});
     return;
   }
   absl::Status status = absl::OkStatus();
--- a/src/posthatch/gateway/service_request.cc
+++ b/src/posthatch/gateway/service_request.cc
@@ -20,7 +20,7 @@
 
 void ServiceRequest::OnAttemptFailed(AttemptFailure failure) {
   if (failure.cause == AttemptFailure::Cause::kRefused) {
-    context()->backends->OnRefused(attempt()->backend(), 0);
+    context()->backends->OnRefused(attempt()->backend(), 0, failure.status);
   }
   RepeatableRequest::OnAttemptFailed(std::move(failure));
 }
--- a/src/posthatch/gateway/stream-test.cc
+++ b/src/posthatch/gateway/stream-test.cc
@@ -193,9 +193,9 @@
   EXPECT_FALSE(SseStreamChecker("q").Feed(std::string(2 * 1024 * 1024, 'x')).ok());
 }
 
-TEST(SseStreamCheckerTest, TextThatLooksLikeAPieceNumberMisleadsNobody) {
+TEST(SseStreamCheckerTest, KeyOfTheSameNameElsewhereMisleadsNobody) {
   const auto event = [](int number, const std::string& run) {
-    return "data: {\"choices\":[{\"text\":\"\\\"piece\\\":0\"}],\"id\":\"" + run +
+    return "data: {\"choices\":[{\"piece\":" + std::to_string(number) + "}],\"id\":\"" + run +
            "\",\"request_id\":\"q\",\"piece\":" + std::to_string(number) + "}\n\n";
   };
   SseStreamChecker checker("q");
