--- a/src/posthatch/asio/asio_transport.cc
+++ b/src/posthatch/asio/asio_transport.cc
@@ -10,6 +10,7 @@
 #include "posthatch/asio/envelope_codec.h"
 #include "posthatch/asio/tcp_listener.h"
 #include "posthatch/asio/transport_peer.h"
+#include "posthatch/util/string_view.h"
 
 namespace posthatch::asio {
 namespace {
@@ -23,13 +24,15 @@
 constexpr size_t kMaxDatagramReceiveBytes = 64 * 1024;
 // Datagrams read in one turn, so that a flood doesn't starve the rest.
 constexpr int kMaxDatagramsPerTurn = 64;
+// A flood of garbage must not fill the log; each is counted.
+constexpr runtime::Duration kMalformedEventInterval = std::chrono::seconds(1);
 // Attempts to find a port that is free for both TCP and UDP.
 constexpr int kBindAttempts = 16;
 
 class AsioTransport;
 
 // A connection made by a peer: frames come in, nothing goes out. Owned by the transport.
-class InboundConnection : public TcpStream::Owner {
+class InboundConnection final : public TcpStream::Owner {
  public:
   InboundConnection(AsioTransport* transport, IoEnvironment* environment, TcpSocket socket,
                     std::string remote_endpoint, size_t max_message_bytes)
@@ -132,12 +135,13 @@
   absl::flat_hash_map<std::string, std::unique_ptr<TransportPeer>> peers_;
   absl::flat_hash_map<InboundConnection*, std::unique_ptr<InboundConnection>> inbound_;
   uint64_t fault_subscription_ = 0;
+  runtime::MonotonicTime next_malformed_event_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 void InboundConnection::OnBytes(std::string_view bytes) {
   transport_->CountReceived(bytes.size());
-  const absl::Status status =
+  absl::Status status =
       decoder_.Feed(bytes, [this](const Envelope& envelope) { return Receive(envelope); });
   if (status.ok()) return;
   transport_->Malformed(stream_->remote_endpoint(), status);
@@ -181,7 +185,7 @@
 }
 
 absl::Status AsioTransport::Bind(const TcpEndpoint& wanted) {
-  const absl::Status status =
+  absl::Status status =
       listener_.Listen(wanted, [this](TcpSocket socket, std::string remote_endpoint) {
         Accept(std::move(socket), std::move(remote_endpoint));
       });
@@ -300,7 +304,7 @@
 void AsioTransport::ReceiveDatagram(std::string_view bytes, const std::string& remote_endpoint) {
   CountReceived(bytes.size());
   Envelope envelope;
-  const absl::Status status = ParseEnvelope(bytes, &envelope);
+  absl::Status status = ParseEnvelope(bytes, &envelope);
   if (!status.ok()) return Malformed(remote_endpoint, status);
   const FaultInjection* faults = environment_->faults;
   if (faults != nullptr && faults->DropsFrom(envelope.from_endpoint())) return;
@@ -310,8 +314,11 @@
 
 void AsioTransport::Malformed(const std::string& remote_endpoint, const absl::Status& status) {
   metrics_.malformed.Increment();
+  const runtime::MonotonicTime now = BootNow();
+  if (now < next_malformed_event_) return;
+  next_malformed_event_ = now + kMalformedEventInterval;
   trace_->Event(Severity::kWarning, "TransportMalformed",
-                {{"remote", remote_endpoint}, {"error", std::string(status.message())}});
+                {{"remote", remote_endpoint}, {"error", util::ToStd(status.message())}});
 }
 
 void AsioTransport::Dispatch(const Envelope& envelope) {
@@ -345,7 +352,7 @@
     runtime::Random* random, runtime::TraceSink* trace, prometheus::Registry* metrics) {
   auto transport =
       std::make_unique<AsioTransport>(environment, identity, limits, random, trace, metrics);
-  const absl::Status status = transport->Listen();
+  absl::Status status = transport->Listen();
   if (!status.ok()) return status;
   return transport;
 }
