--- a/src/posthatch/gateway/worker_router.h
+++ b/src/posthatch/gateway/worker_router.h
@@ -80,6 +80,11 @@
   const index::PrefixHolder* BestSource(const std::vector<index::PrefixHolder>& holders,
                                         const Candidate& candidate) const;
   double RelativeLoad(const BackendEntry& entry) const;
+  // Whether one more request of this priority may go there.
+  bool HasRoom(const BackendEntry& entry, uint32_t priority) const;
+  // Holders of the longest prefixes that may be chosen.
+  std::vector<Candidate> HolderCandidates(const RouteQuery& query,
+                                          const std::vector<index::PrefixHolder>& holders) const;
   void Finish(BackendPointer chosen, uint32_t priority, const std::string& reason,
               RouteDecision* decision);
 
