--- /dev/null
+++ b/src/posthatch/index/trusted_prefix_locator-test.cc
@@ -0,0 +1,133 @@
+#include "posthatch/index/trusted_prefix_locator.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "posthatch/channels/channel_names.h"
+
+namespace posthatch::index {
+namespace {
+
+using channels::MakeVersion;
+using channels::ObjectVersion;
+
+class FakeTrust : public channels::ObjectTrust {
+ public:
+  bool IsFresh(const std::string& object, const ObjectVersion& version) const override {
+    ObjectVersion newest;
+    return CurrentVersion(object, &newest) && channels::CompareVersions(newest, version) == 0;
+  }
+  bool CurrentVersion(const std::string& object, ObjectVersion* version) const override {
+    const auto found = versions.find(object);
+    if (silent || found == versions.end()) return false;
+    *version = found->second;
+    return true;
+  }
+  std::map<std::string, ObjectVersion> versions;
+  bool silent = false;
+};
+
+class TrustedPrefixLocatorTest : public testing::Test {
+ protected:
+  TrustedPrefixLocatorTest() {
+    trust_.versions["worker/w"] = MakeVersion(100, 2);
+    trust_.versions["model/m"] = MakeVersion(3, 0);
+    trust_.versions["tenant/"] = MakeVersion(8, 0);
+    trust_.versions["tenant/t"] = MakeVersion(9, 0);
+    locator_.RecordDispatch(shared_, chain_, "w", 100);
+  }
+  size_t Found(const BlockSeed& seed) { return locator_.Locate(seed, chain_).size(); }
+
+  FakeTrust trust_;
+  bool may_decide_ = true;
+  TrustedPrefixLocator locator_{{1 << 20, [this] { return may_decide_; }}, &trust_};
+  const BlockSeed shared_{"m", 3, "", 8};
+  const std::vector<BlockHash> chain_ = {11, 12, 13};
+};
+
+TEST_F(TrustedPrefixLocatorTest, FindsWhatWasDispatched) {
+  const auto holders = locator_.Locate(shared_, {11, 12, 99});
+  ASSERT_EQ(holders.size(), 1u);
+  EXPECT_EQ(holders[0].backend_id, "w");
+  EXPECT_EQ(holders[0].epoch, 100u);
+  EXPECT_EQ(holders[0].blocks, 2u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, EntriesAreKeptButNotTrustedWhileTheChannelIsSilent) {
+  trust_.silent = true;
+  EXPECT_EQ(Found(shared_), 0u);
+  trust_.silent = false;
+  EXPECT_EQ(Found(shared_), 1u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, LossWithinTheEpochUntrusts) {
+  trust_.versions["worker/w"] = MakeVersion(100, 3);
+  EXPECT_EQ(Found(shared_), 0u);
+  locator_.ObjectChanged("worker/w");
+  EXPECT_EQ(locator_.index_stats().blocks, 0u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, ColdReturnUntrusts) {
+  trust_.versions["worker/w"] = MakeVersion(101, 0);
+  EXPECT_EQ(Found(shared_), 0u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, NewRevisionUntrusts) {
+  trust_.versions["model/m"] = MakeVersion(4, 0);
+  EXPECT_EQ(Found(shared_), 0u);
+  locator_.ObjectChanged("model/m");
+  EXPECT_EQ(locator_.index_stats().blocks, 0u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, NewIsolationGenerationUntrusts) {
+  trust_.versions["tenant/"] = MakeVersion(20, 0);
+  EXPECT_EQ(Found(shared_), 0u);
+}
+
+// The hash alone keeps seeds apart already; this is the fence behind it.
+TEST_F(TrustedPrefixLocatorTest, AnotherSeedNeverMatchesEvenWithEqualHashes) {
+  EXPECT_EQ(Found({"m", 3, "t", 9}), 0u);
+  EXPECT_EQ(Found({"m", 3, "", 7}), 0u);
+  EXPECT_EQ(Found({"m", 2, "", 8}), 0u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, WithoutALeaseNothingIsFound) {
+  may_decide_ = false;
+  EXPECT_EQ(Found(shared_), 0u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, RecordsOnlyWithTheVersionsOfTheDispatch) {
+  const std::vector<BlockHash> other = {21, 22};
+  std::map<std::string, uint64_t> reported;
+  locator_.SetEpochObserver([&reported](HolderKind, const std::string& holder, uint64_t epoch) {
+    reported[holder] = epoch;
+  });
+  locator_.RecordDispatch(shared_, other, "w", 99);  // late, of an earlier life
+  EXPECT_TRUE(reported.empty());
+  locator_.RecordDispatch(shared_, other, "w", 101);  // newer than what is known
+  EXPECT_EQ(reported["w"], 101u);
+  locator_.RecordDispatch({"m", 2, "", 8}, other, "w", 100);
+  locator_.RecordDispatch({"m", 3, "t", 8}, other, "w", 100);
+  locator_.RecordDispatch(shared_, other, "unknown", 100);
+  trust_.silent = true;
+  locator_.RecordDispatch(shared_, other, "w", 100);
+  trust_.silent = false;
+  EXPECT_EQ(locator_.index_stats().blocks, 3u);
+  EXPECT_EQ(locator_.stats().dispatches_not_recorded, 6u);
+}
+
+TEST_F(TrustedPrefixLocatorTest, RemovalAndDropOfOneHolder) {
+  trust_.versions["worker/v"] = MakeVersion(7, 0);
+  locator_.RecordDispatch(shared_, chain_, "v", 7);
+  locator_.Remove(HolderKind::kWorker, "w", {{12, 13}});
+  const auto holders = locator_.Locate(shared_, chain_);
+  ASSERT_EQ(holders.size(), 2u);
+  EXPECT_EQ(holders[0].backend_id, "v");
+  EXPECT_EQ(holders[1].blocks, 1u);
+  locator_.DropHolder(HolderKind::kWorker, "v");
+  EXPECT_EQ(Found(shared_), 1u);
+}
+
+}  // namespace
+}  // namespace posthatch::index
