--- /dev/null
+++ b/src/posthatch/index/fake_parts-test.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "posthatch/channels/channel_names.h"
+#include "posthatch/channels/fake_runtime-test.h"
+#include "posthatch/channels/object_trust.h"
+#include "posthatch/control/control_client.h"
+
+// For tests: stand-ins for what the index rests on.
+namespace posthatch::index {
+
+class FakeTrust : public channels::ObjectTrust {
+ public:
+  bool IsFresh(const std::string& object, const channels::ObjectVersion& version) const override {
+    channels::ObjectVersion newest;
+    return CurrentVersion(object, &newest) && channels::CompareVersions(newest, version) == 0;
+  }
+  bool CurrentVersion(const std::string& object, channels::ObjectVersion* version) const override {
+    const auto found = versions.find(object);
+    if (silent || found == versions.end()) return false;
+    *version = found->second;
+    return true;
+  }
+  std::map<std::string, channels::ObjectVersion> versions;
+  bool silent = false;
+};
+
+class FakeFleet : public control::FleetView {
+ public:
+  bool LeaseValid() const override { return lease_valid; }
+  runtime::MonotonicTime lease_expiry() const override { return {}; }
+  const control::FleetState& state() const override { return fleet; }
+  runtime::Duration InventoryAge() const override { return {}; }
+  void AddListener(Listener listener) override { listeners.push_back(std::move(listener)); }
+  void Changed() {
+    for (const Listener& listener : listeners) listener(fleet);
+  }
+  void AddBackend(const std::string& id, control::BackendKind kind, const std::string& endpoint) {
+    control::Backend* backend = fleet.mutable_inventory()->add_backends();
+    backend->set_id(id);
+    backend->set_kind(kind);
+    backend->set_endpoint(endpoint);
+  }
+  void AddLease(const std::string& worker, const std::string& holder, uint64_t incarnation,
+                uint64_t token) {
+    control::WorkerLease* lease = fleet.add_leases();
+    lease->set_worker_id(worker);
+    lease->set_holder(holder);
+    lease->set_holder_incarnation(incarnation);
+    lease->set_fencing_token(token);
+  }
+  control::FleetState fleet;
+  bool lease_valid = true;
+  std::vector<Listener> listeners;
+};
+
+class FakeControl : public control::ControlClient {
+ public:
+  void Propose(control::Command command, runtime::Duration, bool, ProposeDone done) override {
+    commands.push_back(std::move(command));
+    dones.push_back(std::move(done));
+  }
+  std::vector<control::Command> commands;
+  std::vector<ProposeDone> dones;
+};
+
+// Keeps the calls; the test answers them.
+class FakeHttpClient : public http::HttpClient {
+ public:
+  struct Started {
+    std::string endpoint;
+    std::string target;
+    http::CallObserver observer;
+  };
+  std::unique_ptr<http::Call> Start(const std::string& endpoint, http::Request request,
+                                    http::CallOptions, http::CallObserver observer) override {
+    calls.push_back({endpoint, request.target, std::move(observer)});
+    return nullptr;
+  }
+  // Answers the newest call.
+  void Answer(const std::string& body) {
+    const http::CallObserver observer = calls.back().observer;
+    observer.on_head({});
+    observer.on_piece(body);
+    observer.on_end();
+  }
+  void Fail() {
+    const http::CallObserver observer = calls.back().observer;
+    observer.on_error({absl::UnavailableError("test"), http::CallProgress::kNotSent});
+  }
+  std::vector<Started> calls;
+};
+
+class NullTrace : public runtime::TraceSink {
+ public:
+  void Event(runtime::Severity, std::string_view,
+             std::initializer_list<runtime::TraceField>) override {}
+};
+
+struct IndexFakes : channels::FakeRuntime {
+  IndexFakes() {
+    runtime.http_client = &http;
+    runtime.trace = &trace;
+  }
+  FakeHttpClient http;
+  NullTrace trace;
+};
+
+}  // namespace posthatch::index
--- /dev/null
+++ b/src/posthatch/index/index_update-test.cc
@@ -0,0 +1,144 @@
+#include <gtest/gtest.h>
+
+#include "posthatch/index/fake_parts-test.h"
+#include "posthatch/index/index_update_publisher.h"
+#include "posthatch/index/index_update_receiver.h"
+
+namespace posthatch::index {
+namespace {
+
+using channels::MakeVersion;
+using std::chrono::milliseconds;
+
+// A publisher and a receiver; the test carries the messages.
+class IndexUpdateTest : public testing::Test {
+ protected:
+  IndexUpdateTest() {
+    trust_.versions["worker/w"] = MakeVersion(100, 0);
+    trust_.versions["model/m"] = MakeVersion(1, 0);
+    trust_.versions["tenant/"] = MakeVersion(1, 0);
+    fleet_.AddLease("w", "other", 1, 30);
+    publisher_.Begin("w", 100, 30);
+  }
+  void Store(std::vector<BlockHash> blocks, uint64_t sequence = 0) {
+    Extent extent = MakeExtent("w", MakeVersion(100, sequence), seed_);
+    extent.set_block_hashes(PackBlocks(blocks));
+    publisher_.Stored("w", extent);
+    fakes_.timers.Advance(milliseconds(60));
+  }
+  std::vector<IndexUpdate> TakeSent() {
+    std::vector<IndexUpdate> updates;
+    for (const auto& sent : fakes_.transport.sent) {
+      IndexMessage message;
+      message.ParseFromString(sent.payload);
+      updates.push_back(message.update());
+    }
+    fakes_.transport.sent.clear();
+    return updates;
+  }
+  void Receive(const IndexUpdate& update, uint64_t incarnation = 1) {
+    runtime::Envelope envelope;
+    envelope.set_from_incarnation(incarnation);
+    receiver_.Receive(envelope, update);
+  }
+  uint64_t blocks() const { return locator_.index_stats().blocks; }
+
+  const BlockSeed seed_{"m", 1, "", 1};
+  IndexFakes fakes_;
+  FakeTrust trust_;
+  FakeFleet fleet_;
+  IndexUpdatePublisherOptions options_{milliseconds(50), 1000, 2000};
+  IndexUpdatePublisher publisher_{&fakes_.runtime, options_,
+                                  [] { return std::vector<std::string>{"10.0.0.2:7000"}; }};
+  TrustedPrefixLocator locator_{{1 << 20, nullptr}, &trust_};
+  IndexUpdateReceiver receiver_{&fleet_, &locator_};
+};
+
+TEST_F(IndexUpdateTest, StoredAndRemovedBlocksArrive) {
+  Store({1, 2, 3});
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  EXPECT_EQ(locator_.Locate(seed_, {1, 2, 3}).at(0).blocks, 3u);
+  publisher_.Removed("w", {{3}});
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  EXPECT_EQ(locator_.Locate(seed_, {1, 2, 3}).at(0).blocks, 2u);
+}
+
+TEST_F(IndexUpdateTest, MissingUpdateDropsWhatIsKnownOfTheHolder) {
+  locator_.RecordDispatch(seed_, {7, 8}, "w", 100);  // its own dispatch may be removed as well
+  Store({1});
+  Store({2});
+  Store({3});
+  const auto updates = TakeSent();
+  Receive(updates[0]);
+  EXPECT_EQ(blocks(), 3u);
+  Receive(updates[2]);
+  EXPECT_EQ(receiver_.stats().gaps, 1u);
+  EXPECT_EQ(blocks(), 1u) << "only what came after the gap";
+  Receive(updates[1]);  // late
+  EXPECT_EQ(blocks(), 1u);
+}
+
+TEST_F(IndexUpdateTest, DoubledUpdateIsAppliedOnce) {
+  Store({1});
+  const auto stored = TakeSent();
+  publisher_.Removed("w", {{1}});
+  const auto removed = TakeSent();
+  Receive(stored[0]);
+  Receive(removed[0]);
+  Receive(stored[0]);
+  EXPECT_EQ(blocks(), 0u);
+  EXPECT_EQ(receiver_.stats().doubled, 1u);
+}
+
+TEST_F(IndexUpdateTest, FormerLeaseHolderIsFenced) {
+  Store({1});
+  const auto former = TakeSent();
+  fleet_.fleet.mutable_leases(0)->set_fencing_token(40);  // known from the control state
+  Receive(former[0]);
+  EXPECT_EQ(blocks(), 0u);
+  publisher_.Begin("w", 100, 50);  // known from the new holder only
+  Store({2});
+  Receive(TakeSent()[0], 2);
+  IndexUpdate late = former[0];
+  late.set_fencing_token(45);
+  Receive(late);
+  EXPECT_EQ(blocks(), 1u);
+  EXPECT_EQ(receiver_.stats().fenced, 2u);
+}
+
+TEST_F(IndexUpdateTest, ExtentsOfAnOlderVersionAreNotTrusted) {
+  Store({1}, 0);
+  const auto update = TakeSent();
+  trust_.versions["worker/w"] = MakeVersion(100, 1);  // a loss became known meanwhile
+  Receive(update[0]);
+  EXPECT_EQ(blocks(), 0u);
+  EXPECT_EQ(receiver_.stats().extents_not_trusted, 1u);
+}
+
+TEST_F(IndexUpdateTest, BeyondItsRateItLeavesOutStoresAndSkipsANumberForRemovals) {
+  Store(std::vector<BlockHash>(200, 5));
+  Store(std::vector<BlockHash>(200, 6));
+  EXPECT_EQ(TakeSent().size(), 1u);
+  EXPECT_GT(publisher_.stats().stored_blocks_dropped, 0u);
+  publisher_.Removed("w", std::vector<BlockHash>(200, 5));
+  EXPECT_EQ(publisher_.stats().updates_skipped, 1u);
+  fakes_.timers.Advance(std::chrono::seconds(3));
+  publisher_.Removed("w", {{9}});
+  const auto next = TakeSent();
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].update(), 3u) << "2 is missing: the receivers see a gap";
+}
+
+TEST_F(IndexUpdateTest, MalformedUpdatesAreAGap) {
+  Store({1});
+  Store({2});
+  auto updates = TakeSent();
+  updates[0].set_removed("abc");
+  Receive(updates[0]);
+  Receive(updates[1]);
+  EXPECT_EQ(receiver_.stats().malformed, 1u);
+  EXPECT_EQ(receiver_.stats().gaps, 1u);
+}
+
+}  // namespace
+}  // namespace posthatch::index
--- a/src/posthatch/index/prefix_index-test.cc
+++ b/src/posthatch/index/prefix_index-test.cc
@@ -43,7 +43,9 @@
   const auto matches = index.LongestPrefixes(chain, Any);
   EXPECT_EQ(matches.front().blocks, 40u);
   EXPECT_EQ(matches.back().blocks, 1u);
-  const auto only_first = [first = expected.begin()->first](GenerationId id) { return id == first; };
+  const auto only_first = [first = expected.begin()->first](GenerationId id) {
+    return id == first;
+  };
   EXPECT_EQ(index.LongestPrefixes(chain, only_first).size(), 1u);
   EXPECT_TRUE(index.LongestPrefixes(RandomChain(&random, 3), Any).empty());
 }
--- a/src/posthatch/index/prefix_index.cc
+++ b/src/posthatch/index/prefix_index.cc
@@ -307,8 +307,8 @@
   Segment& segment = segments_[sweep_position_];
   sweep_position_ = (sweep_position_ + 1) % kSegments;
   std::vector<Slot> slots = TakeSlots(&segment);
-  const auto needed = static_cast<uint32_t>(std::ceil(static_cast<double>(slots.size() + 1) *
-                                                      kGrowth / (kSlotsPerBucket * kMaxFill)));
+  const auto needed = static_cast<uint32_t>(
+      std::ceil(static_cast<double>(slots.size() + 1) * kGrowth / (kSlotsPerBucket * kMaxFill)));
   const uint32_t bucket_count = std::clamp(needed, uint32_t{1}, segment.bucket_count);
   Rebuild(&segment, bucket_count, std::move(slots));
 }
--- a/src/posthatch/index/trusted_prefix_locator-test.cc
+++ b/src/posthatch/index/trusted_prefix_locator-test.cc
@@ -4,29 +4,12 @@
 
 #include <map>
 
-#include "posthatch/channels/channel_names.h"
+#include "posthatch/index/fake_parts-test.h"
 
 namespace posthatch::index {
 namespace {
 
 using channels::MakeVersion;
-using channels::ObjectVersion;
-
-class FakeTrust : public channels::ObjectTrust {
- public:
-  bool IsFresh(const std::string& object, const ObjectVersion& version) const override {
-    ObjectVersion newest;
-    return CurrentVersion(object, &newest) && channels::CompareVersions(newest, version) == 0;
-  }
-  bool CurrentVersion(const std::string& object, ObjectVersion* version) const override {
-    const auto found = versions.find(object);
-    if (silent || found == versions.end()) return false;
-    *version = found->second;
-    return true;
-  }
-  std::map<std::string, ObjectVersion> versions;
-  bool silent = false;
-};
 
 class TrustedPrefixLocatorTest : public testing::Test {
  protected:
--- /dev/null
+++ b/src/posthatch/index/worker_event_reader-test.cc
@@ -0,0 +1,225 @@
+#include "posthatch/index/worker_event_reader.h"
+
+#include <gtest/gtest.h>
+
+#include "absl/strings/str_cat.h"
+#include "posthatch/index/fake_parts-test.h"
+
+namespace posthatch::index {
+namespace {
+
+using channels::MakeVersion;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kWorker[] = "worker/w";
+constexpr uint64_t kToken = 31;
+
+class WorkerEventReaderTest : public testing::Test {
+ protected:
+  WorkerEventReaderTest() {
+    trust_.versions[kWorker] = MakeVersion(100, 0);
+    trust_.versions["model/m"] = MakeVersion(1, 0);
+    trust_.versions["tenant/"] = MakeVersion(1, 0);
+    fleet_.AddBackend("w", control::BACKEND_KIND_WORKER, "10.1.0.1:80");
+    fleet_.AddLease("w", "self", 7, kToken);
+    attributions_.RecordBlocks(seed_, {{0xa, 0xb, 0xc}});
+    reader_.FollowFleet(fleet_.fleet);
+    Answer(0, "");  // the epoch is known from now on
+  }
+  // Answers the running poll and lets the next one start.
+  void Answer(uint64_t next, const std::string& events, uint64_t epoch = 100) {
+    fakes_.http.Answer(
+        absl::StrCat(R"({"epoch":)", epoch, R"(,"next":)", next, R"(,"events":[)", events, "]}"));
+    fakes_.timers.Advance(milliseconds(1));
+  }
+  static std::string Stored(uint64_t seq, const std::string& blocks) {
+    return absl::StrCat(R"({"seq":)", seq, R"(,"type":"stored","first":0,"blocks":[)", blocks,
+                        "]}");
+  }
+  static std::string Removed(uint64_t seq, const std::string& blocks) {
+    return absl::StrCat(R"({"seq":)", seq, R"(,"type":"removed","blocks":[)", blocks, "]}");
+  }
+  uint32_t Located() {
+    const auto holders = locator_.Locate(seed_, {0xa, 0xb, 0xc});
+    return holders.empty() ? 0 : holders[0].blocks;
+  }
+  // Losses that were reported since the last call.
+  int TakeLosses() {
+    int losses = 0;
+    for (const control::Command& command : control_.commands) {
+      if (command.observe_object().lost()) ++losses;
+    }
+    control_.commands.clear();
+    for (const auto& done : std::exchange(control_.dones, {})) done(control::CommandResult());
+    return losses;
+  }
+
+  const BlockSeed seed_{"m", 1, "", 1};
+  IndexFakes fakes_;
+  FakeTrust trust_;
+  FakeFleet fleet_;
+  FakeControl control_;
+  TrustedPrefixLocator locator_{{1 << 20, nullptr}, &trust_};
+  AttributionTable attributions_{1000};
+  ObservationReporter reporter_{&fakes_.runtime, &control_};
+  IndexUpdatePublisher publisher_{
+      &fakes_.runtime, {}, [] { return std::vector<std::string>{"10.0.0.2:7000"}; }};
+  WorkerEventReader reader_{
+      &fakes_.runtime, {}, {&fleet_, &trust_, &reporter_, &publisher_, &attributions_, &locator_}};
+};
+
+TEST_F(WorkerEventReaderTest, AddsAndPublishesWhatADispatchAttributes) {
+  Answer(2, Stored(1, R"("a","b")") + "," + Stored(2, R"("c")"));
+  EXPECT_EQ(Located(), 3u);
+  EXPECT_NE(fakes_.http.calls.back().target.find("after=2"), std::string::npos);
+  fakes_.timers.Advance(milliseconds(60));
+  ASSERT_EQ(fakes_.transport.sent.size(), 1u);
+  IndexMessage message;
+  message.ParseFromString(fakes_.transport.sent[0].payload);
+  EXPECT_EQ(message.update().fencing_token(), kToken);
+  EXPECT_EQ(message.update().update(), 1u);
+  EXPECT_EQ(message.update().stored_size(), 2);
+  Answer(3, Removed(3, R"("b","c")"));
+  EXPECT_EQ(Located(), 1u);
+  EXPECT_EQ(TakeLosses(), 0);
+}
+
+TEST_F(WorkerEventReaderTest, UnattributedBlocksAreNeverAdded) {
+  attributions_.RecordAttempt("n1", seed_);
+  Answer(2, Stored(1, R"("a","dead")") + "," + Stored(2, R"("beef")"));
+  EXPECT_EQ(locator_.index_stats().blocks, 1u);
+  Answer(3, R"({"seq":3,"type":"stored","first":0,"blocks":["d"],"attempt":"n1"})");
+  EXPECT_EQ(locator_.index_stats().blocks, 2u);
+  fakes_.timers.Advance(seconds(4));
+  EXPECT_EQ(reader_.stats().unattributed_blocks, 1u);
+}
+
+TEST_F(WorkerEventReaderTest, EventsWaitForTheDispatchReportUnlessRemovedMeanwhile) {
+  Answer(2, Stored(1, R"("e")") + "," + Stored(2, R"("f")"));
+  Answer(3, Removed(3, R"("f")"));
+  attributions_.RecordBlocks(seed_, {{0xe, 0xf}});
+  fakes_.timers.Advance(milliseconds(150));
+  EXPECT_EQ(locator_.Locate(seed_, {0xe}).size(), 1u);
+  EXPECT_EQ(locator_.Locate(seed_, {0xf}).size(), 0u);
+}
+
+TEST_F(WorkerEventReaderTest, MissingNumberIsALossAfterTheReorderWindow) {
+  Answer(3, Stored(1, R"("a")") + "," + Stored(3, R"("b")"));
+  EXPECT_EQ(TakeLosses(), 0);
+  fakes_.timers.Advance(milliseconds(600));
+  EXPECT_EQ(TakeLosses(), 1);
+  EXPECT_EQ(Located(), 0u);
+}
+
+TEST_F(WorkerEventReaderTest, EventsThatNeverCameAreMissingUpToNext) {
+  Answer(4, Stored(1, R"("a")"));
+  fakes_.timers.Advance(milliseconds(600));
+  EXPECT_EQ(TakeLosses(), 1);
+}
+
+TEST_F(WorkerEventReaderTest, ReorderedAndDoubledEventsAreNoLoss) {
+  Answer(3, Stored(1, R"("a")") + "," + Removed(3, R"("c")") + "," + Stored(3, R"("c")"));
+  Answer(4, Stored(4, R"("b")") + "," + Removed(2, R"("a")") + "," + Stored(1, R"("a")"));
+  fakes_.timers.Advance(milliseconds(600));
+  EXPECT_EQ(TakeLosses(), 0);
+  EXPECT_EQ(Located(), 0u) << "the late removal holds, the doubled store does not";
+}
+
+TEST_F(WorkerEventReaderTest, LateStoredEventsAddNothing) {
+  Answer(2, Removed(2, R"("a")"));
+  Answer(3, Stored(3, R"("b")") + "," + Stored(1, R"("a")"));
+  EXPECT_EQ(Located(), 0u);
+}
+
+TEST_F(WorkerEventReaderTest, LostMarkIsALoss) {
+  Answer(1, Stored(1, R"("a")"));
+  EXPECT_EQ(Located(), 1u);
+  Answer(9, R"({"seq":9,"type":"lost"})");
+  EXPECT_EQ(TakeLosses(), 1);
+  EXPECT_EQ(Located(), 0u);
+  fakes_.timers.Advance(milliseconds(600));
+  EXPECT_EQ(TakeLosses(), 0) << "said once";
+}
+
+TEST_F(WorkerEventReaderTest, ColdReturnIsReportedAndItsOldEntriesDropped) {
+  Answer(1, Stored(1, R"("a")"));
+  TakeLosses();
+  Answer(1, Stored(1, R"("b")"), /*epoch=*/200);
+  ASSERT_EQ(control_.commands.size(), 1u);
+  EXPECT_EQ(control_.commands[0].observe_object().epoch(), 200u);
+  EXPECT_EQ(Located(), 0u);
+  trust_.versions[kWorker] = MakeVersion(200, 0);
+  fakes_.timers.Advance(milliseconds(1));
+  Answer(1, "", 200);
+  Answer(2, Stored(2, R"("a")"), 200);
+  EXPECT_EQ(Located(), 1u);
+}
+
+TEST_F(WorkerEventReaderTest, SilentWorkerLosesItsTrustOnce) {
+  Answer(1, Stored(1, R"("a")"));
+  for (int i = 0; i < 40; ++i) {
+    fakes_.http.Fail();
+    fakes_.timers.Advance(milliseconds(260));
+  }
+  EXPECT_EQ(TakeLosses(), 1);
+}
+
+TEST_F(WorkerEventReaderTest, AnswersAfterTheLeaseIsGoneAreNotUsed) {
+  fleet_.lease_valid = false;
+  Answer(1, Stored(1, R"("a")"));
+  EXPECT_EQ(locator_.index_stats().blocks, 0u);
+  EXPECT_EQ(reader_.stats().stored_blocks, 0u);
+}
+
+TEST_F(WorkerEventReaderTest, LossFoundWithoutTheLeaseIsSaidWhenItIsBack) {
+  Answer(2, Stored(2, R"("a")"));
+  fleet_.lease_valid = false;
+  fakes_.timers.Advance(milliseconds(600));
+  EXPECT_EQ(TakeLosses(), 0);
+  fleet_.lease_valid = true;
+  Answer(2, "");
+  fakes_.timers.Advance(seconds(1));
+  EXPECT_EQ(TakeLosses(), 1);
+}
+
+TEST_F(WorkerEventReaderTest, AnotherTokenStartsAnew) {
+  Answer(5, R"({"seq":5,"type":"lost"})");
+  fleet_.fleet.mutable_leases(0)->set_fencing_token(kToken + 1);
+  reader_.FollowFleet(fleet_.fleet);
+  EXPECT_NE(fakes_.http.calls.back().target.find("epoch=0&after=0"), std::string::npos);
+  fleet_.fleet.mutable_leases(0)->set_holder("other");
+  reader_.FollowFleet(fleet_.fleet);
+  EXPECT_EQ(reader_.feed_count(), 0u);
+}
+
+TEST_F(WorkerEventReaderTest, ObservationsAreSentAgainUnderTheSameId) {
+  Answer(9, R"({"seq":9,"type":"lost"})");
+  ASSERT_EQ(control_.commands.size(), 1u);
+  control_.dones[0](absl::DeadlineExceededError("test"));
+  Answer(12, R"({"seq":12,"type":"lost"})");
+  fakes_.timers.Advance(milliseconds(400));
+  ASSERT_EQ(control_.commands.size(), 2u);
+  EXPECT_EQ(control_.commands[0].request_id(), control_.commands[1].request_id());
+  control_.dones[1](control::CommandResult());
+  ASSERT_EQ(control_.commands.size(), 3u) << "what was observed meanwhile";
+  EXPECT_NE(control_.commands[2].request_id(), control_.commands[1].request_id());
+}
+
+TEST(KvEventsTest, MalformedBodiesAreRefused) {
+  for (
+      const char* body :
+      {"", "[]", "{", R"({"epoch":1})", R"({"epoch":1,"next":2,"events":[1]})",
+       R"({"epoch":1,"next":2,"events":[{"seq":1,"type":"stored","first":0,"blocks":["xyz"]}]})",
+       R"({"epoch":1,"next":2,"events":[{"seq":-1,"type":"lost"}]})",
+       R"({"epoch":1,"next":2,"events":[{"seq":1,"type":"stored","blocks":["a"]}]})",
+       R"({"epoch":1,"next":2,"events":[{"seq":1,"type":"removed","blocks":["00112233445566778"]}]})"}) {
+    EXPECT_FALSE(ParseKvEvents(body).ok()) << body;
+  }
+  const auto unknown = ParseKvEvents(R"({"epoch":1,"next":2,"events":[{"seq":1,"type":"new"}]})");
+  ASSERT_TRUE(unknown.ok());
+  EXPECT_EQ(unknown->events[0].type, KvEvent::Type::kLost);
+}
+
+}  // namespace
+}  // namespace posthatch::index
