--- /dev/null
+++ b/src/posthatch/index/index_fleet-test.cc
@@ -0,0 +1,403 @@
+// Gateways with whole IndexNodes, a controller and workers in the simulator, under faults, and
+// checks from outside: what Locate names must rest on versions not superseded for longer than X,
+// and once things have settled, every named block must really be kept by its holder.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "posthatch/channels/invalidation_server.h"
+#include "posthatch/index/fake_parts-test.h"
+#include "posthatch/index/index_node.h"
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::index {
+namespace {
+
+using channels::MakeVersion;
+using channels::ObjectVersion;
+using simulation::SimHost;
+using simulation::SimWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr runtime::Duration kSessionLease = seconds(4);
+constexpr runtime::Duration kSettle = seconds(5);
+constexpr size_t kChainBlocks = 8;
+constexpr size_t kWorkerCapacity = 30;  // blocks
+
+// The control state: versions, applied request ids, and when each version was superseded.
+class SimControlState : public channels::ObjectSource {
+ public:
+  std::vector<channels::RegisteredObject> Objects() const override {
+    std::vector<channels::RegisteredObject> all;
+    for (const auto& [name, version] : versions) {
+      all.emplace_back().set_object(name);
+      *all.back().mutable_version() = version;
+    }
+    return all;
+  }
+  bool Find(const std::string& object, ObjectVersion* version) const override {
+    const auto found = versions.find(object);
+    if (found == versions.end()) return false;
+    *version = found->second;
+    return true;
+  }
+  void AddListener(Listener listener) override { listeners.push_back(std::move(listener)); }
+  void Set(const std::string& object, const ObjectVersion& version, runtime::MonotonicTime now) {
+    versions[object] = version;
+    raised_at[object] = now;
+    for (const Listener& listener : listeners) listener(object, version);
+  }
+  // As ControlState applies ObserveObject.
+  void Apply(const control::Command& command, runtime::MonotonicTime now) {
+    if (!applied.insert(command.request_id()).second) return;
+    const control::ObserveObject& observation = command.observe_object();
+    const ObjectVersion known = versions[observation.object()];
+    if (observation.epoch() > known.epoch()) {
+      Set(observation.object(), MakeVersion(observation.epoch(), 0), now);
+    } else if (observation.lost() && observation.epoch() == known.epoch()) {
+      Set(observation.object(), MakeVersion(known.epoch(), known.sequence() + 1), now);
+    }
+  }
+  std::map<std::string, ObjectVersion> versions;
+  std::map<std::string, runtime::MonotonicTime> raised_at;
+  std::set<std::string> applied;
+  std::vector<Listener> listeners;
+};
+
+class SimControlClient : public control::ControlClient {
+ public:
+  SimControlClient(runtime::Runtime* runtime, SimControlState* state)
+      : runtime_(runtime), state_(state) {}
+  void Propose(control::Command command, runtime::Duration, bool, ProposeDone done) override {
+    runtime_->timers->Schedule(milliseconds(10), [this, command, done] {
+      if (runtime_->random->Chance(0.1)) return done(absl::UnavailableError("before"));
+      state_->Apply(command, runtime_->clock->Now());
+      if (runtime_->random->Chance(0.2)) return done(absl::DeadlineExceededError("after"));
+      done(control::CommandResult());
+    });
+  }
+
+ private:
+  runtime::Runtime* const runtime_;
+  SimControlState* const state_;
+};
+
+// A worker's cache and its event log, with the defects of real ones.
+struct SimWorker {
+  uint64_t epoch = 1;
+  uint64_t last_seq = 0;
+  std::vector<BlockHash> kept;  // next to be given up first
+  std::vector<std::pair<uint64_t, std::string>> events;
+  double defects = 0;
+  std::unique_ptr<http::HttpServer> server;
+
+  bool Keeps(BlockHash block) const {
+    return std::find(kept.begin(), kept.end(), block) != kept.end();
+  }
+  void Event(runtime::Random* random, const std::string& type, std::vector<BlockHash> blocks) {
+    if (blocks.empty()) return;
+    std::string list;
+    for (const BlockHash block : blocks) {
+      absl::StrAppend(&list, list.empty() ? "" : ",", "\"", absl::Hex(block), "\"");
+    }
+    const uint64_t seq = ++last_seq;
+    if (random->Chance(defects)) return;  // never comes
+    const std::string event = absl::StrCat(R"({"seq":)", seq, R"(,"type":")", type,
+                                           R"(","first":0,"blocks":[)", list, "]}");
+    events.emplace_back(seq, random->Chance(defects)
+                                 ? absl::StrCat(R"({"seq":)", seq, R"(,"type":"lost"})")
+                                 : event);
+    if (random->Chance(defects)) events.push_back(events.back());
+    if (events.size() > 1 && random->Chance(defects)) {
+      std::swap(events.back(), events[events.size() - 2]);
+    }
+  }
+  // Gives up the chain used longest ago from its end, as real workers do.
+  void Run(runtime::Random* random, const std::vector<BlockHash>& chain) {
+    std::vector<BlockHash> used;
+    std::vector<BlockHash> stored;
+    for (const BlockHash block : chain) {
+      if (std::erase(kept, block) == 0) stored.push_back(block);
+      used.insert(used.begin(), block);
+    }
+    kept.insert(kept.end(), used.begin(), used.end());
+    Event(random, "stored", stored);
+    std::vector<BlockHash> removed;
+    while (kept.size() > kWorkerCapacity) {
+      removed.push_back(kept.front());
+      kept.erase(kept.begin());
+    }
+    Event(random, "removed", removed);
+  }
+  void ReturnCold() {
+    ++epoch;
+    last_seq = 0;
+    kept.clear();
+    events.clear();
+  }
+  std::string Body(uint64_t asked_epoch, uint64_t after) const {
+    if (asked_epoch != epoch) after = 0;
+    std::string list;
+    for (const auto& [seq, event] : events) {
+      if (seq > after) absl::StrAppend(&list, list.empty() ? "" : ",", event);
+    }
+    return absl::StrCat(R"({"epoch":)", epoch, R"(,"next":)", last_seq, R"(,"events":[)", list,
+                        "]}");
+  }
+};
+
+struct Gateway {
+  FakeFleet fleet;
+  std::unique_ptr<SimControlClient> control;
+  std::unique_ptr<IndexNode> node;
+  runtime::Runtime* runtime = nullptr;
+};
+
+class IndexFleetTest : public testing::TestWithParam<uint64_t> {
+ protected:
+  static constexpr int kGateways = 3;
+  static constexpr int kWorkers = 2;
+
+  IndexFleetTest() : world_(GetParam()) {
+    state_.Set("model/m", MakeVersion(1, 0), world_.Now());
+    state_.Set("tenant/", MakeVersion(1, 0), world_.Now());
+    SimHost* controller = world_.AddHost("c0", "z", "10.0.0.1");
+    controller->SetBoot([this](runtime::Runtime* runtime) {
+      return std::make_shared<channels::InvalidationServer>(
+          runtime, channels::InvalidationServerOptions(), &state_, [this] {
+            return channels::ServingState{serving_, 1};
+          });
+    });
+    controller->Start();
+    for (int i = 0; i < kWorkers; ++i) AddWorker(i);
+    for (int i = 0; i < kGateways; ++i) AddGateway(i);
+    Renew();
+    for (int i = 0; i < 12; ++i) {
+      BlockSeed seed{"m", 1, "", 1};
+      chains_.push_back(HashBlocks(CacheSalt(seed), std::string(kChainBlocks, 'a' + i), 1));
+    }
+  }
+  void AddWorker(int number) {
+    const std::string name = absl::StrCat("w", number);
+    state_.Set("worker/" + name, MakeVersion(0, 0), world_.Now());
+    SimHost* host = world_.AddHost(name, "z", absl::StrCat("10.0.1.", number + 1));
+    host->SetBoot([this, number, host](runtime::Runtime* runtime) {
+      auto answer = [this, number, runtime](const http::Request& request,
+                                            const std::shared_ptr<http::ResponseWriter>& writer) {
+        uint64_t epoch = 0;
+        uint64_t after = 0;
+        std::sscanf(request.target.c_str(), "/kv_events?epoch=%lu&after=%lu", &epoch, &after);
+        runtime->timers->Schedule(milliseconds(50), [this, number, epoch, after, writer] {
+          http::Response response;
+          response.body = workers_[number].Body(epoch, after);
+          writer->SendWhole(response);
+        });
+      };
+      auto server = runtime->http_servers->Listen(host->http_endpoint(), {}, answer);
+      return std::shared_ptr<http::HttpServer>(*std::move(server));
+    });
+    host->Start();
+  }
+  void AddGateway(int number) {
+    SimHost* host =
+        world_.AddHost(absl::StrCat("g", number), "z", absl::StrCat("10.0.2.", number + 1));
+    host->SetBoot([this, number](runtime::Runtime* runtime) {
+      auto gateway = std::make_shared<Gateway>();
+      gateway->runtime = runtime;
+      gateway->control = std::make_unique<SimControlClient>(runtime, &state_);
+      for (int i = 0; i < kWorkers; ++i) {
+        gateway->fleet.AddBackend(absl::StrCat("w", i), control::BACKEND_KIND_WORKER,
+                                  world_.FindHost(absl::StrCat("w", i))->http_endpoint());
+      }
+      gateway->node = std::make_unique<IndexNode>(
+          runtime, IndexOptions(), &gateway->fleet, gateway->control.get(),
+          [this] {
+            std::vector<std::string> all;
+            for (int i = 0; i < kGateways; ++i) {
+              all.push_back(world_.FindHost(absl::StrCat("g", i))->internal_endpoint());
+            }
+            return all;
+          },
+          [this] { return std::vector<std::string>{world_.FindHost("c0")->internal_endpoint()}; });
+      gateway->node->Start();
+      gateways_[number] = gateway;
+      return gateway;
+    });
+    host->Start();
+  }
+  bool Usable(int gateway) const { return !frozen_.contains(gateway); }
+  // Session leases, and worker leases with fencing tokens, as the control component grants them.
+  void Renew() {
+    for (int i = 0; i < kGateways; ++i) {
+      if (Usable(i)) session_end_[i] = world_.Now() + kSessionLease;
+    }
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      const int holder = holders_.contains(worker) ? holders_[worker] : -1;
+      if (holder >= 0 && world_.Now() < session_end_[holder]) continue;
+      for (int i = 0; i < kGateways; ++i) {
+        if (Usable(i)) holders_[worker] = i;
+      }
+      ++tokens_[worker];
+    }
+    for (int i = 0; i < kGateways; ++i) {
+      const auto gateway = gateways_[i].lock();
+      gateway->fleet.lease_valid = world_.Now() < session_end_[i];
+      if (!Usable(i)) continue;
+      control::FleetState* fleet = &gateway->fleet.fleet;
+      fleet->clear_leases();
+      for (const auto& [worker, holder] : holders_) {
+        gateway->fleet.AddLease(absl::StrCat("w", worker), absl::StrCat("g", holder),
+                                gateways_[holder].lock()->runtime->transport->incarnation(),
+                                tokens_[worker]);
+      }
+      gateway->fleet.Changed();
+    }
+  }
+  void RunFor(runtime::Duration duration) {
+    for (runtime::Duration run{}; run < duration; run += milliseconds(20)) {
+      world_.RunFor(milliseconds(20));
+      Renew();
+      Check(/*settled=*/false);
+    }
+  }
+  const BlockSeed seed_{"m", 1, "", 1};
+  void Check(bool settled) {
+    const auto old_for = [this](const std::string& object) {
+      return world_.Now() - state_.raised_at[object];
+    };
+    for (int i = 0; i < kGateways; ++i) {
+      if (!Usable(i)) continue;
+      const auto gateway = gateways_[i].lock();
+      for (const auto& chain : chains_) {
+        const auto holders = gateway->node->locator()->Locate(seed_, chain);
+        if (holders.empty()) continue;
+        EXPECT_TRUE(gateway->fleet.lease_valid);
+        if (state_.versions["model/m"].epoch() != 1) {
+          EXPECT_LE(old_for("model/m"), seconds(4));
+        }
+        if (state_.versions["tenant/"].epoch() != 1) {
+          EXPECT_LE(old_for("tenant/"), seconds(4));
+        }
+        for (const PrefixHolder& holder : holders) {
+          ++examined_;
+          const std::string object = "worker/" + holder.backend_id;
+          if (state_.versions[object].epoch() != holder.epoch) {
+            EXPECT_LE(old_for(object), seconds(4));
+          }
+          if (!settled) continue;
+          const SimWorker& worker = workers_[holder.backend_id[1] - '0'];
+          ++settled_examined_;
+          for (uint32_t block = 0; block < holder.blocks; ++block) {
+            EXPECT_TRUE(worker.Keeps(chain[block]))
+                << "g" << i << " believes that " << holder.backend_id << " keeps a block";
+          }
+        }
+      }
+    }
+  }
+  void Dispatch() {
+    const int gateway = static_cast<int>(world_.random()->Uniform(kGateways));
+    const int worker = static_cast<int>(world_.random()->Uniform(kWorkers));
+    if (!Usable(gateway) || !gateways_[gateway].lock()->fleet.lease_valid) return;
+    const auto& chain = chains_[world_.random()->Uniform(chains_.size())];
+    workers_[worker].Run(world_.random(), chain);
+    gateways_[gateway].lock()->node->locator()->RecordDispatch(
+        seed_, chain, absl::StrCat("w", worker), workers_[worker].epoch);
+  }
+  void ThawAfter(runtime::Duration duration) {
+    RunFor(duration);
+    const int gateway = *frozen_.begin();
+    world_.FindHost(absl::StrCat("g", gateway))->Thaw();
+    frozen_.clear();
+    Check(/*settled=*/false);  // what it believes at the moment of waking
+    Renew();
+  }
+  uint64_t CountHolders() {
+    uint64_t count = 0;
+    for (int i = 0; i < kGateways; ++i) {
+      for (const auto& chain : chains_) {
+        count += gateways_[i].lock()->node->locator()->Locate(seed_, chain).size();
+      }
+    }
+    return count;
+  }
+
+  SimWorld world_;
+  SimControlState state_;
+  bool serving_ = true;
+  std::map<int, SimWorker> workers_;
+  std::map<int, std::weak_ptr<Gateway>> gateways_;
+  std::map<int, int> holders_;
+  std::map<int, uint64_t> tokens_;
+  std::map<int, runtime::MonotonicTime> session_end_;
+  std::set<int> frozen_;
+  std::vector<std::vector<BlockHash>> chains_;
+  uint64_t examined_ = 0;
+  uint64_t settled_examined_ = 0;
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, IndexFleetTest, testing::Range<uint64_t>(1, 9));
+
+TEST_P(IndexFleetTest, EveryGatewayLearnsWhatIsKept) {
+  RunFor(seconds(3));
+  for (int i = 0; i < 100; ++i) {
+    Dispatch();
+    RunFor(milliseconds(40));
+  }
+  RunFor(seconds(1));
+  Check(/*settled=*/true);
+  EXPECT_GT(settled_examined_, 10u);
+}
+
+TEST_P(IndexFleetTest, FaultyEventsColdReturnsAndFrozenGatewaysLeaveNoWrongEntry) {
+  RunFor(seconds(3));
+  runtime::Random* random = world_.random();
+  for (int round = 0; round < 12; ++round) {
+    for (auto& [number, worker] : workers_) worker.defects = round % 2 == 0 ? 0.1 : 0.0;
+    for (int step = 0; step < 30; ++step) {
+      Dispatch();
+      if (random->Chance(0.03)) workers_[static_cast<int>(random->Uniform(kWorkers))].ReturnCold();
+      if (random->Chance(0.05) && frozen_.empty()) {
+        frozen_.insert(static_cast<int>(random->Uniform(kGateways)));
+        world_.FindHost(absl::StrCat("g", *frozen_.begin()))->Freeze();
+      }
+      if (random->Chance(0.1) && !frozen_.empty()) ThawAfter(milliseconds(random->Uniform(25000)));
+      RunFor(milliseconds(random->Uniform(200)));
+    }
+    if (!frozen_.empty()) ThawAfter(seconds(25));
+    for (auto& [number, worker] : workers_) {
+      // A last event shows what was missing before it.
+      worker.defects = 0;
+      worker.Event(random, "removed", {0});
+    }
+    RunFor(kSettle);
+    Check(/*settled=*/true);
+  }
+  EXPECT_GT(examined_, 5000u);
+  EXPECT_GT(settled_examined_, 50u);
+}
+
+TEST_P(IndexFleetTest, SupersededSeedsAndSilentChannelsEndTrust) {
+  RunFor(seconds(2));
+  for (int i = 0; i < 30; ++i) {
+    Dispatch();
+    RunFor(milliseconds(40));
+  }
+  ASSERT_GT(CountHolders(), 0u);
+  serving_ = false;
+  RunFor(milliseconds(4100));
+  EXPECT_EQ(CountHolders(), 0u);
+  serving_ = true;
+  RunFor(seconds(2));
+  EXPECT_GT(CountHolders(), 0u) << "kept, and trusted again after re-registration";
+  state_.Set(GetParam() % 2 == 0 ? "model/m" : "tenant/", MakeVersion(2, 0), world_.Now());
+  RunFor(milliseconds(200));
+  EXPECT_EQ(CountHolders(), 0u);
+}
+
+}  // namespace
+}  // namespace posthatch::index
