--- /dev/null
+++ b/src/posthatch/standins/standins-bench.cc
@@ -0,0 +1,111 @@
+// Costs that bound how much load one rehearsal process can make or take.
+#include <benchmark/benchmark.h>
+
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "posthatch/index/block_hash.h"
+#include "posthatch/rehearse/history/recorders.h"
+#include "posthatch/simulation/sim_world.h"
+#include "posthatch/standins/answer_mixer.h"
+#include "posthatch/standins/answer_reader.h"
+#include "posthatch/standins/block_cache.h"
+#include "posthatch/standins/caller_load.h"
+#include "posthatch/standins/prompt_pool.h"
+#include "posthatch/standins/worker_standin.h"
+
+namespace posthatch::standins {
+namespace {
+
+// Look-up of a chain that is kept, by number of blocks.
+void BM_CacheLookup(benchmark::State& state) {
+  const auto blocks = static_cast<size_t>(state.range(0));
+  const auto chain = index::HashBlocks("salt", FillerText("prompt", blocks * 64), 64);
+  BlockCache cache(100000);
+  for (const index::BlockHash block : chain) cache.Insert(block, {"tenant", 1});
+  for (auto _ : state) benchmark::DoNotOptimize(cache.Lookup(chain));
+  state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(BM_CacheLookup)->Arg(16)->Arg(64)->Arg(256)->Arg(1024);
+
+// Strict reading of a stream, by number of pieces.
+void BM_StreamReader(benchmark::State& state) {
+  const auto pieces = static_cast<uint32_t>(state.range(0));
+  std::string stream;
+  for (uint32_t piece = 0; piece < pieces; ++piece) {
+    stream += R"(data: {"id":"r","request_id":"n","piece":)" + std::to_string(piece) +
+              R"(,"choices":[{"index":0,"text":")" + PieceText("r", piece) + "\"}]}\n\n";
+  }
+  for (auto _ : state) {
+    StreamReader reader("n", pieces);
+    benchmark::DoNotOptimize(reader.Take(stream));
+  }
+  state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(BM_StreamReader)->Arg(4)->Arg(16)->Arg(64)->Arg(256);
+
+void BM_RecordEvent(benchmark::State& state) {
+  simulation::SimWorld world(1);
+  simulation::SimHost* const host = world.AddHost("h", "z", "10.0.0.1");
+  host->SetBoot([](runtime::Runtime*) { return std::make_shared<int>(0); });
+  host->Start();
+  auto recorder = rehearse::JsonlHistoryRecorder::Open(host->runtime()->clock, "h", "/dev/null");
+  rehearse::HistoryEvent event;
+  event.mutable_run_started()->set_run("worker-1-1236037217-1");
+  event.mutable_run_started()->set_tenant("nilestone-1");
+  event.mutable_run_started()->set_nonce("callers-1-1");
+  for (auto _ : state) (*recorder)->Record(event);
+}
+BENCHMARK(BM_RecordEvent);
+
+// One simulated second of a preset's model traffic, callers and workers together.
+void BM_SimulatedSecond(benchmark::State& state) {
+  simulation::SimWorld world(1);
+  std::vector<rehearse::HistoryEvent> events;
+  std::vector<std::unique_ptr<rehearse::MemoryHistoryRecorder>> recorders;
+  std::vector<std::string> endpoints;
+  const auto workers = static_cast<int>(state.range(0));
+  for (int i = 0; i <= workers; ++i) {
+    simulation::SimHost* const host =
+        world.AddHost("h" + std::to_string(i), "z", "10.0.1." + std::to_string(i + 1));
+    if (i > 0) endpoints.push_back(host->http_endpoint());
+    host->SetBoot([&, i, host](runtime::Runtime* runtime) -> std::shared_ptr<void> {
+      recorders.push_back(
+          std::make_unique<rehearse::MemoryHistoryRecorder>(runtime->clock, host->name(), &events));
+      if (i == 0) return std::make_shared<int>(0);
+      WorkerSettings settings;
+      settings.id = host->name();
+      settings.listen = host->http_endpoint();
+      auto worker = std::make_shared<WorkerStandIn>(runtime, settings, recorders.back().get());
+      if (!worker->Start().ok()) std::abort();
+      return worker;
+    });
+    host->Start();
+  }
+  CallerLoadOptions options;
+  options.mix = NilestoneMix();
+  options.mix.requests_per_second = 10.0 * workers;
+  std::erase_if(options.mix.operations, [](const OperationTraffic& operation) {
+    return operation.kind == OperationKind::kService;
+  });
+  options.gateways = endpoints;
+  CallerLoad load(world.FindHost("h0")->runtime(), options, recorders[0].get());
+  load.Start();
+  for (auto _ : state) {
+    world.RunFor(std::chrono::seconds(1));
+    events.clear();
+  }
+  state.SetItemsProcessed(static_cast<int64_t>(load.counts().completed));
+}
+BENCHMARK(BM_SimulatedSecond)
+    ->Arg(1)
+    ->Arg(3)
+    ->Arg(9)
+    ->Arg(18)
+    ->Iterations(20)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace posthatch::standins
