--- a/src/posthatch/rehearse/node_plan.cc
+++ b/src/posthatch/rehearse/node_plan.cc
@@ -34,7 +34,7 @@
                                     const std::string& http_endpoint, bool round_robin) {
   daemon::GatewaySettings settings;
   settings.node = PlanNode(process, addresses, internal_endpoint, http_endpoint);
-  (void)round_robin;  // TODO routing_mode
+  if (round_robin) settings.routing_mode = "round_robin";
   return settings;
 }
 
--- a/src/posthatch/rehearse/rehearsal.cc
+++ b/src/posthatch/rehearse/rehearsal.cc
@@ -63,6 +63,7 @@
 
  private:
   std::string Prepare();
+  std::string WaitUntilReady(const std::function<bool(Role)>& of_role);
   std::string ApplyConfiguration();
   std::string DriveLoad();
   std::string EndLoad();
@@ -122,13 +123,23 @@
   if (!started.ok()) return "the fleet did not start: " + started.ToString();
   MakeActors();
   inventory_->Publish(fleet_->processes());
-  ReadinessWatch readiness(control_.get(), fleet_->runtime());
-  readiness.Start(fleet_->processes());
-  if (!RunUntil([&] { return readiness.AllReady(); }, kReadyLimit)) {
-    const std::string failure = fleet_->Failure();
-    return failure.empty() ? "not ready in time: " + readiness.NotReady() : failure;
+  // Gateways are ready only once there is a configuration.
+  std::string failure = WaitUntilReady([](Role role) { return role != Role::kGateway; });
+  if (failure.empty()) failure = ApplyConfiguration();
+  if (failure.empty()) failure = WaitUntilReady([](Role role) { return role == Role::kGateway; });
+  return failure;
+}
+
+std::string Rehearsal::Impl::WaitUntilReady(const std::function<bool(Role)>& of_role) {
+  std::vector<ProcessInfo> waited_for;
+  for (const ProcessInfo& process : fleet_->processes()) {
+    if (of_role(process.role)) waited_for.push_back(process);
   }
-  return ApplyConfiguration();
+  ReadinessWatch readiness(control_.get(), fleet_->runtime());
+  readiness.Start(waited_for);
+  if (RunUntil([&] { return readiness.AllReady(); }, kReadyLimit)) return "";
+  const std::string failure = fleet_->Failure();
+  return failure.empty() ? "not ready in time: " + readiness.NotReady() : failure;
 }
 
 void Rehearsal::Impl::MakeActors() {
