--- a/src/posthatch/gateway/gateway.cc
+++ b/src/posthatch/gateway/gateway.cc
@@ -2,11 +2,22 @@
 
 #include <utility>
 
+#include "posthatch/gateway/live_gateway_count.h"
+
 namespace posthatch::gateway {
+namespace {
+
+GatewayOptions WithCachedCount(GatewayOptions options, const runtime::Clock* clock) {
+  auto count = std::make_shared<LiveGatewayCount>(clock, std::move(options.live_gateways));
+  options.live_gateways = [count] { return count->Get(); };
+  return options;
+}
+
+}  // namespace
 
 Gateway::Gateway(runtime::Runtime* runtime, GatewayOptions options, control::FleetView* view,
                  control::ControlClient* control, index::PrefixLocator* locator)
-    : options_(std::move(options)),
+    : options_(WithCachedCount(std::move(options), runtime->clock)),
       view_(view),
       metrics_(runtime->metrics),
       backends_(runtime, &options_, &lookup_, &metrics_),
@@ -14,7 +25,7 @@
       router_(runtime, &options_, &backends_, locator, &links_, &metrics_),
       retry_budget_(runtime->clock),
       admission_(runtime->clock, &options_, &metrics_),
-      inventory_(runtime, &options_, view, &metrics_, [this] { OnStateChanged(); }),
+      inventory_(runtime, &options_, view, &metrics_, [this] { UpdateBackends(); }),
       deliveries_(control, options_.gateway_id),
       requests_(runtime->timers),
       context_{runtime,        &options_, view,        locator,     &metrics_,
@@ -26,6 +37,7 @@
     if (!alive.expired()) OnStateChanged();
   });
   OnStateChanged();
+  UpdateBackends();
   inventory_.Start();
 }
 
@@ -38,6 +50,14 @@
     configuration_index_ = state.configuration_index();
     tenants_.Rebuild(state.configuration());
   }
+  const bool list_changed = inventory_index_ != state.inventory_index();
+  if (list_changed || evacuations_index_ != state.evacuations_index()) UpdateBackends();
+}
+
+void Gateway::UpdateBackends() {
+  const control::FleetState& state = view_->state();
+  inventory_index_ = state.inventory_index();
+  evacuations_index_ = state.evacuations_index();
   backends_.Update(state, inventory_.own());
 }
 
