--- a/src/posthatch/rehearse/checks/control_checks-test.cc
+++ b/src/posthatch/rehearse/checks/control_checks-test.cc
@@ -248,6 +248,17 @@
   ExpectViolations(history, StaleWakeCheck(), 1);
 }
 
+TEST(StaleWakeCheck, ARequestSentInTimeOverACutLinkMayArriveLateButNotFromAFrozenGateway) {
+  for (const std::string kind : {"cut", "freeze"}) {
+    HistoryBuilder history;
+    history.Fault(10, 35, kind, "gateway-1");
+    history.Call(9, "late");
+    Revise(&history, 17, 2);
+    history.Run(35.1, "late")->set_expected_revision(1);
+    ExpectViolations(history, StaleWakeCheck(), kind == "cut" ? 0 : 1);
+  }
+}
+
 TEST(StaleWakeCheck, AControllersWakeConcernsEveryGateway) {
   HistoryBuilder history = LongFreeze();
   history.Fault(40, 65, "cut", "controller-2");
--- a/src/posthatch/rehearse/checks/request_checks-test.cc
+++ b/src/posthatch/rehearse/checks/request_checks-test.cc
@@ -235,5 +235,13 @@
   ExpectViolations(ColdWorker(30), RetryCheck(), 1);
 }
 
+TEST(RetryCheck, AWarmWorkerThatWasCutOffIsNoMeasureForAColdOne) {
+  HistoryBuilder history = ColdWorker(30);
+  history.Fault(19, 24, "cut", "worker-1");
+  ExpectViolations(history, RetryCheck(), 1);
+  history.Fault(19, 24, "cut", "worker-2");
+  EXPECT_EQ(history.Examine(RetryCheck()).examined(), 0u);
+}
+
 }  // namespace
 }  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/checks/retry_check.cc
+++ b/src/posthatch/rehearse/checks/retry_check.cc
@@ -88,6 +88,15 @@
   return count;
 }
 
+// Whether some fault held the worker at some time of `period`: it is no measure for others then.
+bool Disturbed(const RecordedHistory& history, const std::string& worker, const Period& period) {
+  const std::vector<FaultPeriod>& faults = history.faults();
+  return std::any_of(faults.begin(), faults.end(), [&](const FaultPeriod& fault) {
+    return fault.target == worker && fault.period.from_ns < period.until_ns &&
+           fault.period.until_ns > period.from_ns;
+  });
+}
+
 void CheckColdWorkers(const RecordedHistory& history, CheckResult* result) {
   std::map<std::string, WorkerRuns> workers;
   std::set<std::pair<std::string, int64_t>> starts;
@@ -108,6 +117,7 @@
     uint64_t warm_workers = 0;
     for (const auto& [other, runs] : workers) {
       if (other == name || runs.model != workers[name].model) continue;
+      if (Disturbed(history, other, period)) continue;
       bool warm = false;
       warm_runs += WarmRuns(runs, period, &warm);
       if (warm) ++warm_workers;
