Route by measured waits, and never shed a request that has room elsewhere

Cause: a holder at its limit for low priorities made the router shed the request although other workers were free; other gateways' load on a worker was not seen; two draws could be of the same worker, so that a full holder had no rival; the count of gateways was asked for many times per request, which copies the member list each time. Change: full holders are left out of the comparison; the wait before a first piece, less its prefill, is learnt per worker and fades; a failed fetch counts as a slow one; two draws are of two workers; the count is kept for 500 ms.

--- a/src/posthatch/gateway/backend_directory.cc
+++ b/src/posthatch/gateway/backend_directory.cc
@@ -1,6 +1,7 @@
 #include "posthatch/gateway/backend_directory.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "absl/container/flat_hash_set.h"
 #include "posthatch/control/selector.h"
@@ -16,6 +17,11 @@
 constexpr runtime::Duration kRefusalPause = std::chrono::seconds(1);
 constexpr int kTooManyRequests = 429;
 constexpr double kSmallestShare = 0.02;
+// An answer may take this long to begin before its back end counts as silent.
+constexpr runtime::Duration kSilenceGrace = std::chrono::milliseconds(500);
+constexpr double kNewWaitShare = 0.3;  // of the moving average
+// A measured wait counts half after this time.
+constexpr double kWaitHalfLifeSeconds = 2.0;
 
 BackendPool* FindPool(absl::flat_hash_map<std::string, BackendPool>* pools,
                       const std::string& name) {
@@ -159,7 +165,21 @@
 
 runtime::Duration BackendDirectory::Silence(const BackendEntry& entry) const {
   if (entry.unanswered == 0) return runtime::Duration::zero();
-  return runtime_->clock->Now() - entry.waiting_since;
+  const runtime::Duration waiting = runtime_->clock->Now() - entry.waiting_since;
+  return std::max(runtime::Duration::zero(), waiting - kSilenceGrace);
+}
+
+double BackendDirectory::ExpectedWait(const BackendEntry& entry) const {
+  if (entry.wait_milliseconds <= 0.0) return 0.0;
+  const runtime::Duration age = runtime_->clock->Now() - entry.wait_measured;
+  const double half_lives = std::chrono::duration<double>(age).count() / kWaitHalfLifeSeconds;
+  return entry.wait_milliseconds * std::exp2(-half_lives);
+}
+
+void BackendDirectory::OnWaited(BackendEntry* entry, double milliseconds) {
+  entry->wait_milliseconds =
+      ExpectedWait(*entry) * (1.0 - kNewWaitShare) + std::max(0.0, milliseconds) * kNewWaitShare;
+  entry->wait_measured = runtime_->clock->Now();
 }
 
 void BackendDirectory::OnDispatched(BackendEntry* entry, uint64_t pending_blocks) {
--- a/src/posthatch/gateway/backend_directory.h
+++ b/src/posthatch/gateway/backend_directory.h
@@ -26,6 +26,8 @@
   uint32_t unanswered = 0;               // of those, without an answer's head
   runtime::MonotonicTime waiting_since;  // newest head, or since `unanswered` left zero
   uint64_t pending_blocks = 0;           // of those, prompt blocks that weren't known to be cached
+  double wait_milliseconds = 0;          // moving average of measured waits ...
+  runtime::MonotonicTime wait_measured;  // ... the last time then
   uint64_t epoch = 0;                    // newest cache epoch seen in an answer; 0 before the first
   runtime::MonotonicTime slow_start_from;
   uint32_t consecutive_failures = 0;
@@ -75,10 +77,16 @@
   // Requests that this gateway may have in flight there now.
   uint32_t Limit(const BackendEntry& entry) const;
 
-  // How long it has kept dispatches waiting without answering any.
+  // How long it has kept dispatches waiting without answering any, beyond what answers may take.
   runtime::Duration Silence(const BackendEntry& entry) const;
 
+  // Milliseconds that a request waits there for others, also of other gateways, as measured; fades
+  // when it isn't measured again.
+  double ExpectedWait(const BackendEntry& entry) const;
+
   void OnDispatched(BackendEntry* entry, uint64_t pending_blocks);
+  // A first piece came `milliseconds` later than its prefill explains.
+  void OnWaited(BackendEntry* entry, double milliseconds);
   // The head of an answer came, or it is no longer waited for: the prompt's blocks are done.
   void OnHead(BackendEntry* entry, uint64_t pending_blocks);
   void OnEnded(BackendEntry* entry);
--- a/src/posthatch/gateway/delivery-test.cc
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -16,7 +16,7 @@
       other_ = std::make_unique<Gateway>(&other_runtime_, options, &view, &control, &locator);
     }
     std::swap(gateway, other_);
-    const auto writer = Place(key);
+    auto writer = Place(key);
     std::swap(gateway, other_);
     return writer;
   }
--- a/src/posthatch/gateway/gateway-bench.cc
+++ b/src/posthatch/gateway/gateway-bench.cc
@@ -41,6 +41,7 @@
   FakeCall call;
   call.request.headers.Add("X-Request-Id", "id-1");
   std::vector<std::string> events;
+  events.reserve(1000);
   for (int piece = 0; piece < 1000; ++piece) events.push_back(call.Event(piece));
   for (auto _ : state) {
     auto writer = std::make_shared<FakeWriter>();
--- a/src/posthatch/gateway/gateway.cc
+++ b/src/posthatch/gateway/gateway.cc
@@ -2,11 +2,22 @@
 
 #include <utility>
 
+#include "posthatch/gateway/live_gateway_count.h"
+
 namespace posthatch::gateway {
+namespace {
+
+GatewayOptions WithCachedCount(GatewayOptions options, const runtime::Clock* clock) {
+  auto count = std::make_shared<LiveGatewayCount>(clock, std::move(options.live_gateways));
+  options.live_gateways = [count] { return count->Get(); };
+  return options;
+}
+
+}  // namespace
 
 Gateway::Gateway(runtime::Runtime* runtime, GatewayOptions options, control::FleetView* view,
                  control::ControlClient* control, index::PrefixLocator* locator)
-    : options_(std::move(options)),
+    : options_(WithCachedCount(std::move(options), runtime->clock)),
       view_(view),
       metrics_(runtime->metrics),
       backends_(runtime, &options_, &lookup_, &metrics_),
--- a/src/posthatch/gateway/gateway_fakes-test.h
+++ b/src/posthatch/gateway/gateway_fakes-test.h
@@ -58,6 +58,7 @@
   http::CallObserver observer;
   bool cancelled = false;
   bool paused = false;
+  int cached_blocks = 0;  // of the heads
 
   std::string Field(std::string_view name) const { return std::string(request.headers.Get(name)); }
   void Head(int status = 200, uint64_t epoch = 1) const {
@@ -70,6 +71,7 @@
     head.headers.Add("Content-Type", "application/json");
     head.headers.Add("X-Posthatch-Attempt", attempt);
     head.headers.Add("X-Worker-Epoch", std::to_string(epoch));
+    head.headers.Add("X-Worker-Cached-Blocks", std::to_string(cached_blocks));
     observer.on_head(head);
   }
   void Piece(std::string piece) const {
--- a/src/posthatch/gateway/inference_request.cc
+++ b/src/posthatch/gateway/inference_request.cc
@@ -102,18 +102,28 @@
   deadline_timer()->Cancel();
   ObserveFirstByte();
   context()->backends->OnSuccess(attempt()->backend());
+  MeasureFirstPiece();
+  RecordKept(stream_headers_);
+}
+
+void InferenceRequest::MeasureFirstPiece() {
   const uint64_t cached =
       std::min<uint64_t>(NumberField(stream_headers_, "X-Worker-Cached-Blocks"), chain_.size());
   const uint64_t prefilled = chain_.size() - cached;
   const runtime::Duration elapsed = context()->runtime->clock->Now() - attempt()->started();
-  const std::string& worker = attempt()->backend()->backend.id();
+  BackendEntry* const worker = attempt()->backend();
   if (decision_.fetch_endpoint.empty()) {
+    const double explained = static_cast<double>(prefilled) * context()->links->PrefillCost();
+    context()->backends->OnWaited(worker, runtime::ToMilliseconds(elapsed) - explained);
     context()->links->RecordPrefill(prefilled, elapsed);
-  } else if (cached > decision_.cached_blocks) {
-    context()->links->RecordFetch(decision_.fetch_source, worker, cached - decision_.cached_blocks,
-                                  prefilled, elapsed);
+    return;
   }
-  RecordKept(stream_headers_);
+  // A fetch that brought nothing took its time all the same.
+  const uint64_t fetched = cached > decision_.cached_blocks
+                               ? cached - decision_.cached_blocks
+                               : decision_.fetch_blocks - decision_.cached_blocks;
+  context()->links->RecordFetch(decision_.fetch_source, worker->backend.id(), fetched, prefilled,
+                                elapsed);
 }
 
 void InferenceRequest::HoldBackWorker() {
--- a/src/posthatch/gateway/inference_request.h
+++ b/src/posthatch/gateway/inference_request.h
@@ -32,6 +32,8 @@
   // The worker has prefilled the prompt: the index learns of it.
   void RecordKept(const http::Headers& head);
   void OnFirstPiece();
+  // What the time to the first piece says about wait, prefill and links.
+  void MeasureFirstPiece();
   void HoldBackWorker();
   void OnStreamBroken(const absl::Status& status);
 
--- a/src/posthatch/gateway/limits-test.cc
+++ b/src/posthatch/gateway/limits-test.cc
@@ -177,6 +177,34 @@
   EXPECT_EQ(to_failed, 3);
 }
 
+TEST_F(LimitsTest, FullHolderSendsItsPrefixElsewhereInsteadOfSheddingIt) {
+  view.fleet.mutable_configuration()->mutable_routing()->set_max_requests_per_worker(10);
+  StartGateway();
+  locator.holders = {{"w1", 1, 4}};
+  int at_holder = 0;
+  for (int request = 0; request < 12; ++request) {
+    EXPECT_EQ(Complete()->answers, 0);
+    at_holder += LastCall().endpoint == "w1:80" ? 1 : 0;
+  }
+  EXPECT_LE(at_holder, 7);  // 70% of the limit for the lowest priority
+}
+
+TEST_F(LimitsTest, MeasuredWaitTurnsWorkAway) {
+  StartGateway();
+  locator.holders = {{"w1", 1, 4}};
+  Complete(true);
+  ASSERT_EQ(LastCall().endpoint, "w1:80");
+  timers.Advance(std::chrono::seconds(2));  // others fill it
+  LastCall().cached_blocks = 4;
+  LastCall().Head();
+  LastCall().Piece(LastCall().Event(0));
+  Complete();
+  EXPECT_NE(LastCall().endpoint, "w1:80");
+  timers.Advance(std::chrono::seconds(30));
+  Complete();
+  EXPECT_EQ(LastCall().endpoint, "w1:80");
+}
+
 TEST_F(LimitsTest, UnreachableWorkerIsEjectedAtOnce) {
   StartGateway();
   locator.holders = {{"w1", 1, 4}};
--- /dev/null
+++ b/src/posthatch/gateway/live_gateway_count.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+#include "posthatch/runtime/clock.h"
+
+namespace posthatch::gateway {
+
+// How many gateways share the fleet's limits. Asks its source at most once per kRefreshInterval,
+// because limits are computed many times per request. Event loop thread only.
+class LiveGatewayCount {
+ public:
+  static constexpr runtime::Duration kRefreshInterval = std::chrono::milliseconds(500);
+
+  LiveGatewayCount(const runtime::Clock* clock, std::function<uint32_t()> source)
+      : clock_(clock), source_(std::move(source)) {}
+
+  // At least 1.
+  uint32_t Get() {
+    const runtime::MonotonicTime now = clock_->Now();
+    if (count_ == 0 || now - asked_at_ >= kRefreshInterval) {
+      count_ = source_ ? source_() : 1;
+      if (count_ == 0) count_ = 1;
+      asked_at_ = now;
+    }
+    return count_;
+  }
+
+ private:
+  const runtime::Clock* const clock_;
+  const std::function<uint32_t()> source_;
+  uint32_t count_ = 0;
+  runtime::MonotonicTime asked_at_;
+};
+
+}  // namespace posthatch::gateway
--- a/src/posthatch/gateway/worker_router.cc
+++ b/src/posthatch/gateway/worker_router.cc
@@ -38,11 +38,13 @@
 }
 
 BackendPointer WorkerRouter::Draw(const std::vector<BackendPointer>& from, uint64_t revision,
-                                  const std::vector<std::string>& tried) {
+                                  const std::vector<std::string>& tried,
+                                  const BackendEntry* other) {
   if (from.empty()) return nullptr;
   for (int draw = 0; draw < kDraws; ++draw) {
     const BackendPointer& entry = from[runtime_->random->Uniform(from.size())];
-    if (!directory_->Eligible(*entry, revision) || Contains(tried, entry->backend.id())) continue;
+    if (entry.get() == other || Contains(tried, entry->backend.id())) continue;
+    if (!directory_->Eligible(*entry, revision)) continue;
     const double share = directory_->SlowStartShare(*entry);
     if (share >= 1.0 || runtime_->random->Chance(share)) return entry;
   }
@@ -51,9 +53,9 @@
 
 BackendPointer WorkerRouter::BetterOfTwo(const std::vector<BackendPointer>& from, uint64_t revision,
                                          const std::vector<std::string>& tried) {
-  BackendPointer first = Draw(from, revision, tried);
+  BackendPointer first = Draw(from, revision, tried, nullptr);
   if (first == nullptr) return nullptr;
-  BackendPointer second = Draw(from, revision, tried);
+  BackendPointer second = Draw(from, revision, tried, first.get());
   if (second == nullptr) return first;
   return RelativeLoad(*second) < RelativeLoad(*first) ? second : first;
 }
@@ -114,23 +116,38 @@
   candidate->cost = cost / directory_->SlowStartShare(entry);
 }
 
-BackendPointer WorkerRouter::ByPrefix(const RouteQuery& query, BackendPool* pool,
-                                      RouteDecision* decision) {
-  const uint64_t revision = query.seed->model_revision;
-  std::vector<index::PrefixHolder> holders;
-  if (!query.chain->empty()) holders = locator_->Locate(*query.seed, *query.chain);
+bool WorkerRouter::HasRoom(const BackendEntry& entry, uint32_t priority) const {
+  const double allowed =
+      std::ceil(AdmissionControl::AllowedShare(priority) * directory_->Limit(entry));
+  return entry.in_flight + 1.0 <= allowed;
+}
+
+std::vector<WorkerRouter::Candidate> WorkerRouter::HolderCandidates(
+    const RouteQuery& query, const std::vector<index::PrefixHolder>& holders) const {
   std::vector<Candidate> candidates;
   for (const index::PrefixHolder& holder : holders) {
     if (candidates.size() >= kHoldersCompared) break;
     const BackendPointer entry = directory_->Find(holder.backend_id);
     if (entry == nullptr || entry->backend.kind() != control::BACKEND_KIND_WORKER) continue;
-    if (entry->backend.model() != *query.model || !directory_->Eligible(*entry, revision)) continue;
-    if (Contains(*query.tried, holder.backend_id)) continue;
+    if (entry->backend.model() != *query.model) continue;
+    if (!directory_->Eligible(*entry, query.seed->model_revision)) continue;
+    if (!HasRoom(*entry, query.priority) || Contains(*query.tried, holder.backend_id)) continue;
     const bool lost_since = entry->epoch > holder.epoch;
     candidates.push_back(Candidate{entry, lost_since ? 0 : holder.blocks});
   }
-  const BackendPointer drawn = LeastLoaded(pool, revision, *query.tried);
-  if (drawn != nullptr) candidates.push_back(Candidate{drawn});
+  return candidates;
+}
+
+BackendPointer WorkerRouter::ByPrefix(const RouteQuery& query, BackendPool* pool,
+                                      RouteDecision* decision) {
+  std::vector<index::PrefixHolder> holders;
+  if (!query.chain->empty()) holders = locator_->Locate(*query.seed, *query.chain);
+  std::vector<Candidate> candidates = HolderCandidates(query, holders);
+  const BackendPointer drawn = LeastLoaded(pool, query.seed->model_revision, *query.tried);
+  const bool drawn_has_room = drawn != nullptr && HasRoom(*drawn, query.priority);
+  if (drawn_has_room || (drawn != nullptr && candidates.empty())) {
+    candidates.push_back(Candidate{drawn});
+  }
   const Candidate* best = nullptr;
   for (Candidate& candidate : candidates) {
     Estimate(holders, query.chain->size(), &candidate);
@@ -152,9 +169,7 @@
     metrics_->routes.Increment("none");
     return;
   }
-  const double allowed =
-      std::ceil(AdmissionControl::AllowedShare(priority) * directory_->Limit(*chosen));
-  if (chosen->in_flight + 1.0 > allowed) {
+  if (!HasRoom(*chosen, priority)) {
     decision->outcome = RouteDecision::Outcome::kShed;
     metrics_->routes.Increment("shed");
     return;
--- a/src/posthatch/gateway/worker_router.h
+++ b/src/posthatch/gateway/worker_router.h
@@ -64,9 +64,9 @@
 
   BackendPointer NextInTurn(BackendPool* pool, uint64_t revision,
                             const std::vector<std::string>& tried);
-  // An eligible back end drawn at random, cold ones less often; null if none was drawn.
+  // An eligible back end but `other` drawn at random, cold ones less often; null if none was drawn.
   BackendPointer Draw(const std::vector<BackendPointer>& from, uint64_t revision,
-                      const std::vector<std::string>& tried);
+                      const std::vector<std::string>& tried, const BackendEntry* other);
   BackendPointer BetterOfTwo(const std::vector<BackendPointer>& from, uint64_t revision,
                              const std::vector<std::string>& tried);
   // The better of two of this zone unless they are busy, then of all; last a search through all.
@@ -80,6 +80,11 @@
   const index::PrefixHolder* BestSource(const std::vector<index::PrefixHolder>& holders,
                                         const Candidate& candidate) const;
   double RelativeLoad(const BackendEntry& entry) const;
+  // Whether one more request of this priority may go there.
+  bool HasRoom(const BackendEntry& entry, uint32_t priority) const;
+  // Holders of the longest prefixes that may be chosen.
+  std::vector<Candidate> HolderCandidates(const RouteQuery& query,
+                                          const std::vector<index::PrefixHolder>& holders) const;
   void Finish(BackendPointer chosen, uint32_t priority, const std::string& reason,
               RouteDecision* decision);
 
