--- a/src/posthatch/gateway/delivery-test.cc
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -130,6 +130,21 @@
   EXPECT_EQ(client.calls.size(), 1u);
 }
 
+TEST_F(DeliveryTest, KeyStaysFreeWhenNoBackendCouldTakeIt) {
+  StartGateway();
+  for (int backend : {4, 5}) {
+    view.fleet.mutable_inventory()->mutable_backends(backend)->set_draining(true);
+  }
+  view.Changed();
+  EXPECT_TRUE(Place("k")->Says("no_capacity"));
+  EXPECT_EQ(control.proposals, 0);
+  view.fleet.mutable_inventory()->mutable_backends(4)->set_draining(false);
+  view.Changed();
+  const auto writer = Place("k");
+  LastCall().GoodOperation("place");
+  EXPECT_EQ(writer->whole.status, 200);
+}
+
 TEST_F(DeliveryTest, RefusalBeforeTheRecordSaysUnknown) {
   StartGateway();
   view.expiry = clock.now;
