--- a/src/posthatch/asio/fault_injection.cc
+++ b/src/posthatch/asio/fault_injection.cc
@@ -143,7 +143,7 @@
 }
 
 uint64_t FaultInjection::Subscribe(std::function<void()> changed) {
-  listeners_.emplace(++last_subscription_, std::move(changed));
+  listeners_[++last_subscription_] = std::move(changed);
   return last_subscription_;
 }
 
--- a/src/posthatch/daemon/command_line-test.cc
+++ b/src/posthatch/daemon/command_line-test.cc
@@ -96,6 +96,7 @@
   int Run(std::vector<std::string> arguments) {
     arguments.insert(arguments.begin(), "posthatchd");
     std::vector<const char*> argv;
+    argv.reserve(arguments.size());
     for (const std::string& argument : arguments) argv.push_back(argument.c_str());
     ScriptedFactory factory(&script_);
     return RunCommandLine(static_cast<int>(argv.size()), argv.data(), &factory);
@@ -109,7 +110,7 @@
 
   // Sends requests one after another, each answered before the next, and then runs `then`.
   void SendAll(runtime::Runtime* runtime, const std::string& endpoint,
-               std::vector<http::Request> requests, std::function<void()> then) {
+               std::vector<http::Request> requests, const std::function<void()>& then) {
     if (requests.empty()) return then();
     http::Request next = std::move(requests.front());
     requests.erase(requests.begin());
