--- a/src/posthatch/membership/gossip_membership-test.cc
+++ b/src/posthatch/membership/gossip_membership-test.cc
@@ -250,6 +250,58 @@
   EXPECT_TRUE(fleet.RunUntilConverged(seconds(90))) << "a member that stays is reported again";
 }
 
+TEST_P(GossipTest, GarbageIsCountedAndChangesNothing) {
+  GossipFleet fleet(&world_, 10);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  runtime::Runtime* sender = fleet.host(1)->runtime();
+  MembershipMessage message;
+  message.mutable_bucket_request()->set_request(1);
+  for (uint32_t bucket = 0; bucket < 200; ++bucket) {
+    message.mutable_bucket_request()->add_buckets(bucket * 7);
+  }
+  message.add_records(std::string("\x0a\xff", 2));
+  const std::string valid = message.SerializeAsString();
+  for (int i = 0; i < 500; ++i) {
+    std::string garbage = valid;
+    garbage.resize(world_.random()->Uniform(garbage.size() + 1));
+    for (char& byte : garbage) {
+      if (world_.random()->Chance(0.05)) byte = static_cast<char>(world_.random()->Uniform(256));
+    }
+    sender->transport->Send(fleet.host(0)->internal_endpoint(), runtime::SERVICE_MEMBERSHIP,
+                            garbage, runtime::Delivery::kDatagram);
+    if (i % 20 == 0) world_.RunFor(milliseconds(50));
+  }
+  world_.RunFor(seconds(5));
+  EXPECT_TRUE(fleet.Converged());
+  EXPECT_TRUE(fleet.false_deaths().empty());
+}
+
+TEST_P(GossipTest, TwoProcessesWithOneNodeIdDoNotOutbidEachOtherAtFullSpeed) {
+  GossipFleet fleet(&world_, 10);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  simulation::SimHost* twin = world_.AddHost("n5", "zone", "10.9.9.9");
+  int changes = 0;
+  fleet.membership(0)->AddListener([&](const Member& member) {
+    if (member.node_id == "n5") ++changes;
+  });
+  twin->SetBoot([&](runtime::Runtime* runtime) {
+    Member self;
+    self.node_id = "n5";
+    self.internal_endpoint = twin->internal_endpoint();
+    auto membership = std::make_shared<GossipMembership>(
+        runtime, self, std::vector<std::string>{fleet.host(0)->internal_endpoint()});
+    membership->Start();
+    return membership;
+  });
+  twin->Start();
+  const uint64_t bytes = fleet.sent_bytes();
+  world_.RunFor(seconds(60));
+  EXPECT_LE(changes, 130);
+  EXPECT_LT(fleet.sent_bytes() - bytes, 10u * 60u * 1500u);
+  twin->Crash();
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(90)));
+}
+
 TEST_P(GossipTest, EqualSeedsGiveEqualRuns) {
   const auto run = [](uint64_t seed) {
     simulation::SimWorld world(seed);
--- a/src/posthatch/membership/record_merger.cc
+++ b/src/posthatch/membership/record_merger.cc
@@ -6,6 +6,12 @@
 #include "posthatch/membership/member_record.h"
 
 namespace posthatch::membership {
+namespace {
+
+// Shortest time between two records by which this process overrides another life of its node id.
+constexpr runtime::Duration kOverrideInterval = std::chrono::seconds(1);
+
+}  // namespace
 
 RecordMerger::RecordMerger(runtime::Runtime* runtime, const GossipOptions* options,
                            MemberTable* table, SuspicionList* suspicions, BroadcastQueue* queue,
@@ -66,6 +72,7 @@
   if (self_->member.state == MemberState::kLeft || record.version() < self_->version) return;
   const bool this_life = record.incarnation() == self_->member.incarnation;
   if (this_life && record.state() == RECORD_ALIVE) return;
+  if (!this_life && !MayOverrideNow(record)) return;
   // Only this process raises its version: above what is said wrongly of it, or of its former life.
   table_->SetState(self_, record.version() + 1, MemberState::kAlive, runtime_->clock->Now());
   PassOn(MakeRecord(self_->member, self_->version, !this_life), true);
@@ -73,6 +80,16 @@
   if (this_life) owner_->OnRefuted();
 }
 
+bool RecordMerger::MayOverrideNow(const MemberRecord& record) {
+  // Two live processes under one node id would otherwise outbid each other at full speed.
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  if (now < next_override_) return false;
+  next_override_ = now + kOverrideInterval;
+  runtime_->trace->Event(runtime::Severity::kWarning, "OtherLifeOverridden",
+                         {{"incarnation", record.incarnation()}, {"version", record.version()}});
+  return record.version() < UINT32_MAX;
+}
+
 void RecordMerger::AddNew(const MemberRecord& record, bool pass_on) {
   if (!record.has_details()) return;  // anti-entropy will bring the whole record
   MemberEntry* entry = table_->Put(MakeMember(record), record.version(), runtime_->clock->Now());
--- a/src/posthatch/membership/record_merger.h
+++ b/src/posthatch/membership/record_merger.h
@@ -52,6 +52,7 @@
 
  private:
   void ApplyToSelf(const MemberRecord& record);
+  bool MayOverrideNow(const MemberRecord& record);
   void AddNew(const MemberRecord& record, bool pass_on);
   void ApplyAlive(MemberEntry* entry, const MemberRecord& record, bool pass_on);
   void ApplySuspect(MemberEntry* entry, const MemberRecord& record, bool pass_on);
@@ -72,6 +73,7 @@
   Owner* const owner_;
   MemberEntry* self_ = nullptr;
   size_t held_count_ = 0;
+  runtime::MonotonicTime next_override_{};
 };
 
 }  // namespace posthatch::membership
--- a/src/posthatch/membership/state_sync.cc
+++ b/src/posthatch/membership/state_sync.cc
@@ -76,6 +76,8 @@
 }
 
 void StateSync::OnBucketRequest(const std::string& from_endpoint, const BucketRequest& request) {
+  // More than any process of ours asks for is not answered: small requests, large answers.
+  if (request.buckets_size() > options_->pull_window_buckets) return;
   std::vector<MembershipMessage> chunks(1);
   size_t bytes = 0;
   for (const uint32_t bucket : request.buckets()) {
