--- a/src/posthatch/gateway/delivery-test.cc
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -16,7 +16,7 @@
       other_ = std::make_unique<Gateway>(&other_runtime_, options, &view, &control, &locator);
     }
     std::swap(gateway, other_);
-    const auto writer = Place(key);
+    auto writer = Place(key);
     std::swap(gateway, other_);
     return writer;
   }
@@ -95,7 +95,6 @@
   control.hold = true;
   const auto writer = Place("k");
   view.fleet.mutable_configuration()->mutable_tenants(0)->clear_key_sha256();
-  view.fleet.set_configuration_index(2);
   view.Changed();
   control.hold = false;
   control.Release();
