--- a/src/posthatch/index/index-bench.cc
+++ b/src/posthatch/index/index-bench.cc
@@ -58,6 +58,19 @@
 }
 BENCHMARK(BM_LookUpHit)->Arg(100'000)->Arg(1'000'000)->Arg(10'000'000);
 
+// The same after each holder has had a block removed: every block is compared.
+void BM_LookUpHitWithGaps(benchmark::State& state) {
+  FilledIndex filled(state.range(0), 18);
+  for (const Chain& chain : MakeChains(32 * 200, 1)) filled.index.Remove(chain.back(), Any);
+  runtime::Random random(3);
+  for (auto _ : state) {
+    const Chain& chain = filled.chains[random.Uniform(filled.chains.size())];
+    benchmark::DoNotOptimize(filled.index.LongestPrefixes(chain, Any));
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(BM_LookUpHitWithGaps)->Arg(100'000)->Arg(1'000'000)->Arg(10'000'000);
+
 // Chains whose first half is kept.
 void BM_LookUpHalf(benchmark::State& state) {
   FilledIndex filled(state.range(0), 18);
--- a/src/posthatch/index/prefix_index-test.cc
+++ b/src/posthatch/index/prefix_index-test.cc
@@ -50,6 +50,19 @@
   EXPECT_TRUE(index.LongestPrefixes(RandomChain(&random, 3), Any).empty());
 }
 
+TEST(PrefixIndexTest, RemovalInTheMiddleEndsThePrefixThere) {
+  PrefixIndex index(kNoBudget);
+  runtime::Random random(2);
+  const auto chain = RandomChain(&random, 32);
+  const GenerationId generation = index.OpenGeneration();
+  for (const size_t gap : {30, 17, 9, 2, 1}) {
+    index.Insert(generation, chain);
+    EXPECT_EQ(LookUp(&index, chain)[generation], 32u);
+    EXPECT_EQ(index.Remove(chain[gap], Any), 1u);
+    EXPECT_EQ(LookUp(&index, chain)[generation], gap);
+  }
+}
+
 // Random work against a plain map, over many sizes of the table.
 TEST(PrefixIndexTest, AgreesWithAPlainMap) {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
--- a/src/posthatch/index/prefix_index.cc
+++ b/src/posthatch/index/prefix_index.cc
@@ -42,7 +42,7 @@
     id = free_generations_.back();
     free_generations_.pop_back();
   }
-  generations_[id] = {0, true};
+  generations_[id] = {0, true, false};
   return id;
 }
 
@@ -134,6 +134,7 @@
     for (size_t slot = 0; slot < kSlotsPerBucket; ++slot) {
       if (bucket.hashes[slot] != block || IsFree(bucket, slot)) continue;
       if (!matches(bucket.generations[slot])) continue;
+      generations_[bucket.generations[slot]].has_gaps = true;
       Release(bucket.generations[slot]);
       bucket.generations[slot] = kNoGeneration;
       --segment.used_slots;
@@ -179,6 +180,9 @@
   for (size_t i = 0; i < matches.size(); ++i) {
     while (ranges[i].missing - ranges[i].held > 1) Narrow(chain, ranges[i], matches, &ranges);
     matches[i].blocks = ranges[i].held + 1;
+    if (generations_[matches[i].generation].has_gaps) {
+      matches[i].blocks = CompareAll(chain, matches[i].generation, matches[i].blocks);
+    }
   }
   std::stable_sort(matches.begin(), matches.end(), [](const Match& left, const Match& right) {
     return left.blocks > right.blocks;
@@ -186,6 +190,22 @@
   return matches;
 }
 
+uint32_t PrefixIndex::CompareAll(absl::Span<const BlockHash> chain, GenerationId generation,
+                                 uint32_t blocks) {
+  for (size_t i = 1; i < std::min<size_t>(kPrefetchDistance, blocks); ++i) Prefetch(chain[i]);
+  for (uint32_t i = 1; i < blocks; ++i) {
+    if (i + kPrefetchDistance <= blocks) Prefetch(chain[i + kPrefetchDistance - 1]);
+    bool kept = false;
+    VisitHolders(chain[i], [&](GenerationId holder, Bucket* bucket, size_t slot) {
+      if (holder != generation) return;
+      kept = true;
+      SetRecency(bucket, slot, kUsedRecency);
+    });
+    if (!kept) return i;
+  }
+  return blocks;
+}
+
 void PrefixIndex::Narrow(absl::Span<const BlockHash> chain, Range range, const Matches& matches,
                          Ranges* ranges) {
   // The last possible block and the quarters before it: their memory is fetched at the same time.
--- a/src/posthatch/index/prefix_index.h
+++ b/src/posthatch/index/prefix_index.h
@@ -59,10 +59,10 @@
   // Removes `block` from all generations that `matches` holds for; returns how many.
   size_t Remove(BlockHash block, GenerationFilter matches);
 
-  // For each generation that keeps the first block of `chain` and passes `filter`: the last block
-  // of the chain that it keeps, found by search. A holder of a block is taken to hold all before
-  // it: hashes are chained, and workers give up a chain from its end, so a gap is rare and costs
-  // one look-up's worth of prefill. Longest first.
+  // For each generation that keeps the first block of `chain` and passes `filter`: how many leading
+  // blocks it keeps. Found by search, and for a generation that has had blocks removed compared
+  // block by block, since only then its chains can have gaps. (A block evicted here for want of
+  // memory is no gap: its holder still keeps it.) Longest first.
   Matches LongestPrefixes(absl::Span<const BlockHash> chain, GenerationFilter filter);
 
   // Compacts one segment if dropped blocks take up much room; called from time to time.
@@ -96,6 +96,7 @@
   struct Generation {
     uint64_t blocks = 0;
     bool live = false;
+    bool has_gaps = false;  // blocks were removed one by one
   };
   struct Slot {
     BlockHash hash;
@@ -135,6 +136,8 @@
   template <typename Visitor>
   void VisitHolders(BlockHash hash, Visitor visit);
   void Prefetch(BlockHash hash) const;
+  // How many of the first `blocks` blocks `generation` keeps without a gap.
+  uint32_t CompareAll(absl::Span<const BlockHash> chain, GenerationId generation, uint32_t blocks);
   // What the search knows of a match: it keeps block `held`, and not block `missing`.
   struct Range {
     uint32_t held = 0;
