--- /dev/null
+++ b/src/posthatch/channels/channel_messages-fuzz.cc
@@ -0,0 +1,23 @@
+#include <cstddef>
+#include <cstdint>
+
+#include "posthatch/channels/fake_runtime-test.h"
+#include "posthatch/channels/relay_point.h"
+#include "posthatch/channels/subscription_set.h"
+
+// Any bytes as a channel message, to a subscriber that is also a relay point: nothing may crash,
+// and nothing may be trusted, since no registration was ever answered by its number.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  using posthatch::channels::FakeRuntime;
+  FakeRuntime fake;
+  posthatch::channels::SubscriptionSet set(
+      &fake.runtime, {}, [] { return std::vector<std::string>{"10.0.0.9:7000"}; });
+  posthatch::channels::RelayPoint relay(&fake.runtime, {}, &set);
+  set.Start();
+  posthatch::runtime::Envelope envelope;
+  envelope.set_from_endpoint("10.0.0.9:7000");
+  envelope.set_payload(data, size);
+  fake.transport.receivers[posthatch::runtime::SERVICE_CHANNELS](envelope);
+  fake.timers.Advance(std::chrono::seconds(3));
+  return 0;
+}
--- a/src/posthatch/channels/relay_point-test.cc
+++ b/src/posthatch/channels/relay_point-test.cc
@@ -13,8 +13,8 @@
 constexpr char kServer[] = "10.0.0.9:7000";
 constexpr char kSubscriber[] = "10.0.0.3:7000";
 
-// Plays the server above and the subscribers below. The server's clock is the relay point's, so that
-// a time proved upstream can be compared with what is proved downstream.
+// Plays the server above and the subscribers below. The server's clock is the relay point's, so
+// that a time proved upstream can be compared with what is proved downstream.
 class RelayPointTest : public testing::Test {
  protected:
   RelayPointTest() {
