--- /dev/null
+++ b/src/posthatch/asio/asio_clock.cc
@@ -0,0 +1,16 @@
+#include "posthatch/asio/asio_clock.h"
+
+#include <chrono>
+
+#include "posthatch/asio/asio_types.h"
+
+namespace posthatch::asio {
+
+runtime::MonotonicTime AsioClock::Now() const { return BootNow(); }
+
+int64_t AsioClock::WallNanoseconds() const {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(since_epoch).count();
+}
+
+}  // namespace posthatch::asio
