--- /dev/null
+++ b/src/posthatch/standins/real_sockets-test.cc
@@ -0,0 +1,101 @@
+// Stand-ins and callers over real sockets: the same classes as in the simulator.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+#include "posthatch/asio/asio_runtime.h"
+#include "posthatch/rehearse/history/recorders.h"
+#include "posthatch/standins/caller_load.h"
+#include "posthatch/standins/worker_standin.h"
+
+namespace posthatch::standins {
+namespace {
+
+class RealSocketsTest : public ::testing::Test {
+ protected:
+  RealSocketsTest() {
+    asio_runtime = *asio::AsioRuntime::Create({});
+    recorder = std::make_unique<rehearse::MemoryHistoryRecorder>(asio_runtime->runtime()->clock,
+                                                                 "test", &events);
+    WorkerSettings settings;
+    settings.id = "worker";
+    settings.max_running = 64;
+    settings.timing.prefill_per_block = std::chrono::microseconds(100);
+    settings.timing.decode_per_token = std::chrono::milliseconds(2);
+    worker = std::make_unique<WorkerStandIn>(asio_runtime->runtime(), settings, recorder.get());
+    EXPECT_TRUE(worker->Start().ok());
+    options.mix = NilestoneMix();
+    std::erase_if(options.mix.operations, [](const OperationTraffic& operation) {
+      return operation.kind == OperationKind::kService;
+    });
+    options.gateways = {worker->endpoint()};
+  }
+
+  // Runs a load for a second and until its calls have ended; returns these ends.
+  std::vector<rehearse::CallEnded> RunLoad() {
+    CallerLoad load(asio_runtime->runtime(), options, recorder.get());
+    load.Start();
+    asio_runtime->RunUntil([] { return false; }, std::chrono::seconds(1));
+    bool stopped = false;
+    load.Stop([&stopped] { stopped = true; });
+    EXPECT_TRUE(asio_runtime->RunUntil([&stopped] { return stopped; }, std::chrono::seconds(30)));
+    std::vector<rehearse::CallEnded> ends;
+    for (const rehearse::HistoryEvent& event : events) {
+      if (event.has_call_ended()) ends.push_back(event.call_ended());
+    }
+    return ends;
+  }
+
+  std::unique_ptr<asio::AsioRuntime> asio_runtime;
+  std::vector<rehearse::HistoryEvent> events;
+  std::unique_ptr<rehearse::MemoryHistoryRecorder> recorder;
+  std::unique_ptr<WorkerStandIn> worker;
+  CallerLoadOptions options;
+};
+
+TEST_F(RealSocketsTest, AnswersAreWholeForSlowReadersToo) {
+  options.mix.leaving_share = 0;
+  options.mix.slow_reader_share = 0.2;
+  const auto ends = RunLoad();
+  EXPECT_GT(ends.size(), 10u);
+  for (const rehearse::CallEnded& ended : ends) {
+    EXPECT_TRUE(ended.complete() && ended.body_intact()) << ended.status() << ended.fault();
+  }
+}
+
+TEST_F(RealSocketsTest, RunsOfCallersThatLeaveAreCancelled) {
+  options.mix.leaving_share = 1;
+  WorkerBehaviour slow;
+  slow.slow_factor = 20;
+  worker->SetBehaviour(slow);
+  const auto ends = RunLoad();
+  asio_runtime->RunUntil([] { return false; }, std::chrono::milliseconds(300));
+  size_t cancelled = 0;
+  size_t started = 0;
+  for (const rehearse::HistoryEvent& event : events) {
+    started += event.has_run_started() ? 1 : 0;
+    cancelled += event.run_ended().reason() == "caller_gone" ? 1 : 0;
+  }
+  EXPECT_GT(ends.size(), 10u);
+  EXPECT_GT(cancelled, 0u);
+  EXPECT_GE(cancelled, started * 9 / 10);
+}
+
+TEST_F(RealSocketsTest, CutAnswersAreSeenAsCut) {
+  options.mix.leaving_share = 0;
+  WorkerBehaviour cutting;
+  cutting.cut_share = 1;
+  cutting.cut_at_piece = 2;
+  worker->SetBehaviour(cutting);
+  const auto ends = RunLoad();
+  EXPECT_GT(ends.size(), 10u);
+  for (const rehearse::CallEnded& ended : ends) {
+    EXPECT_FALSE(ended.complete());
+    EXPECT_EQ(ended.status(), 200u);
+    EXPECT_FALSE(ended.body_intact());
+  }
+}
+
+}  // namespace
+}  // namespace posthatch::standins
