Send control messages in one byte order; a controller whose replica failed isn't ready

Cause: SimulatedRehearsal.EqualSeedsGiveEqualTraces failed, with equal histories and another trace hash: protobuf maps (labels of back ends) are serialized in an order that differs from run to run, and the hash covers payloads. Ruled out: iteration over hash maps (all are sorted or only counted). Change: control messages and commands go through SerializeDeterministically, as fingerprints already did; Ready() asks the replica's failure.

--- a/src/posthatch/control/controller_service.cc
+++ b/src/posthatch/control/controller_service.cc
@@ -257,10 +257,11 @@
   proposals_[key] = request.call();
   Command command = request.command();
   FillControlTime(&command);
-  log_->Propose(command.SerializeAsString(), [this, key, alive = std::weak_ptr<bool>(alive_)](
-                                                 const absl::StatusOr<std::string>& answer) {
-    if (!alive.expired()) OnProposed(key, answer);
-  });
+  log_->Propose(
+      SerializeDeterministically(command),
+      [this, key, alive = std::weak_ptr<bool>(alive_)](const absl::StatusOr<std::string>& answer) {
+        if (!alive.expired()) OnProposed(key, answer);
+      });
 }
 
 void ControllerService::FillControlTime(Command* command) const {
@@ -429,19 +430,20 @@
 }
 
 void ControllerService::ProposeOwn(Command command, std::function<void(bool applied)> done) {
-  log_->Propose(command.SerializeAsString(), [this, term = term_, done = std::move(done),
-                                              alive = std::weak_ptr<bool>(alive_)](
-                                                 const absl::StatusOr<std::string>& answer) {
-    if (alive.expired() || !leading_ || term != term_) return;
-    CommandResult result;
-    done(answer.ok() && result.ParseFromString(*answer) && result.code() == CommandResult::OK);
-  });
+  log_->Propose(
+      SerializeDeterministically(command),
+      [this, term = term_, done = std::move(done),
+       alive = std::weak_ptr<bool>(alive_)](const absl::StatusOr<std::string>& answer) {
+        if (alive.expired() || !leading_ || term != term_) return;
+        CommandResult result;
+        done(answer.ok() && result.ParseFromString(*answer) && result.code() == CommandResult::OK);
+      });
 }
 
 void ControllerService::Send(const std::string& endpoint, const ControlMessage& message) {
   if (endpoint != runtime_->transport->endpoint()) {
-    runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL, message.SerializeAsString(),
-                              runtime::Delivery::kStream);
+    runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL,
+                              SerializeDeterministically(message), runtime::Delivery::kStream);
     return;
   }
   // To itself: the own client asks the own service.
--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "posthatch/control/configuration_validator.h"
+#include "posthatch/control/fingerprint.h"
 #include "posthatch/control/fleet_sections.h"
 
 namespace posthatch::control {
@@ -254,7 +255,7 @@
 }
 
 void GatewaySession::Send(const std::string& endpoint, const ControlMessage& message) {
-  runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL, message.SerializeAsString(),
+  runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL, SerializeDeterministically(message),
                             runtime::Delivery::kStream);
 }
 
--- a/src/posthatch/daemon/controller_node.cc
+++ b/src/posthatch/daemon/controller_node.cc
@@ -97,12 +97,19 @@
 }
 
 absl::Status ControllerNode::Start() {
+  replica_.SetFailureListener([this](const absl::Status& status) {
+    // The replica has stopped for good; this process answers reads through the leader, and is not
+    // ready any more.
+    runtime_->trace->Event(runtime::Severity::kError, "ReplicaFailed",
+                           {{"error", status.ToString()}});
+  });
   membership_.Start();
   return replica_.Start();
 }
 
 bool ControllerNode::Ready() const {
-  return replica_.role() != consensus::ReplicaRole::kUnbootstrapped &&
+  return replica_.Status().failure.ok() &&
+         replica_.role() != consensus::ReplicaRole::kUnbootstrapped &&
          !replica_.leader_endpoint().empty();
 }
 
