--- a/src/posthatch/membership/gossip_membership-test.cc
+++ b/src/posthatch/membership/gossip_membership-test.cc
@@ -175,6 +175,18 @@
   for (const GossipFleet::FalseDeath& death : fleet.false_deaths()) EXPECT_EQ(death.member, "n5");
 }
 
+TEST_P(GossipTest, ProcessThatCannotSendIsDeclaredDeadAndComesBack) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  for (size_t other = 0; other < fleet.size(); ++other) {
+    if (other != 5) world_.Cut("n5", absl::StrCat("n", other));
+  }
+  EXPECT_TRUE(fleet.RunUntilGone(5, seconds(20)));
+  world_.HealAll();
+  EXPECT_TRUE(fleet.RunUntilConverged(seconds(60)));
+  for (const GossipFleet::FalseDeath& death : fleet.false_deaths()) EXPECT_EQ(death.member, "n5");
+}
+
 TEST_P(GossipTest, HealedSplitMergesWithoutFurtherDeaths) {
   GossipFleet fleet(&world_, 20);
   ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
