--- a/src/posthatch/consensus/raft_replica.cc
+++ b/src/posthatch/consensus/raft_replica.cc
@@ -136,7 +136,7 @@
   } else {
     core_->Step(message, Now());
   }
-  ScheduleFlush();
+  Flush();
 }
 
 void RaftReplica::Tick() {
@@ -186,7 +186,7 @@
                         if (!active_) return;
                         if (!status.ok()) return Fail(status);
                         core_->OnPersisted(persist_id, Now());
-                        ScheduleFlush();
+                        Flush();
                       });
 }
 
