Cut a killed process's unfinished line before its next life appends to the history

Cause: a line that was handed over in two writes could be cut by a kill; the restarted stand-in appended behind it, and LoadHistory then refused the whole file as malformed. Lines now go out in one write, and opening cuts a line without its end. Tolerating malformed lines in the reader was ruled out: it would hide real damage.

Run: history-test 5 of 5; with the cut left out NextLifeOfAKilledProcessGoesOnAfterTheLastWholeLine fails with 'malformed event ... :3'. standins-test 53 of 53.

--- a/src/posthatch/rehearse/history/recorders-test.cc
+++ b/src/posthatch/rehearse/history/recorders-test.cc
@@ -82,6 +82,16 @@
   EXPECT_EQ(LoadHistory(path_ + ".none").status().code(), absl::StatusCode::kNotFound);
 }
 
+TEST_F(JsonlHistoryRecorderTest, NextLifeOfAKilledProcessGoesOnAfterTheLastWholeLine) {
+  WriteRuns(2);
+  std::ofstream(path_, std::ios::app) << "{\"timeNs\": \"5" << std::string(10000, 'x');
+  WriteRuns(1);
+  const auto history = LoadHistory(path_);
+  ASSERT_TRUE(history.ok()) << history.status();
+  EXPECT_EQ(history->events.size(), 3u);
+  EXPECT_FALSE(history->truncated_end);
+}
+
 TEST(MemoryHistoryRecorderTest, SharedListKeepsTimeAndName) {
   FixedClock clock;
   std::vector<HistoryEvent> events;
--- a/src/posthatch/rehearse/history/recorders.cc
+++ b/src/posthatch/rehearse/history/recorders.cc
@@ -5,21 +5,50 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 
 namespace posthatch::rehearse {
+namespace {
+
+// Cuts off a last line without its end: the killed process that left it had not gone on to what
+// the event records, and a line after it would make it look malformed.
+absl::Status CutUnfinishedLine(const std::string& path) {
+  std::error_code error;
+  const uintmax_t size = std::filesystem::file_size(path, error);
+  if (error) return absl::OkStatus();  // no file yet
+  std::ifstream file(path, std::ios::binary);
+  uintmax_t end = size;
+  for (char last = 0; end > 0; --end) {
+    file.seekg(static_cast<std::streamoff>(end - 1));
+    if (!file.get(last)) return absl::UnavailableError(absl::StrCat("can't read ", path));
+    if (last == '\n') break;
+  }
+  if (end == size) return absl::OkStatus();
+  std::filesystem::resize_file(path, end, error);
+  return error ? absl::UnavailableError(absl::StrCat("can't cut ", path)) : absl::OkStatus();
+}
+
+}  // namespace
 
 absl::StatusOr<std::unique_ptr<JsonlHistoryRecorder>> JsonlHistoryRecorder::Open(
     const runtime::Clock* clock, std::string recorder_name, const std::string& path) {
+  if (absl::Status cut = CutUnfinishedLine(path); !cut.ok()) return cut;
   std::FILE* file = std::fopen(path.c_str(), "ae");
   if (file == nullptr) {
     return absl::UnavailableError(
         absl::StrCat("can't append to history ", path, ": ", std::strerror(errno)));
   }
+  // Without a buffer a line goes out in one write.
+  if (std::setvbuf(file, nullptr, _IONBF, 0) != 0) {
+    std::fclose(file);
+    return absl::UnavailableError(absl::StrCat("can't write history ", path, " unbuffered"));
+  }
   return std::unique_ptr<JsonlHistoryRecorder>(
       new JsonlHistoryRecorder(clock, std::move(recorder_name), file));
 }
@@ -39,8 +68,7 @@
     return;
   }
   line.push_back('\n');
-  const bool written = std::fwrite(line.data(), 1, line.size(), file_) == line.size();
-  if (!written || std::fflush(file_) != 0) ++lost_events_;
+  if (std::fwrite(line.data(), 1, line.size(), file_) != line.size()) ++lost_events_;
 }
 
 MemoryHistoryRecorder::MemoryHistoryRecorder(const runtime::Clock* clock, std::string recorder_name,
