--- a/src/posthatch/gateway/worker_router.cc
+++ b/src/posthatch/gateway/worker_router.cc
@@ -38,11 +38,13 @@
 }
 
 BackendPointer WorkerRouter::Draw(const std::vector<BackendPointer>& from, uint64_t revision,
-                                  const std::vector<std::string>& tried) {
+                                  const std::vector<std::string>& tried,
+                                  const BackendEntry* other) {
   if (from.empty()) return nullptr;
   for (int draw = 0; draw < kDraws; ++draw) {
     const BackendPointer& entry = from[runtime_->random->Uniform(from.size())];
-    if (!directory_->Eligible(*entry, revision) || Contains(tried, entry->backend.id())) continue;
+    if (entry.get() == other || Contains(tried, entry->backend.id())) continue;
+    if (!directory_->Eligible(*entry, revision)) continue;
     const double share = directory_->SlowStartShare(*entry);
     if (share >= 1.0 || runtime_->random->Chance(share)) return entry;
   }
@@ -51,9 +53,9 @@
 
 BackendPointer WorkerRouter::BetterOfTwo(const std::vector<BackendPointer>& from, uint64_t revision,
                                          const std::vector<std::string>& tried) {
-  BackendPointer first = Draw(from, revision, tried);
+  BackendPointer first = Draw(from, revision, tried, nullptr);
   if (first == nullptr) return nullptr;
-  BackendPointer second = Draw(from, revision, tried);
+  BackendPointer second = Draw(from, revision, tried, first.get());
   if (second == nullptr) return first;
   return RelativeLoad(*second) < RelativeLoad(*first) ? second : first;
 }
--- a/src/posthatch/gateway/worker_router.h
+++ b/src/posthatch/gateway/worker_router.h
@@ -64,9 +64,9 @@
 
   BackendPointer NextInTurn(BackendPool* pool, uint64_t revision,
                             const std::vector<std::string>& tried);
-  // An eligible back end drawn at random, cold ones less often; null if none was drawn.
+  // An eligible back end but `other` drawn at random, cold ones less often; null if none was drawn.
   BackendPointer Draw(const std::vector<BackendPointer>& from, uint64_t revision,
-                      const std::vector<std::string>& tried);
+                      const std::vector<std::string>& tried, const BackendEntry* other);
   BackendPointer BetterOfTwo(const std::vector<BackendPointer>& from, uint64_t revision,
                              const std::vector<std::string>& tried);
   // The better of two of this zone unless they are busy, then of all; last a search through all.
