--- a/src/posthatch/control/controller_service-test.cc
+++ b/src/posthatch/control/controller_service-test.cc
@@ -157,6 +157,46 @@
   ExpectNoViolation();
 }
 
+TEST_P(ControllerServiceTest, AGatewayThatRejectsTheConfigurationGetsItWithoutALease) {
+  runtime::Transport* transport = fleet_.world.FindHost("operator")->runtime()->transport;
+  std::vector<SessionGrant> grants;
+  transport->SetReceiver(runtime::SERVICE_CONTROL, [&grants](const runtime::Envelope& envelope) {
+    ControlMessage message;
+    ASSERT_TRUE(message.ParseFromString(envelope.payload()));
+    if (message.has_session_grant()) grants.push_back(message.session_grant());
+  });
+  ControlMessage renewal;
+  renewal.mutable_session_renewal()->set_gateway("strict");
+  renewal.mutable_session_renewal()->set_renewal(1);
+  renewal.mutable_session_renewal()->set_rejection("too new");
+  transport->Send(fleet_.controller_hosts[0]->internal_endpoint(), runtime::SERVICE_CONTROL,
+                  renewal.SerializeAsString(), runtime::Delivery::kStream);
+  fleet_.world.RunFor(seconds(1));
+  ASSERT_EQ(grants.size(), 1);
+  EXPECT_EQ(grants[0].lease_ms(), 0);
+  EXPECT_EQ(grants[0].changed().configuration_version(), 1);
+  EXPECT_EQ(fleet_.Controller(fleet_.controller_hosts[0])->service.session_count(), 4);
+}
+
+TEST_P(ControllerServiceTest, AGrantForAnEarlierLifeOfTheGatewayIsNoLease) {
+  for (const char* controller : {"c0", "c1"}) fleet_.world.Cut(controller, "g0");
+  fleet_.world.RunFor(seconds(5));
+  ASSERT_FALSE(Session(0).LeaseValid());
+  runtime::Transport* transport = fleet_.world.FindHost("operator")->runtime()->transport;
+  for (uint64_t renewal = 1; renewal < 200; ++renewal) {
+    ControlMessage message;
+    SessionGrant* grant = message.mutable_session_grant();
+    grant->set_renewal(renewal);
+    grant->set_term(99);
+    grant->set_lease_ms(4000);
+    grant->set_incarnation(fleet_.gateway_hosts[0]->runtime()->transport->incarnation() + 1);
+    transport->Send(fleet_.gateway_hosts[0]->internal_endpoint(), runtime::SERVICE_CONTROL,
+                    message.SerializeAsString(), runtime::Delivery::kStream);
+  }
+  fleet_.world.RunFor(milliseconds(500));
+  EXPECT_FALSE(Session(0).LeaseValid());
+}
+
 TEST_P(ControllerServiceTest, EachWorkerHasOneHolderOfItsZoneAndIsHandedOverWithoutOverlap) {
   const auto all_held_in_zone = [this] {
     const FleetState& state = Session(1).state();
