--- a/src/posthatch/control/configuration_history.h
+++ b/src/posthatch/control/configuration_history.h
@@ -16,7 +16,7 @@
  public:
   // Whole versions kept for reading and rolling back. The newest is always kept.
   static constexpr size_t kMaxVersions = 1000;
-  static constexpr size_t kMaxBytes = 32 * 1024 * 1024;
+  static constexpr size_t kMaxBytes = size_t{32} * 1024 * 1024;
 
   // OK (with the new version), INVALID (all errors), VERSION_CONFLICT or NOT_FOUND (roll back to a
   // version that isn't kept). Nothing is changed unless it is OK.
--- a/src/posthatch/control/configuration_validator.h
+++ b/src/posthatch/control/configuration_validator.h
@@ -9,7 +9,7 @@
 namespace posthatch::control {
 
 // Serialized size of a whole configuration, in bytes.
-inline constexpr size_t kMaxConfigurationBytes = 2 * 1024 * 1024;
+inline constexpr size_t kMaxConfigurationBytes = size_t{2} * 1024 * 1024;
 // Errors reported at once; what is beyond is counted in a last line.
 inline constexpr size_t kMaxReportedErrors = 100;
 
--- a/src/posthatch/control/delivery_records.h
+++ b/src/posthatch/control/delivery_records.h
@@ -23,11 +23,11 @@
  public:
   static constexpr int64_t kDefaultWindowMs = 3600000;
   static constexpr size_t kMaxRecords = 100000;
-  static constexpr size_t kMaxOutcomeBytes = 64 * 1024 * 1024;
+  static constexpr size_t kMaxOutcomeBytes = size_t{64} * 1024 * 1024;
   static constexpr size_t kMaxExpired = 500000;
   static constexpr int64_t kExpiredWindows = 12;
   // A larger body isn't kept: the record then ends as UNKNOWN, which a resend is told.
-  static constexpr size_t kMaxBodyBytes = 1024 * 1024;
+  static constexpr size_t kMaxBodyBytes = size_t{1024} * 1024;
   static constexpr size_t kMaxKeyLength = 512;
 
   CommandResult Begin(const DeliveryBegin& begin, int64_t window_ms);
--- a/src/posthatch/control/inventory_reader.cc
+++ b/src/posthatch/control/inventory_reader.cc
@@ -13,7 +13,7 @@
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusTooManyRequests = 429;
-constexpr size_t kMaxBodyBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxBodyBytes = size_t{64} * 1024 * 1024;
 
 std::string Text(const boost::json::object& object, std::string_view key) {
   const boost::json::value* value = object.if_contains(key);
