--- a/src/posthatch/daemon/command_line.cc
+++ b/src/posthatch/daemon/command_line.cc
@@ -1,5 +1,7 @@
 #include "posthatch/daemon/command_line.h"
 
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <iostream>
@@ -75,6 +77,14 @@
   return asio::AsioRuntime::Create(options);
 }
 
+// Connections take a file descriptor each: asks for as many as the system lets the process have.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int ReportStartFailure(const absl::Status& status) {
   std::cerr << "posthatchd: not started: " << status.ToString() << "\n";
   return kExitStartFailed;
@@ -95,6 +105,7 @@
     std::cout << command.config_file << ": no errors\n";
     return kExitOk;
   }
+  RaiseDescriptorLimit();
   const auto runtime = MakeRuntime(settings.node, command.enable_fault_injection);
   if (!runtime.ok()) return ReportStartFailure(runtime.status());
   settings.node.internal_endpoint = (*runtime)->runtime()->transport->endpoint();
