Test that a full holder's requests go elsewhere, with a prefix worth waiting for

Cause: the former test passed with the mechanism taken out, because a fetch was cheaper than the wait. Change: a longer prefix, so that only the limit turns the request away.

--- a/src/posthatch/gateway/limits-test.cc
+++ b/src/posthatch/gateway/limits-test.cc
@@ -180,13 +180,16 @@
 TEST_F(LimitsTest, FullHolderSendsItsPrefixElsewhereInsteadOfSheddingIt) {
   view.fleet.mutable_configuration()->mutable_routing()->set_max_requests_per_worker(10);
   StartGateway();
-  locator.holders = {{"w1", 1, 4}};
+  // So long a prefix that the holder is worth waiting for.
+  locator.holders = {{"w1", 1, 100}};
+  const std::string body =
+      absl::StrCat(R"({"model":"m","prompt":")", std::string(1600, 'p'), "\"}");
   int at_holder = 0;
   for (int request = 0; request < 12; ++request) {
-    EXPECT_EQ(Complete()->answers, 0);
+    EXPECT_EQ(Send("/v1/completions", body)->answers, 0);
     at_holder += LastCall().endpoint == "w1:80" ? 1 : 0;
   }
-  EXPECT_LE(at_holder, 7);  // 70% of the limit for the lowest priority
+  EXPECT_EQ(at_holder, 7);  // 70% of the limit for the lowest priority
 }
 
 TEST_F(LimitsTest, MeasuredWaitTurnsWorkAway) {
