--- a/src/posthatch/gateway/delivery-test.cc
+++ b/src/posthatch/gateway/delivery-test.cc
@@ -141,6 +141,7 @@
   view.fleet.mutable_inventory()->mutable_backends(4)->set_draining(false);
   view.Changed();
   const auto writer = Place("k");
+  ASSERT_FALSE(client.calls.empty());
   LastCall().GoodOperation("place");
   EXPECT_EQ(writer->whole.status, 200);
 }
--- a/src/posthatch/gateway/limits-test.cc
+++ b/src/posthatch/gateway/limits-test.cc
@@ -194,17 +194,19 @@
 
 TEST_F(LimitsTest, MeasuredWaitTurnsWorkAway) {
   StartGateway();
-  locator.holders = {{"w1", 1, 4}};
-  Complete(true);
+  locator.holders = {{"w1", 1, 100}};
+  const std::string body =
+      absl::StrCat(R"({"model":"m","stream":true,"prompt":")", std::string(1600, 'p'), "\"}");
+  Send("/v1/completions", body);
   ASSERT_EQ(LastCall().endpoint, "w1:80");
   timers.Advance(std::chrono::seconds(2));  // others fill it
-  LastCall().cached_blocks = 4;
+  LastCall().cached_blocks = 100;
   LastCall().Head();
   LastCall().Piece(LastCall().Event(0));
-  Complete();
+  Send("/v1/completions", body);
   EXPECT_NE(LastCall().endpoint, "w1:80");
   timers.Advance(std::chrono::seconds(30));
-  Complete();
+  Send("/v1/completions", body);
   EXPECT_EQ(LastCall().endpoint, "w1:80");
 }
 
