--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "posthatch/control/configuration_validator.h"
+#include "posthatch/control/fingerprint.h"
 #include "posthatch/control/fleet_sections.h"
 
 namespace posthatch::control {
@@ -169,7 +170,6 @@
   if (grant.term() < term_ || grant.lease_ms() > kMaxLeaseMs) return;
   const runtime::MonotonicTime sent_at = sent->second;
   sent_.erase(sent_.begin(), std::next(sent));  // older answers are of no more use
-  sent_.erase(grant.renewal());
   term_ = grant.term();
   answered_renewal_ = renewal_;
   locator_.Heard(from_endpoint);
@@ -255,7 +255,7 @@
 }
 
 void GatewaySession::Send(const std::string& endpoint, const ControlMessage& message) {
-  runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL, message.SerializeAsString(),
+  runtime_->transport->Send(endpoint, runtime::SERVICE_CONTROL, SerializeDeterministically(message),
                             runtime::Delivery::kStream);
 }
 
