Use the learnt wait in the comparison of workers

Cause: it was learnt but never read, and the test of it passed for another reason (a fetch was cheaper anyway); found by taking the mechanism out and seeing no test fail. Change: the wait is part of a worker's expected time; the test has a prefix long enough to tell. Measured: gateway-test, 59 tests pass; the test failed before the change.

--- a/src/posthatch/gateway/worker_router.cc
+++ b/src/posthatch/gateway/worker_router.cc
@@ -107,7 +107,7 @@
   const double prefill = links_->PrefillCost();
   double cost =
       static_cast<double>(entry.pending_blocks) * prefill + entry.in_flight * kRunningCost +
-      runtime::ToMilliseconds(directory_->Silence(entry)) +
+      runtime::ToMilliseconds(directory_->Silence(entry)) + directory_->ExpectedWait(entry) +
       static_cast<double>(chain_length - std::min<size_t>(reachable, chain_length)) * prefill;
   if (candidate->source != nullptr) {
     cost += (reachable - candidate->cached_blocks) *
