--- a/src/posthatch/channels/channel_subscription.cc
+++ b/src/posthatch/channels/channel_subscription.cc
@@ -278,8 +278,8 @@
 }
 
 const std::string& ChannelSubscription::server() const {
-  static const std::string* const kNone = new std::string();
-  return registered_.has_value() ? registered_->server : *kNone;
+  static const std::string* const none = new std::string();
+  return registered_.has_value() ? registered_->server : *none;
 }
 
 bool ChannelSubscription::CurrentVersion(const std::string& object, ObjectVersion* version) const {
--- a/src/posthatch/channels/invalidation_server.cc
+++ b/src/posthatch/channels/invalidation_server.cc
@@ -11,7 +11,9 @@
     : runtime_(runtime),
       objects_(objects),
       serving_(std::move(serving)),
-      publisher_(runtime, options.publisher, this) {
+      publisher_(runtime, options.publisher, this),
+      metrics_(runtime) {
+  ExportMetrics();
   const std::weak_ptr<bool> alive = alive_;
   objects_->AddListener([this, alive](const std::string& object, const ObjectVersion&) {
     if (!alive.expired()) publisher_.ObjectChanged(object);
@@ -24,6 +26,24 @@
   runtime_->transport->SetReceiver(runtime::SERVICE_CHANNELS, [](const runtime::Envelope&) {});
 }
 
+void InvalidationServer::ExportMetrics() {
+  const PublisherStats& stats = publisher_.stats();
+  metrics_.Add("posthatch_channel_registrations", "Registrations that this server keeps now.",
+               [this] { return static_cast<double>(publisher_.registration_count()); });
+  metrics_.Add("posthatch_channel_registrations_refused",
+               "Registrations refused since start: unknown channel, or no right to serve.",
+               [&stats] { return static_cast<double>(stats.registrations_refused); });
+  metrics_.Add("posthatch_channel_redirections",
+               "Subscribers sent to a relay point of their zone since start.",
+               [&stats] { return static_cast<double>(stats.redirected); });
+  metrics_.Add("posthatch_channel_heartbeats_sent", "Heartbeats sent since start.",
+               [&stats] { return static_cast<double>(stats.heartbeats_sent); });
+  metrics_.Add("posthatch_channel_invalidations_sent",
+               "Invalidation messages sent since start; each may name several objects.",
+               [&stats] { return static_cast<double>(stats.invalidation_messages_sent); });
+  metrics_.Start();
+}
+
 void InvalidationServer::Receive(const runtime::Envelope& envelope) {
   ChannelEnvelope content;
   if (content.ParseFromString(envelope.payload())) publisher_.HandleEnvelope(envelope, content);
--- a/src/posthatch/channels/invalidation_server.h
+++ b/src/posthatch/channels/invalidation_server.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "posthatch/channels/channel_publisher.h"
+#include "posthatch/channels/metrics_export.h"
 #include "posthatch/channels/object_source.h"
 #include "posthatch/runtime/runtime.h"
 
@@ -37,11 +38,13 @@
   bool Find(const std::string& channel, const std::string& object,
             ObjectVersion* version) const override;
   void Receive(const runtime::Envelope& envelope);
+  void ExportMetrics();
 
   runtime::Runtime* const runtime_;
   ObjectSource* const objects_;
   const std::function<ServingState()> serving_;
   ChannelPublisher publisher_;
+  MetricsExport metrics_;
   // Guards the listener left with `objects_`, which can't be taken back.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/src/posthatch/channels/metrics_export.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::channels {
+
+// Shows counters that a component keeps as plain numbers as Prometheus gauges, refreshed once a
+// second. Nothing is shown if the runtime has no registry. Owned by the component whose numbers it
+// reads; event loop thread only.
+class MetricsExport {
+ public:
+  explicit MetricsExport(runtime::Runtime* runtime) : runtime_(runtime), timer_(runtime->timers) {}
+
+  // `read` is called from then on; `help` documents the metric.
+  void Add(const std::string& name, const std::string& help, std::function<double()> read) {
+    if (runtime_->metrics == nullptr) return;
+    auto& family = prometheus::BuildGauge().Name(name).Help(help).Register(*runtime_->metrics);
+    shown_.emplace_back(&family.Add({}), std::move(read));
+  }
+  void Start() {
+    for (const auto& [gauge, read] : shown_) gauge->Set(read());
+    if (!shown_.empty()) timer_.Start(kRefreshInterval, [this] { Start(); });
+  }
+
+ private:
+  static constexpr runtime::Duration kRefreshInterval = std::chrono::seconds(1);
+
+  runtime::Runtime* const runtime_;
+  std::vector<std::pair<prometheus::Gauge*, std::function<double()>>> shown_;
+  runtime::Timer timer_;
+};
+
+}  // namespace posthatch::channels
--- a/src/posthatch/index/index_node.cc
+++ b/src/posthatch/index/index_node.cc
@@ -42,7 +42,8 @@
               {fleet, &subscriptions_, &reporter_, &publisher_, &attributions_, &locator_}),
       store_poller_(runtime, options_.store_poll_interval, fleet, &subscriptions_, &reporter_,
                     [this] { return IsFirstGateway(); }),
-      sweep_timer_(runtime->timers) {
+      sweep_timer_(runtime->timers),
+      metrics_(runtime) {
   subscriptions_.AddListener(&listener_);
   if (options_.relay) {
     relay_ =
@@ -70,6 +71,36 @@
   subscriptions_.Start();
   store_poller_.Start();
   Sweep();
+  ExportMetrics();
+}
+
+void IndexNode::ExportMetrics() {
+  const auto add = [this](const char* name, const char* help, auto read) {
+    metrics_.Add(name, help, [read] { return static_cast<double>(read()); });
+  };
+  add("posthatch_index_blocks", "Blocks in the prefix cache index.",
+      [this] { return locator_.index_stats().blocks; });
+  add("posthatch_index_bytes", "Memory of the prefix cache index in bytes.",
+      [this] { return locator_.index_stats().bytes; });
+  add("posthatch_index_evicted_blocks", "Blocks evicted since start: the byte budget is used up.",
+      [this] { return locator_.index_stats().evicted_blocks; });
+  add("posthatch_index_lookups", "Look-ups of prefixes since start.",
+      [this] { return locator_.stats().lookups; });
+  add("posthatch_index_lookups_matched", "Look-ups that named at least one trusted holder.",
+      [this] { return locator_.stats().lookups_matched; });
+  add("posthatch_index_untrusted_holders",
+      "Holders left out of answers because their trust had run out.",
+      [this] { return locator_.stats().untrusted_holders; });
+  add("posthatch_index_channels_live", "Channels whose registration is live.",
+      [this] { return subscriptions_.live_channels(); });
+  add("posthatch_index_update_gaps", "Updates of other gateways found missing since start.",
+      [this] { return receiver_.stats().gaps; });
+  add("posthatch_index_event_losses", "Losses in the events of the workers read here, since start.",
+      [this] { return reader_.stats().losses; });
+  add("posthatch_index_unattributed_blocks",
+      "Blocks of events given up because no dispatch said under which seed they were made.",
+      [this] { return reader_.stats().unattributed_blocks; });
+  metrics_.Start();
 }
 
 void IndexNode::Sweep() {
--- a/src/posthatch/index/index_node.h
+++ b/src/posthatch/index/index_node.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "posthatch/channels/metrics_export.h"
 #include "posthatch/channels/relay_point.h"
 #include "posthatch/channels/subscription_set.h"
 #include "posthatch/control/control_client.h"
@@ -83,6 +84,7 @@
   bool IsFirstGateway() const;
   std::vector<std::string> OtherGateways() const;
   void Sweep();
+  void ExportMetrics();
 
   runtime::Runtime* const runtime_;
   const IndexOptions options_;
@@ -100,6 +102,7 @@
   WorkerEventReader reader_;
   StorePoller store_poller_;
   runtime::Timer sweep_timer_;
+  channels::MetricsExport metrics_;
   // Guards the listener left with `fleet`, which can't be taken back.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
