--- a/src/posthatch/rehearse/rehearsal.cc
+++ b/src/posthatch/rehearse/rehearsal.cc
@@ -26,6 +26,7 @@
 constexpr runtime::Duration kReadyLimit = std::chrono::seconds(60);
 constexpr runtime::Duration kConfigurationLimit = std::chrono::seconds(30);
 constexpr runtime::Duration kLoadEndLimit = std::chrono::seconds(60);
+constexpr runtime::Duration kProbeEnd = std::chrono::seconds(6);  // over the probes' timeout
 constexpr runtime::Duration kFinalReadLimit = std::chrono::seconds(20);
 constexpr runtime::Duration kReadInterval = std::chrono::seconds(2);
 constexpr runtime::Duration kRotationInterval = std::chrono::seconds(3);
@@ -112,6 +113,7 @@
     return;
   }
   report->trace_hash = fleet_->trace_hash();
+  if (options_.keep_history != nullptr) *options_.keep_history = *events;
   const RecordedHistory history(*std::move(events));
   ExamineHistory(scenario_, history, report);
 }
@@ -170,7 +172,7 @@
       fleet_, control_.get(), operators_client_.get(), [this] { return leader_watch_->leader(); },
       [this] { ProcessesChanged(); }});
   operations_ = std::make_unique<OperationRunner>(OperationRunner::Environment{
-      fleet_, inventory_.get(), first_operator_.get(), second_operator_.get(),
+      fleet_, control_.get(), inventory_.get(), first_operator_.get(), second_operator_.get(),
       rotating_operator_.get(), configuration_, scenario_.models.front()});
   ProcessesChanged();
 }
@@ -207,13 +209,11 @@
   first_operator_->Start();
   load_->Start();
   probe_->Start();
-  if (options_.with_timeline) {
-    faults_->Start(scenario_.faults);
-    if (scenario_.chaos) {
-      faults_->StartChaos(DrawChaos(*scenario_.chaos, fleet_->runtime()->random));
-    }
-    operations_->Start(scenario_.operations);
+  faults_->Start(scenario_.faults);
+  if (scenario_.chaos) {
+    faults_->StartChaos(DrawChaos(*scenario_.chaos, fleet_->runtime()->random));
   }
+  operations_->Start(scenario_.operations);
   for (runtime::Duration elapsed{}; elapsed < scenario_.duration; elapsed += kProgressInterval) {
     fleet_->RunFor(std::min(kProgressInterval, scenario_.duration - elapsed));
     Progress(elapsed + kProgressInterval);
@@ -235,7 +235,7 @@
 std::string Rehearsal::Impl::EndLoad() {
   operations_->Stop();
   faults_->EndAll();
-  probe_->Stop();
+  probe_->SetGateways({});
   int open = 0;
   const auto ended = [&open] { --open; };
   open = 4;
@@ -243,7 +243,12 @@
   first_operator_->Stop(ended);
   second_operator_->Stop(ended);
   rotating_operator_->Stop(ended);
-  if (RunUntil([&] { return open == 0; }, kLoadEndLimit)) return "";
+  const bool ended_in_time = RunUntil([&] { return open == 0; }, kLoadEndLimit);
+  // Probes under way end by themselves: stopping leaves calls in no determined order, which would
+  // give one seed several traces.
+  fleet_->RunFor(kProbeEnd);
+  probe_->Stop();
+  if (ended_in_time) return "";
   // Late callbacks must not find `open` gone.
   load_.reset();
   first_operator_.reset();
