--- a/src/posthatch/rehearse/child_process.cc
+++ b/src/posthatch/rehearse/child_process.cc
@@ -46,6 +46,7 @@
 absl::StatusOr<std::unique_ptr<ChildProcess>> ChildProcess::Start(
     const std::vector<std::string>& arguments, const std::string& log_file) {
   std::vector<char*> argument_pointers;
+  argument_pointers.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     argument_pointers.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/src/posthatch/rehearse/fault_injector.cc
+++ b/src/posthatch/rehearse/fault_injector.cc
@@ -138,7 +138,7 @@
     case FaultKind::kFreeze:
       return fleet->Freeze(process.name);
     case FaultKind::kDiskLoss: {
-      const absl::Status killed = fleet->Kill(process.name);
+      absl::Status killed = fleet->Kill(process.name);
       return killed.ok() ? fleet->ClearDisk(process.name) : killed;
     }
     case FaultKind::kPowerLoss:
@@ -182,8 +182,7 @@
     if (!fault.one_way) active->links.emplace_back(peer.name, process.name);
   }
   for (const auto& [from, to] : active->links) {
-    const absl::Status status =
-        ChangeLink(from, to, fault.kind == FaultKind::kCut, fault.amount, +1);
+    absl::Status status = ChangeLink(from, to, fault.kind == FaultKind::kCut, fault.amount, +1);
     if (!status.ok()) return status;
   }
   return absl::OkStatus();
--- a/src/posthatch/rehearse/fleet_plan.cc
+++ b/src/posthatch/rehearse/fleet_plan.cc
@@ -58,6 +58,7 @@
 
 std::vector<standins::TenantTraffic> TenantsOf(const TenantSizes& sizes) {
   std::vector<standins::TenantTraffic> tenants;
+  tenants.reserve(sizes.count);
   for (uint32_t number = 1; number <= sizes.count; ++number) {
     standins::TenantTraffic tenant;
     tenant.name = fmt::format("tenant-{}", number);
--- a/src/posthatch/rehearse/real_fleet.cc
+++ b/src/posthatch/rehearse/real_fleet.cc
@@ -64,11 +64,11 @@
   recorder_ = std::make_unique<MemoryHistoryRecorder>(runtime_.clock, "callers", &events_);
   control_ = std::make_unique<StandInControl>(&runtime_);
   for (const PlannedProcess& plan : PlanFleet(scenario_)) {
-    const absl::Status added = AddMember(plan);
+    absl::Status added = AddMember(plan);
     if (!added.ok()) return added;
   }
   for (const std::unique_ptr<Member>& member : members_) {
-    const absl::Status launched = Launch(member.get());
+    absl::Status launched = Launch(member.get());
     if (!launched.ok()) return launched;
   }
   return absl::OkStatus();
@@ -81,7 +81,7 @@
   std::error_code error;
   fs::create_directories(member->data_folder(), error);
   if (error) return absl::InternalError(member->folder + ": " + error.message());
-  const absl::Status placed = PlaceMember(member.get(), 0);
+  absl::Status placed = PlaceMember(member.get(), 0);
   if (!placed.ok()) return placed;
   newest_number_[plan.role] = std::max(newest_number_[plan.role], plan.number);
   histories_.push_back(member->history_file());
@@ -175,6 +175,7 @@
 
 std::vector<ProcessInfo> RealFleet::processes() const {
   std::vector<ProcessInfo> infos;
+  infos.reserve(members_.size());
   for (const std::unique_ptr<Member>& member : members_) infos.push_back(InfoOf(*member));
   return infos;
 }
@@ -217,7 +218,7 @@
   Member* member = Find(name);
   if (member == nullptr) return absl::NotFoundError("no process " + name);
   if (member->child->running()) return absl::UnavailableError("it is still running");
-  const absl::Status launched = Launch(member);
+  absl::Status launched = Launch(member);
   if (launched.ok()) SendFaults(name, kMostFaultTries);
   return launched;
 }
--- a/src/posthatch/rehearse/seed_runner.cc
+++ b/src/posthatch/rehearse/seed_runner.cc
@@ -84,6 +84,7 @@
   };
   std::vector<std::thread> threads;
   const uint64_t count = std::min<uint64_t>(std::max(options.threads, 1u), reports.size());
+  threads.reserve(count);
   for (uint64_t thread = 0; thread < count; ++thread) threads.emplace_back(work);
   for (std::thread& thread : threads) thread.join();
   return reports;
--- a/src/posthatch/rehearse/simulated_fleet.cc
+++ b/src/posthatch/rehearse/simulated_fleet.cc
@@ -195,6 +195,7 @@
 
 std::vector<ProcessInfo> SimulatedFleet::processes() const {
   std::vector<ProcessInfo> infos;
+  infos.reserve(processes_.size());
   for (const PlannedProcess& process : processes_) infos.push_back(InfoOf(process));
   return infos;
 }
