--- a/src/posthatch/gateway/repeatable_request.cc
+++ b/src/posthatch/gateway/repeatable_request.cc
@@ -60,8 +60,7 @@
     context_->retry_budget->CountFirst();
   } else if (!context_->retry_budget->TryRetry(context_->lookup->limits().retry_ratio)) {
     context_->metrics->retries_denied.Increment("budget");
-    Refuse({502, "backend_failed", "the back end failed, and too many requests are being retried",
-            Executed::kNo, 1});
+    Refuse(RetryDeniedError());
     return;
   }
   plan.backend = std::move(decision.backend);
@@ -147,6 +146,15 @@
   return {502, "backend_failed", "the back end gave no whole answer", Executed::kUnknown, 1};
 }
 
+ApiError RepeatableRequest::RetryDeniedError() const {
+  if (proved_not_executed_) {
+    return {503, "no_capacity", "the back end refused, and too many requests are being retried",
+            Executed::kNo, 1};
+  }
+  return {502, "backend_failed", "the back end failed, and too many requests are being retried",
+          Executed::kUnknown, 1};
+}
+
 void RepeatableRequest::OnDeadline() {
   if (attempt_ == nullptr || ended_) return;
   attempt_->Fail({AttemptFailure::Cause::kTimeout, "the deadline passed"});
--- a/src/posthatch/gateway/repeatable_request.h
+++ b/src/posthatch/gateway/repeatable_request.h
@@ -53,6 +53,8 @@
   void OnDeadline();
   void OnCallerGone();
   ApiError FinalError(const AttemptFailure& failure) const;
+  // The answer when the retry budget is spent.
+  ApiError RetryDeniedError() const;
   void Refuse(ApiError error);
   void End();
 
