--- a/src/posthatch/channels/subscription_set.cc
+++ b/src/posthatch/channels/subscription_set.cc
@@ -8,7 +8,7 @@
 namespace posthatch::channels {
 
 SubscriptionSet::SubscriptionSet(runtime::Runtime* runtime, SubscriptionSetOptions options,
-                                 ChannelSubscription::Endpoints endpoints)
+                                 const ChannelSubscription::Endpoints& endpoints)
     : runtime_(runtime), options_(std::move(options)) {
   if (options_.aggregate) {
     AddChannel(kAggregateChannel, endpoints);
--- a/src/posthatch/channels/subscription_set.h
+++ b/src/posthatch/channels/subscription_set.h
@@ -38,7 +38,7 @@
 
   // `endpoints`: internal endpoints of the controllers; asked at each registration.
   SubscriptionSet(runtime::Runtime* runtime, SubscriptionSetOptions options,
-                  ChannelSubscription::Endpoints endpoints);
+                  const ChannelSubscription::Endpoints& endpoints);
   ~SubscriptionSet() override;
   SubscriptionSet(const SubscriptionSet&) = delete;
   SubscriptionSet& operator=(const SubscriptionSet&) = delete;
--- a/src/posthatch/index/index-bench.cc
+++ b/src/posthatch/index/index-bench.cc
@@ -61,7 +61,8 @@
 // The same after each holder has had a block removed: every block is compared.
 void BM_LookUpHitWithGaps(benchmark::State& state) {
   FilledIndex filled(state.range(0), 18);
-  for (const Chain& chain : MakeChains(32 * 200, 1)) filled.index.Remove(chain.back(), Any);
+  for (const Chain& chain : MakeChains(kChainBlocks * 200, 1))
+    filled.index.Remove(chain.back(), Any);
   runtime::Random random(3);
   for (auto _ : state) {
     const Chain& chain = filled.chains[random.Uniform(filled.chains.size())];
--- a/src/posthatch/index/index_node.cc
+++ b/src/posthatch/index/index_node.cc
@@ -22,13 +22,14 @@
 }  // namespace
 
 IndexNode::IndexNode(runtime::Runtime* runtime, IndexOptions options, control::FleetView* fleet,
-                     control::ControlClient* client, Endpoints gateways, Endpoints controllers)
+                     control::ControlClient* client, Endpoints gateways,
+                     const Endpoints& controllers)
     : runtime_(runtime),
       options_(std::move(options)),
       fleet_(fleet),
       gateways_(std::move(gateways)),
       listener_(this),
-      subscriptions_(runtime, SubscriptionOptionsOf(options_), std::move(controllers)),
+      subscriptions_(runtime, SubscriptionOptionsOf(options_), controllers),
       locator_({options_.index_budget_bytes, [fleet] { return fleet->LeaseValid(); }},
                &subscriptions_),
       attributions_(options_.max_attributions),
--- a/src/posthatch/index/index_node.h
+++ b/src/posthatch/index/index_node.h
@@ -35,7 +35,7 @@
   DispatchRecorder::Options dispatches;
   runtime::Duration store_poll_interval = std::chrono::seconds(1);
   // Blocks whose seed is remembered, to attribute workers' events.
-  size_t max_attributions = 256 * 1024;
+  size_t max_attributions = size_t{256} * 1024;
 };
 
 // A gateway's prefix cache index with all that feeds it: channel subscriptions, events of the
@@ -49,7 +49,7 @@
   using Endpoints = std::function<std::vector<std::string>()>;
 
   IndexNode(runtime::Runtime* runtime, IndexOptions options, control::FleetView* fleet,
-            control::ControlClient* client, Endpoints gateways, Endpoints controllers);
+            control::ControlClient* client, Endpoints gateways, const Endpoints& controllers);
   ~IndexNode();
   IndexNode(const IndexNode&) = delete;
   IndexNode& operator=(const IndexNode&) = delete;
--- a/src/posthatch/index/worker_event_feed.h
+++ b/src/posthatch/index/worker_event_feed.h
@@ -33,7 +33,7 @@
     // Without an answer for this long, the worker's entries lose their trust.
     runtime::Duration silence_limit = std::chrono::seconds(6);
     runtime::Duration retry_delay = std::chrono::milliseconds(250);
-    size_t max_body_bytes = 8 * 1024 * 1024;
+    size_t max_body_bytes = size_t{8} * 1024 * 1024;
   };
 
   // `may_read`: whether this gateway still holds the worker's lease; asked before each poll and
