--- a/src/posthatch/rehearse/command_line.cc
+++ b/src/posthatch/rehearse/command_line.cc
@@ -73,7 +73,7 @@
 int WriteReport(const Arguments& arguments, const std::string& text, bool passed) {
   if (!arguments.report_file.empty()) {
     const absl::Status written = WriteFile(arguments.report_file, text);
-    if (!written.ok()) return ReportErrors({std::string(written.message())});
+    if (!written.ok()) return ReportErrors({written.ToString()});
     std::cout << "report: " << arguments.report_file << "\n";
   }
   return passed ? kExitPassed : kExitFailed;
--- a/src/posthatch/rehearse/real_fleet.cc
+++ b/src/posthatch/rehearse/real_fleet.cc
@@ -127,7 +127,7 @@
 }
 
 absl::Status RealFleet::Launch(Member* member) {
-  const absl::Status written = WriteTextFile(member->settings_file(), SettingsOf(*member));
+  absl::Status written = WriteTextFile(member->settings_file(), SettingsOf(*member));
   if (!written.ok()) return written;
   const bool node = IsNode(member->plan.role);
   std::vector<std::string> arguments = {node ? options_.posthatchd : options_.posthatch_standin,
--- a/src/posthatch/rehearse/rehearsal.cc
+++ b/src/posthatch/rehearse/rehearsal.cc
@@ -218,7 +218,7 @@
     fleet_->RunFor(std::min(kProgressInterval, scenario_.duration - elapsed));
     Progress(elapsed + kProgressInterval);
     if (Interrupted()) return "interrupted";
-    if (const std::string failure = fleet_->Failure(); !failure.empty()) return failure;
+    if (std::string failure = fleet_->Failure(); !failure.empty()) return failure;
   }
   return "";
 }
