--- a/src/posthatch/rehearse/scenario_loader.cc
+++ b/src/posthatch/rehearse/scenario_loader.cc
@@ -219,11 +219,11 @@
 }
 
 NotExamined ReadNotExamined(TableReader reader) {
-  static const std::vector<std::string> kChecks = {"N1", "N2", "N3", "N4",  "N5", "N6",
-                                                   "N7", "N8", "N9", "N10", "N11"};
+  const std::vector<std::string> checks = {"N1", "N2", "N3", "N4",  "N5", "N6",
+                                           "N7", "N8", "N9", "N10", "N11"};
   NotExamined entry;
   reader.Require("check");
-  reader.ReadChoice("check", kChecks, &entry.check);
+  reader.ReadChoice("check", checks, &entry.check);
   reader.Require("reason");
   reader.Read("reason", &entry.reason);
   if (reader.Has("reason") && entry.reason.empty()) reader.Fail("reason", "is empty");
--- a/src/posthatch/rehearse/simulated_fleet.cc
+++ b/src/posthatch/rehearse/simulated_fleet.cc
@@ -49,7 +49,7 @@
   }
 
   // Runs `ended` when the process has drained, at the latest after its deadline.
-  void Drain(std::function<void()> ended) {
+  void Drain(const std::function<void()>& ended) {
     common_http_.SetDraining();
     server_->Drain();
     drain_timer_.Start(drain_deadline_, ended);
