Count a prefix hit only in the worker's own cache; cold workers are measured against available ones

Ruled out: a flood of one cold worker among warm ones. Change: prefix_hit_ratio and prefix_fetch_ratio apart, revision_served_ms added; Unavailable() leaves out draining and evacuated workers as a measure, with a violating history beside the clean one.

--- a/src/posthatch/rehearse/checks/request_checks-test.cc
+++ b/src/posthatch/rehearse/checks/request_checks-test.cc
@@ -243,5 +243,13 @@
   EXPECT_EQ(history.Examine(RetryCheck()).examined(), 0u);
 }
 
+TEST(RetryCheck, AWarmWorkerThatIsDrainingIsNoMeasureForAColdOne) {
+  HistoryBuilder history = ColdWorker(30);
+  history.Draining(10, "worker-1", true);
+  ExpectViolations(history, RetryCheck(), 1);
+  history.Draining(10, "worker-2", true);
+  EXPECT_EQ(history.Examine(RetryCheck()).examined(), 0u);
+}
+
 }  // namespace
 }  // namespace posthatch::rehearse
--- a/src/posthatch/rehearse/checks/retry_check.cc
+++ b/src/posthatch/rehearse/checks/retry_check.cc
@@ -72,6 +72,7 @@
 
 struct WorkerRuns {
   std::string model;
+  std::string zone;
   std::vector<std::pair<int64_t, int64_t>> runs;  // started, up since
 };
 
@@ -88,13 +89,28 @@
   return count;
 }
 
-// Whether some fault held the worker at some time of `period`: it is no measure for others then.
-bool Disturbed(const RecordedHistory& history, const std::string& worker, const Period& period) {
+bool Overlap(const Period& one, const Period& other) {
+  return one.from_ns < other.until_ns && one.until_ns > other.from_ns;
+}
+
+bool AnyOverlap(const std::vector<Period>& periods, const Period& period) {
+  return std::any_of(periods.begin(), periods.end(),
+                     [&period](const Period& one) { return Overlap(one, period); });
+}
+
+// Whether some fault held the worker, or it was draining or evacuated, at some time of `period`: it
+// could not take its part of the work then, and is no measure for others.
+bool Unavailable(const RecordedHistory& history, const std::string& name, const std::string& zone,
+                 const Period& period) {
   const std::vector<FaultPeriod>& faults = history.faults();
-  return std::any_of(faults.begin(), faults.end(), [&](const FaultPeriod& fault) {
-    return fault.target == worker && fault.period.from_ns < period.until_ns &&
-           fault.period.until_ns > period.from_ns;
+  const bool disturbed = std::any_of(faults.begin(), faults.end(), [&](const FaultPeriod& fault) {
+    return fault.target == name && Overlap(fault.period, period);
   });
+  if (disturbed) return true;
+  const std::map<std::string, std::vector<Period>> draining = history.DrainingPeriods(0);
+  const auto marked = draining.find(name);
+  if (marked != draining.end() && AnyOverlap(marked->second, period)) return true;
+  return AnyOverlap(history.CertainPeriods("evacuate", "lift", zone, 0), period);
 }
 
 void CheckColdWorkers(const RecordedHistory& history, CheckResult* result) {
@@ -104,6 +120,7 @@
     const RunStarted& run = *record.run;
     if (run.model().empty()) continue;
     workers[run.backend()].model = run.model();
+    workers[run.backend()].zone = run.zone();
     workers[run.backend()].runs.emplace_back(record.started_ns, run.up_since_ns());
     starts.insert({run.backend(), run.up_since_ns()});
   }
@@ -117,7 +134,7 @@
     uint64_t warm_workers = 0;
     for (const auto& [other, runs] : workers) {
       if (other == name || runs.model != workers[name].model) continue;
-      if (Disturbed(history, other, period)) continue;
+      if (Unavailable(history, other, runs.zone, period)) continue;
       bool warm = false;
       warm_runs += WarmRuns(runs, period, &warm);
       if (warm) ++warm_workers;
--- a/src/posthatch/rehearse/report.cc
+++ b/src/posthatch/rehearse/report.cc
@@ -99,9 +99,11 @@
       {"first_token_ms", PercentilesJson(statistics.first_token_ms)},
       {"token_gap_ms", PercentilesJson(statistics.token_gap_ms)},
       {"prefix_hit_ratio", statistics.prefix_hit_ratio},
+      {"prefix_fetch_ratio", statistics.prefix_fetch_ratio},
       {"retry_ratio", statistics.retry_ratio},
       {"config_in_force_ms", PercentilesJson(statistics.config_in_force_ms)},
       {"revision_in_force_ms", PercentilesJson(statistics.revision_in_force_ms)},
+      {"revision_served_ms", PercentilesJson(statistics.revision_served_ms)},
       {"faults", OutcomesJson(report.faults)},
       {"operations", OutcomesJson(report.operations)},
       {"goodput_after_faults", GoodputJson(statistics)}};
@@ -199,6 +201,8 @@
   table += PercentilesLine("between tokens ms", statistics.token_gap_ms);
   table += PercentilesLine("configuration in force", statistics.config_in_force_ms);
   table += PercentilesLine("revision in force", statistics.revision_in_force_ms);
+  table += PercentilesLine("revision served", statistics.revision_served_ms);
+  table += fmt::format("  prefix fetch ratio     {:.3f}\n", statistics.prefix_fetch_ratio);
   table += fmt::format("  prefix hit ratio       {:.3f}", statistics.prefix_hit_ratio);
   if (report.round_robin_hit_ratio) {
     table += fmt::format("   round-robin routing over the same traffic: {:.3f}",
--- a/src/posthatch/rehearse/statistics.cc
+++ b/src/posthatch/rehearse/statistics.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string>
 
 #include "posthatch/rehearse/checks/bounds.h"
 
@@ -52,16 +54,20 @@
 
 void MeasureRuns(const RecordedHistory& history, Statistics* statistics) {
   uint64_t blocks = 0;
-  uint64_t reused = 0;
+  uint64_t kept = 0;
+  uint64_t fetched = 0;
   uint64_t firsts = 0;
   uint64_t retries = 0;
   for (const RunRecord& record : history.runs()) {
     ++(record.run->attempt_number() > 1 ? retries : firsts);
     blocks += record.run->prompt_blocks();
-    for (const ReusedBlocks& part : record.run->reused()) reused += part.blocks();
+    for (const ReusedBlocks& part : record.run->reused()) {
+      (part.fetched_from().empty() ? kept : fetched) += part.blocks();
+    }
   }
   if (blocks > 0) {
-    statistics->prefix_hit_ratio = static_cast<double>(reused) / static_cast<double>(blocks);
+    statistics->prefix_hit_ratio = static_cast<double>(kept) / static_cast<double>(blocks);
+    statistics->prefix_fetch_ratio = static_cast<double>(fetched) / static_cast<double>(blocks);
   }
   if (firsts > 0) {
     statistics->retry_ratio = static_cast<double>(retries) / static_cast<double>(firsts);
@@ -108,6 +114,24 @@
   statistics->revision_in_force_ms = PercentilesOf(std::move(delays));
 }
 
+// How long after the acknowledgement each worker served the new revision.
+void MeasureRevisionServing(const RecordedHistory& history, Statistics* statistics) {
+  std::vector<double> delays;
+  for (const ChangeRecord& change : history.changes()) {
+    if (change.kind != "model_revision" || !change.acknowledged()) continue;
+    std::set<std::string> workers;
+    for (const HistoryEvent& event : history.events()) {
+      const RevisionServed& served = event.revision_served();
+      const bool counts = event.has_revision_served() &&
+                          change.HasDetail("model", served.model()) &&
+                          served.revision() >= change.acknowledged_version();
+      if (!counts || !workers.insert(served.worker()).second) continue;
+      delays.push_back(Milliseconds(event.time_ns() - change.acknowledged_ns()));
+    }
+  }
+  statistics->revision_served_ms = PercentilesOf(std::move(delays));
+}
+
 void MeasureGoodput(const RecordedHistory& history, Statistics* statistics) {
   if (history.calls().empty()) return;
   const int64_t first_ns = history.calls().front().sent_ns;
@@ -150,6 +174,7 @@
   MeasureRuns(history, &statistics);
   MeasureConfiguration(history, &statistics);
   MeasureRevisions(history, &statistics);
+  MeasureRevisionServing(history, &statistics);
   MeasureGoodput(history, &statistics);
   return statistics;
 }
--- a/src/posthatch/rehearse/statistics.h
+++ b/src/posthatch/rehearse/statistics.h
@@ -46,8 +46,11 @@
   Percentiles token_gap_ms;        // between pieces of a stream
   Percentiles config_in_force_ms;  // from an acknowledgement to the last sign of the state before
   Percentiles revision_in_force_ms;
-  double prefix_hit_ratio = 0;  // prompt blocks that were not prefilled, of all prompt blocks
-  double retry_ratio = 0;       // attempts beyond the first, of first attempts
+  Percentiles revision_served_ms;  // from a revision's acknowledgement to each worker serving it
+  // Of all prompt blocks: found in the worker's own cache, and fetched from a peer or the store.
+  double prefix_hit_ratio = 0;
+  double prefix_fetch_ratio = 0;
+  double retry_ratio = 0;  // attempts beyond the first, of first attempts
   std::vector<Goodput> goodput;
 };
 
