--- a/src/posthatch/control/admin_api.cc
+++ b/src/posthatch/control/admin_api.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 #include "posthatch/control/admin_changes.h"
 #include "posthatch/util/string_view.h"
@@ -101,7 +102,7 @@
   if (!command.ok()) {
     CommandResult refusal;
     refusal.set_code(CommandResult::INVALID);
-    refusal.add_errors(std::string(command.status().message()));
+    refusal.add_errors(absl::StrCat(command.status().message()));
     writer->SendWhole(RenderResult(Command(), refusal));
     return;
   }
--- a/src/posthatch/control/inventory_reader.cc
+++ b/src/posthatch/control/inventory_reader.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "posthatch/control/inventory_state.h"
 #include "posthatch/util/string_view.h"
 
@@ -135,7 +136,7 @@
     return;
   }
   runtime_->trace->Event(runtime::Severity::kWarning, "InventoryUnreadable",
-                         {{"error", std::string(inventory.status().message())}});
+                         {{"error", absl::StrCat(inventory.status().message())}});
 }
 
 }  // namespace posthatch::control
--- a/src/posthatch/ctl/command_runner.cc
+++ b/src/posthatch/ctl/command_runner.cc
@@ -46,7 +46,7 @@
     const absl::StatusOr<MatchCount> count =
         CountMatches(invocation_.selector, outcome.response.body);
     if (!count.ok()) {
-      done_({ExitCode::kUsage, "", absl::StrCat(std::string(count.status().message()), "\n")});
+      done_({ExitCode::kUsage, "", absl::StrCat(absl::StrCat(count.status().message()), "\n")});
     } else if (count->matching == 0 || count->matching == count->all) {
       done_({ExitCode::kRefused, "",
              absl::StrCat("the selector matches ", count->matching, " of ", count->all,
@@ -60,7 +60,7 @@
 void CommandRunner::SendCommand() {
   absl::StatusOr<http::Request> request = MakeRequest(invocation_);
   if (!request.ok()) {
-    done_({ExitCode::kUsage, "", absl::StrCat(std::string(request.status().message()), "\n")});
+    done_({ExitCode::kUsage, "", absl::StrCat(absl::StrCat(request.status().message()), "\n")});
     return;
   }
   caller_.Call(*std::move(request), [this](const CallOutcome& outcome) { OnOutcome(outcome); });
--- a/src/posthatch/ctl/main.cc
+++ b/src/posthatch/ctl/main.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <memory>
 
+#include "absl/strings/str_cat.h"
 #include "posthatch/asio/asio_runtime.h"
 #include "posthatch/ctl/command_runner.h"
 #include "posthatch/ctl/invocation.h"
@@ -14,7 +15,7 @@
   options.log_level = posthatch::runtime::Severity::kError;
   auto runtime = posthatch::asio::AsioRuntime::Create(options);
   if (!runtime.ok()) {
-    std::fprintf(stderr, "%s\n", std::string(runtime.status().message()).c_str());
+    std::fprintf(stderr, "%s\n", absl::StrCat(runtime.status().message()).c_str());
     return static_cast<int>(posthatch::ctl::ExitCode::kUncertain);
   }
   posthatch::ctl::CommandRunner runner((*runtime)->runtime(), invocation);
--- a/src/posthatch/ctl/target_caller.cc
+++ b/src/posthatch/ctl/target_caller.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace posthatch::ctl {
 namespace {
 
@@ -59,7 +61,7 @@
 }
 
 void TargetCaller::OnFailure(const http::CallError& error) {
-  outcome_.error = std::string(error.status.message());
+  outcome_.error = absl::StrCat(error.status.message());
   if (error.progress != http::CallProgress::kNotSent) outcome_.may_be_applied = true;
   TryNext();
 }
