--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,23 +4,29 @@
 cd "$(dirname "$0")/.."
 scripts/install-dependencies.sh
 jobs=$(nproc)
+# Objects are found again in ccache whatever folder the checkout stands in.
+export CCACHE_BASEDIR=$PWD
+export CCACHE_NOHASHDIR=1
 
-echo "== format"
+echo "== format (after ${SECONDS} s)"
 git ls-files '*.cc' '*.h' | xargs -r clang-format --dry-run --Werror
 
-echo "== build"
+echo "== build (after ${SECONDS} s)"
 cmake --preset release >/dev/null
 cmake --build --preset release -j "$jobs"
 
-echo "== clang-tidy"
+echo "== clang-tidy (after ${SECONDS} s)"
 scripts/lint.sh
 
-echo "== pages made from the code, and words"
+echo "== pages made from the code, and words (after ${SECONDS} s)"
 scripts/check-pages.sh
 
-echo "== tests"
+echo "== tests (after ${SECONDS} s)"
 scripts/run-tests.sh release
 
-echo "== short suite under ASan + UBSan"
+echo "== every scenario, one seed (after ${SECONDS} s)"
+scripts/simulate-all.sh 1 1
+
+echo "== short suite under ASan + UBSan (after ${SECONDS} s)"
 cmake --preset asan-ubsan >/dev/null
 scripts/sanitizer-suite.sh
--- a/src/posthatch/channels/channel_fleet-test.cc
+++ b/src/posthatch/channels/channel_fleet-test.cc
@@ -109,7 +109,7 @@
     Elect("c0");
   }
 
-  void AddHost(const std::string& name, std::function<void(Process*)> build) {
+  void AddHost(const std::string& name, const std::function<void(Process*)>& build) {
     SimHost* host = world_.AddHost(name, "z1", absl::StrCat("10.0.0.", ++hosts_));
     const uint64_t seed = GetParam() * 100 + hosts_;
     host->SetBoot([this, name, seed, build](runtime::Runtime* host_runtime) {
@@ -146,6 +146,7 @@
       process->subscriptions =
           std::make_unique<SubscriptionSet>(&process->runtime, options, [this, upstream] {
             std::vector<std::string> endpoints;
+            endpoints.reserve(kControllers);
             if (!upstream.empty()) return std::vector<std::string>{Endpoint(upstream)};
             for (int i = 0; i < kControllers; ++i) {
               endpoints.push_back(Endpoint(absl::StrCat("c", i)));
--- a/src/posthatch/control/admin_api.cc
+++ b/src/posthatch/control/admin_api.cc
@@ -22,7 +22,6 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusMethodNotAllowed = 405;
-constexpr int kStatusBadRequest = 400;
 constexpr int kStatusUnavailable = 503;
 
 constexpr std::array<std::string_view, 3> kChanges = {"configuration", "evacuations",
--- a/src/posthatch/control/admin_changes.cc
+++ b/src/posthatch/control/admin_changes.cc
@@ -53,7 +53,7 @@
     if (value == nullptr) return false;
     const auto status =
         google::protobuf::util::JsonStringToMessage(boost::json::serialize(*value), message);
-    if (!status.ok()) Fail(name, std::string(status.message()));
+    if (!status.ok()) Fail(name, status.message().as_string());
     return true;
   }
 
--- a/src/posthatch/control/control-bench.cc
+++ b/src/posthatch/control/control-bench.cc
@@ -236,6 +236,7 @@
     leader_meter_.Reset();
     gateway_meter_.Reset();
     std::vector<double> latencies;
+    latencies.reserve(kChanges);
     for (int i = 0; i < kChanges; ++i) {
       latencies.push_back(Change(
           PatchChange(absl::StrCat("c", i), 0, absl::StrCat("tenant-", i % tenants_), 5), true));
--- a/src/posthatch/control/inventory_reader.cc
+++ b/src/posthatch/control/inventory_reader.cc
@@ -119,7 +119,7 @@
                                              runtime::Duration::zero(), options_.max_pause);
     }
   };
-  observer.on_piece = [this](std::string piece) { body_ += piece; };
+  observer.on_piece = [this](const std::string& piece) { body_ += piece; };
   observer.on_end = [this] { OnEnd(); };
   observer.on_error = [this](const http::CallError&) { PollAfter(options_.poll_interval); };
   call_ = runtime_->http_client->Start(options_.endpoint, std::move(request), call_options,
--- a/src/posthatch/control/leader_client.cc
+++ b/src/posthatch/control/leader_client.cc
@@ -161,7 +161,7 @@
   SendLater(operation_id, redirected ? kRedirectPause : kRefusedPause);
 }
 
-void LeaderClient::Finish(uint64_t operation_id, absl::Status status) {
+void LeaderClient::Finish(uint64_t operation_id, const absl::Status& status) {
   std::unique_ptr<Operation> operation = Remove(operation_id);
   if (operation->propose_done) operation->propose_done(status);
   if (operation->query_done) operation->query_done(status);
--- a/src/posthatch/control/leader_client.h
+++ b/src/posthatch/control/leader_client.h
@@ -68,7 +68,7 @@
   void SendLater(uint64_t operation_id, runtime::Duration delay);
   // A sending was refused: nothing came of it. Sends again after a pause.
   void OnRefused(uint64_t call, const std::string& from_endpoint, const std::string& hint);
-  void Finish(uint64_t operation_id, absl::Status status);
+  void Finish(uint64_t operation_id, const absl::Status& status);
   // The operation that `call` belongs to, or 0.
   uint64_t OperationOf(uint64_t call) const;
   std::unique_ptr<Operation> Remove(uint64_t operation_id);
--- a/src/posthatch/control/state_views.cc
+++ b/src/posthatch/control/state_views.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "posthatch/control/configuration_patch.h"
 #include "posthatch/control/selector.h"
@@ -152,7 +153,7 @@
 std::string QueryValue(std::string_view query, std::string_view key) {
   for (const absl::string_view part : absl::StrSplit(util::ToAbsl(query), '&')) {
     const std::vector<absl::string_view> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
-    if (pair.size() == 2 && pair[0] == util::ToAbsl(key)) return std::string(pair[1]);
+    if (pair.size() == 2 && pair[0] == util::ToAbsl(key)) return absl::StrCat(pair[1]);
   }
   return {};
 }
--- a/src/posthatch/daemon/controller_node.cc
+++ b/src/posthatch/daemon/controller_node.cc
@@ -13,18 +13,6 @@
 constexpr int kNotFound = 404;
 constexpr runtime::Duration kLeaveDelay = std::chrono::milliseconds(200);
 
-membership::Member SelfAsMember(const NodeSettings& node, uint64_t incarnation) {
-  membership::Member self;
-  self.node_id = node.node_id;
-  self.role = membership::MemberRole::kController;
-  self.zone = node.zone;
-  self.region = node.region;
-  self.internal_endpoint = node.internal_endpoint;
-  self.http_endpoint = node.http_endpoint;
-  self.incarnation = incarnation;
-  return self;
-}
-
 consensus::ReplicaOptions MakeReplicaOptions(const ControllerSettings& settings,
                                              const membership::Membership* membership) {
   consensus::ReplicaOptions options;
@@ -67,7 +55,9 @@
 ControllerNode::ControllerNode(runtime::Runtime* runtime, ControllerSettings settings)
     : runtime_(runtime),
       settings_(std::move(settings)),
-      membership_(runtime, SelfAsMember(settings_.node, runtime->transport->incarnation()),
+      membership_(runtime,
+                  SelfAsMember(settings_.node, membership::MemberRole::kController,
+                               runtime->transport->incarnation()),
                   settings_.node.seeds, membership::GossipOptions{}),
       replica_(runtime, MakeReplicaOptions(settings_, &membership_), &state_),
       service_(runtime, ServiceOptions(), &replica_, this, &state_),
--- a/src/posthatch/daemon/gateway_node.cc
+++ b/src/posthatch/daemon/gateway_node.cc
@@ -12,18 +12,6 @@
 // Time for the last messages (session end, gossip) to go out before the process ends.
 constexpr runtime::Duration kLeaveDelay = std::chrono::milliseconds(200);
 
-membership::Member SelfAsMember(const NodeSettings& node, uint64_t incarnation) {
-  membership::Member self;
-  self.node_id = node.node_id;
-  self.role = membership::MemberRole::kGateway;
-  self.zone = node.zone;
-  self.region = node.region;
-  self.internal_endpoint = node.internal_endpoint;
-  self.http_endpoint = node.http_endpoint;
-  self.incarnation = incarnation;
-  return self;
-}
-
 control::GatewaySessionOptions SessionOptions(const GatewaySettings& settings) {
   control::GatewaySessionOptions options;
   options.zone = settings.node.zone;
@@ -70,9 +58,10 @@
 }  // namespace
 
 GatewayNode::GatewayNode(runtime::Runtime* runtime, GatewaySettings settings)
-    : runtime_(runtime),
-      settings_(std::move(settings)),
-      membership_(runtime, SelfAsMember(settings_.node, runtime->transport->incarnation()),
+    : settings_(std::move(settings)),
+      membership_(runtime,
+                  SelfAsMember(settings_.node, membership::MemberRole::kGateway,
+                               runtime->transport->incarnation()),
                   settings_.node.seeds, membership::GossipOptions{}),
       session_(runtime, SessionOptions(settings_),
                [this] {
--- a/src/posthatch/daemon/gateway_node.h
+++ b/src/posthatch/daemon/gateway_node.h
@@ -29,7 +29,6 @@
  private:
   void LeaveFleet(std::function<void()> done);
 
-  runtime::Runtime* const runtime_;
   const GatewaySettings settings_;
   membership::GossipMembership membership_;
   control::GatewaySession session_;
--- a/src/posthatch/daemon/member_views.cc
+++ b/src/posthatch/daemon/member_views.cc
@@ -39,6 +39,19 @@
 
 }  // namespace
 
+membership::Member SelfAsMember(const NodeSettings& node, membership::MemberRole role,
+                                uint64_t incarnation) {
+  membership::Member self;
+  self.node_id = node.node_id;
+  self.role = role;
+  self.zone = node.zone;
+  self.region = node.region;
+  self.internal_endpoint = node.internal_endpoint;
+  self.http_endpoint = node.http_endpoint;
+  self.incarnation = incarnation;
+  return self;
+}
+
 std::vector<std::string> EndpointsOf(const membership::Membership& membership,
                                      membership::MemberRole role,
                                      const std::vector<std::string>& seeds) {
--- a/src/posthatch/daemon/member_views.h
+++ b/src/posthatch/daemon/member_views.h
@@ -1,13 +1,19 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
+#include "posthatch/daemon/node_settings.h"
 #include "posthatch/membership/membership.h"
 
 // What both kinds of node derive from the members they know.
 namespace posthatch::daemon {
 
+// This process as gossip tells the others of it.
+membership::Member SelfAsMember(const NodeSettings& node, membership::MemberRole role,
+                                uint64_t incarnation);
+
 // Internal endpoints of the live members of `role`, without this process. While none is known, the
 // seed addresses, which may be of any role.
 std::vector<std::string> EndpointsOf(const membership::Membership& membership,
--- a/src/posthatch/gateway/stream-test.cc
+++ b/src/posthatch/gateway/stream-test.cc
@@ -190,7 +190,7 @@
   SseStreamChecker unfinished("q");
   EXPECT_TRUE(unfinished.Feed(good).ok());
   EXPECT_FALSE(unfinished.Finish().ok());
-  EXPECT_FALSE(SseStreamChecker("q").Feed(std::string(2 * 1024 * 1024, 'x')).ok());
+  EXPECT_FALSE(SseStreamChecker("q").Feed(std::string(2UL * 1024 * 1024, 'x')).ok());
 }
 
 TEST(SseStreamCheckerTest, KeyOfTheSameNameElsewhereMisleadsNobody) {
--- a/src/posthatch/index/index_fleet-test.cc
+++ b/src/posthatch/index/index_fleet-test.cc
@@ -98,7 +98,8 @@
   bool Keeps(BlockHash block) const {
     return std::find(kept.begin(), kept.end(), block) != kept.end();
   }
-  void Event(runtime::Random* random, const std::string& type, std::vector<BlockHash> blocks) {
+  void Event(runtime::Random* random, const std::string& type,
+             const std::vector<BlockHash>& blocks) {
     if (blocks.empty()) return;
     std::string list;
     for (const BlockHash block : blocks) {
@@ -217,6 +218,7 @@
           runtime, IndexOptions(), &gateway->fleet, gateway->control.get(),
           [this] {
             std::vector<std::string> all;
+            all.reserve(kGateways);
             for (int i = 0; i < kGateways; ++i) {
               all.push_back(world_.FindHost(absl::StrCat("g", i))->internal_endpoint());
             }
--- a/src/posthatch/index/index_update-test.cc
+++ b/src/posthatch/index/index_update-test.cc
@@ -20,7 +20,7 @@
     fleet_.AddLease("w", "other", 1, 30);
     publisher_.Begin("w", 100, 30);
   }
-  void Store(std::vector<BlockHash> blocks, uint64_t sequence = 0) {
+  void Store(const std::vector<BlockHash>& blocks, uint64_t sequence = 0) {
     Extent extent = MakeExtent("w", MakeVersion(100, sequence), seed_);
     extent.set_block_hashes(PackBlocks(blocks));
     publisher_.Stored("w", extent);
@@ -58,7 +58,7 @@
   Store({1, 2, 3});
   for (const IndexUpdate& update : TakeSent()) Receive(update);
   EXPECT_EQ(locator_.Locate(seed_, {1, 2, 3}).at(0).blocks, 3u);
-  publisher_.Removed("w", {{3}});
+  publisher_.Removed("w", {3});
   for (const IndexUpdate& update : TakeSent()) Receive(update);
   EXPECT_EQ(locator_.Locate(seed_, {1, 2, 3}).at(0).blocks, 2u);
 }
@@ -81,7 +81,7 @@
 TEST_F(IndexUpdateTest, DoubledUpdateIsAppliedOnce) {
   Store({1});
   const auto stored = TakeSent();
-  publisher_.Removed("w", {{1}});
+  publisher_.Removed("w", {1});
   const auto removed = TakeSent();
   Receive(stored[0]);
   Receive(removed[0]);
@@ -123,7 +123,7 @@
   publisher_.Removed("w", std::vector<BlockHash>(200, 5));
   EXPECT_EQ(publisher_.stats().updates_skipped, 1u);
   fakes_.timers.Advance(std::chrono::seconds(3));
-  publisher_.Removed("w", {{9}});
+  publisher_.Removed("w", {9});
   const auto next = TakeSent();
   ASSERT_EQ(next.size(), 1u);
   EXPECT_EQ(next[0].update(), 3u) << "2 is missing: the receivers see a gap";
--- a/src/posthatch/index/observation_reporter.cc
+++ b/src/posthatch/index/observation_reporter.cc
@@ -52,7 +52,7 @@
   client_->Propose(
       std::move(command), kProposeTimeout, /*until_in_force=*/false,
       [this, object, request_id = state->request_id,
-       alive = std::weak_ptr<bool>(alive_)](absl::StatusOr<control::CommandResult> result) {
+       alive = std::weak_ptr<bool>(alive_)](const absl::StatusOr<control::CommandResult>& result) {
         if (!alive.expired()) OnAnswer(object, request_id, result.ok());
       });
 }
--- a/src/posthatch/index/prefix_index-test.cc
+++ b/src/posthatch/index/prefix_index-test.cc
@@ -69,6 +69,7 @@
     runtime::Random random(seed);
     PrefixIndex index(kNoBudget);
     std::vector<std::vector<BlockHash>> chains;
+    chains.reserve(200);
     for (int i = 0; i < 200; ++i) chains.push_back(RandomChain(&random, 1 + random.Uniform(60)));
     // Kept length of each chain by live generation; always a prefix, as workers keep them.
     std::map<GenerationId, std::map<size_t, uint32_t>> kept;
@@ -111,7 +112,7 @@
 }
 
 TEST(PrefixIndexTest, StaysWithinItsBudgetAndKeepsWhatIsUsed) {
-  constexpr uint64_t kBudget = 1024 * 1024;
+  constexpr uint64_t kBudget = 1024UL * 1024;
   PrefixIndex index(kBudget);
   runtime::Random random(7);
   const GenerationId generation = index.OpenGeneration();
--- a/src/posthatch/index/prefix_index.cc
+++ b/src/posthatch/index/prefix_index.cc
@@ -293,7 +293,7 @@
   }
 }
 
-void PrefixIndex::Rebuild(Segment* segment, uint32_t bucket_count, std::vector<Slot> slots) {
+void PrefixIndex::Rebuild(Segment* segment, uint32_t bucket_count, const std::vector<Slot>& slots) {
   bytes_ -= segment->bucket_count * sizeof(Bucket);
   const size_t size = bucket_count * sizeof(Bucket);
   auto* buckets = static_cast<Bucket*>(std::aligned_alloc(alignof(Bucket), size));
--- a/src/posthatch/index/prefix_index.h
+++ b/src/posthatch/index/prefix_index.h
@@ -127,7 +127,7 @@
   void Release(GenerationId generation);
   // Makes room in a segment that is filled to the limit: grows it, or evicts.
   void MakeRoom(Segment* segment);
-  void Rebuild(Segment* segment, uint32_t bucket_count, std::vector<Slot> slots);
+  void Rebuild(Segment* segment, uint32_t bucket_count, const std::vector<Slot>& slots);
   // The live slots of a segment; those of dropped generations are released.
   std::vector<Slot> TakeSlots(Segment* segment);
   void EvictDownTo(std::vector<Slot>* slots, size_t limit);
--- a/src/posthatch/index/store_poller.cc
+++ b/src/posthatch/index/store_poller.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-constexpr size_t kMaxStatusBytes = 64 * 1024;
+constexpr size_t kMaxStatusBytes = 64UL * 1024;
 
 // 0 if `body` has no epoch.
 uint64_t ReadEpoch(const std::string& body) {
@@ -73,7 +73,7 @@
   options.max_body_bytes = kMaxStatusBytes;
   http::CallObserver observer;
   observer.on_head = [&poll](const http::Response& head) { poll.status = head.status; };
-  observer.on_piece = [&poll](std::string piece) { poll.body += piece; };
+  observer.on_piece = [&poll](const std::string& piece) { poll.body += piece; };
   observer.on_end = [this, store] { OnEnd(store); };
   observer.on_error = [&poll](const http::CallError&) { poll.running = false; };
   poll.call =
--- a/src/posthatch/index/worker_event_feed.cc
+++ b/src/posthatch/index/worker_event_feed.cc
@@ -64,7 +64,7 @@
   body_.clear();
   http::CallObserver observer;
   observer.on_head = [this](const http::Response& head) { status_ = head.status; };
-  observer.on_piece = [this](std::string piece) { body_ += piece; };
+  observer.on_piece = [this](const std::string& piece) { body_ += piece; };
   observer.on_end = [this] { OnEnd(); };
   observer.on_error = [this](const http::CallError&) { OnFailure(); };
   call_ = runtime_->http_client->Start(endpoint_, std::move(request), call_options,
--- a/src/posthatch/membership/membership-bench.cc
+++ b/src/posthatch/membership/membership-bench.cc
@@ -47,7 +47,8 @@
   // Numbers are written by fmt: Boost.JSON prints every double with an exponent.
   std::string text;
   for (const auto& [key, value] : line) {
-    text += fmt::format("{}\"{}\": {}", text.empty() ? "" : ", ", std::string_view(key),
+    const std::string_view name(key.data(), key.size());
+    text += fmt::format("{}\"{}\": {}", text.empty() ? "" : ", ", name,
                         value.is_double() ? fmt::format("{}", Rounded(value.as_double()))
                                           : boost::json::serialize(value));
   }
--- a/src/posthatch/rehearse/child_process-test.cc
+++ b/src/posthatch/rehearse/child_process-test.cc
@@ -11,7 +11,7 @@
 namespace posthatch::rehearse {
 namespace {
 
-const std::string kLog = "/dev/null";
+constexpr char kLog[] = "/dev/null";
 
 bool Exists(pid_t pid) { return kill(pid, 0) == 0 || errno != ESRCH; }
 
