--- a/src/posthatch/index/prefix_index.cc
+++ b/src/posthatch/index/prefix_index.cc
@@ -271,7 +271,7 @@
       EvictDownTo(&slots, static_cast<size_t>(capacity * kFillAfterEviction));
     }
   }
-  Rebuild(segment, bucket_count, std::move(slots));
+  Rebuild(segment, bucket_count, slots);
 }
 
 void PrefixIndex::EvictDownTo(std::vector<Slot>* slots, size_t limit) {
@@ -330,7 +330,7 @@
   const auto needed = static_cast<uint32_t>(
       std::ceil(static_cast<double>(slots.size() + 1) * kGrowth / (kSlotsPerBucket * kMaxFill)));
   const uint32_t bucket_count = std::clamp(needed, uint32_t{1}, segment.bucket_count);
-  Rebuild(&segment, bucket_count, std::move(slots));
+  Rebuild(&segment, bucket_count, slots);
 }
 
 PrefixIndex::Stats PrefixIndex::stats() const {
