Measure cold workers against warm ones of the same revision

Ruled out: a draining or evacuated measure (left out already), a flood past slow start among equals. Change: WarmRuns counts runs under the cold worker's revision only; violating and clean histories as tests.

--- a/src/posthatch/rehearse/checks/request_checks-test.cc
+++ b/src/posthatch/rehearse/checks/request_checks-test.cc
@@ -243,6 +243,20 @@
   EXPECT_EQ(history.Examine(RetryCheck()).examined(), 0u);
 }
 
+TEST(RetryCheck, AWarmWorkerThatStillServesOldWeightsIsNoMeasureForAColdOne) {
+  HistoryBuilder history = ColdWorker(0);
+  for (int run = 0; run < 30; ++run) {
+    RunStarted* cold = history.Run(20.1 + run * 0.1, "c" + std::to_string(run), "worker-3");
+    cold->set_up_since_ns(20 * kSecondNs);
+    cold->set_model_revision(2);
+  }
+  EXPECT_EQ(history.Examine(RetryCheck()).violations(), 0u);
+  for (int run = 0; run < 5; ++run) {
+    history.Run(20.1 + run * 0.1, "u" + std::to_string(run), "worker-4")->set_model_revision(2);
+  }
+  ExpectViolations(history, RetryCheck(), 1);
+}
+
 TEST(RetryCheck, AWarmWorkerThatIsDrainingIsNoMeasureForAColdOne) {
   HistoryBuilder history = ColdWorker(30);
   history.Draining(10, "worker-1", true);
--- a/src/posthatch/rehearse/checks/retry_check.cc
+++ b/src/posthatch/rehearse/checks/retry_check.cc
@@ -73,16 +73,22 @@
 struct WorkerRuns {
   std::string model;
   std::string zone;
-  std::vector<std::pair<int64_t, int64_t>> runs;  // started, up since
+  struct Run {
+    int64_t started_ns;
+    int64_t up_since_ns;
+    uint64_t revision;
+  };
+  std::vector<Run> runs;
 };
 
-// Runs that began in `period` at a worker that had been up for the whole slow start.
-uint64_t WarmRuns(const WorkerRuns& worker, const Period& period, bool* warm) {
+// Runs under `revision` that began in `period` at a worker that had been up for the whole slow
+// start. A worker that still serves another revision can't take the cold one's work.
+uint64_t WarmRuns(const WorkerRuns& worker, const Period& period, uint64_t revision, bool* warm) {
   uint64_t count = 0;
   *warm = false;
-  for (const auto& [started_ns, up_since_ns] : worker.runs) {
-    if (!period.Contains(started_ns)) continue;
-    if (period.from_ns - up_since_ns < kSlowStartNs) return 0;
+  for (const WorkerRuns::Run& run : worker.runs) {
+    if (!period.Contains(run.started_ns) || run.revision != revision) continue;
+    if (period.from_ns - run.up_since_ns < kSlowStartNs) return 0;
     *warm = true;
     ++count;
   }
@@ -121,14 +127,18 @@
     if (run.model().empty()) continue;
     workers[run.backend()].model = run.model();
     workers[run.backend()].zone = run.zone();
-    workers[run.backend()].runs.emplace_back(record.started_ns, run.up_since_ns());
+    workers[run.backend()].runs.push_back(
+        {record.started_ns, run.up_since_ns(), run.model_revision()});
     starts.insert({run.backend(), run.up_since_ns()});
   }
   for (const auto& [name, up_since_ns] : starts) {
     const Period period{up_since_ns, up_since_ns + kSlowStartNs / 2};
     uint64_t cold_runs = 0;
-    for (const auto& [started_ns, since_ns] : workers[name].runs) {
-      if (since_ns == up_since_ns && period.Contains(started_ns)) ++cold_runs;
+    uint64_t revision = 0;
+    for (const WorkerRuns::Run& run : workers[name].runs) {
+      if (run.up_since_ns != up_since_ns || !period.Contains(run.started_ns)) continue;
+      ++cold_runs;
+      revision = run.revision;
     }
     uint64_t warm_runs = 0;
     uint64_t warm_workers = 0;
@@ -136,7 +146,7 @@
       if (other == name || runs.model != workers[name].model) continue;
       if (Unavailable(history, other, runs.zone, period)) continue;
       bool warm = false;
-      warm_runs += WarmRuns(runs, period, &warm);
+      warm_runs += WarmRuns(runs, period, revision, &warm);
       if (warm) ++warm_workers;
     }
     if (warm_workers == 0) continue;
