--- a/src/posthatch/rehearse/process_settings.cc
+++ b/src/posthatch/rehearse/process_settings.cc
@@ -33,7 +33,10 @@
 
 }  // namespace
 
-std::string GatewayToml(const daemon::GatewaySettings& settings) { return NodeToml(settings.node); }
+std::string GatewayToml(const daemon::GatewaySettings& settings) {
+  return NodeToml(settings.node) +
+         fmt::format("\n[gateway]\nrouting_mode = {}\n", Quoted(settings.routing_mode));
+}
 
 std::string ControllerToml(const daemon::ControllerSettings& settings,
                            const std::string& data_folder) {
