--- a/src/posthatch/control/controller_service.cc
+++ b/src/posthatch/control/controller_service.cc
@@ -407,7 +407,7 @@
   const GrantWorkerLeases& plan = command.grant_worker_leases();
   if (plan.grants().empty() && plan.released().empty()) return;
   plan_under_way_ = true;
-  ProposeOwn(std::move(command), [this](bool) { plan_under_way_ = false; });
+  ProposeOwn(command, [this](bool) { plan_under_way_ = false; });
 }
 
 void ControllerService::OnInventory(Inventory inventory, runtime::MonotonicTime asked_at) {
@@ -421,7 +421,7 @@
   inventory_under_way_ = true;
   Command command;
   *command.mutable_set_inventory()->mutable_inventory() = std::move(inventory);
-  ProposeOwn(std::move(command), [this, asked_at](bool applied) {
+  ProposeOwn(command, [this, asked_at](bool applied) {
     inventory_under_way_ = false;
     if (!applied) return;
     inventory_known_ = true;
@@ -429,7 +429,7 @@
   });
 }
 
-void ControllerService::ProposeOwn(Command command, std::function<void(bool applied)> done) {
+void ControllerService::ProposeOwn(const Command& command, std::function<void(bool applied)> done) {
   log_->Propose(
       SerializeDeterministically(command),
       [this, term = term_, done = std::move(done),
--- a/src/posthatch/control/controller_service.h
+++ b/src/posthatch/control/controller_service.h
@@ -98,7 +98,7 @@
   // The leader's own decisions.
   void PlanWorkerLeases();
   void OnInventory(Inventory inventory, runtime::MonotonicTime asked_at);
-  void ProposeOwn(Command command, std::function<void(bool applied)> done);
+  void ProposeOwn(const Command& command, std::function<void(bool applied)> done);
 
   void Send(const std::string& endpoint, const ControlMessage& message);
 
