Drop a voter whose place was taken, whatever the number of voters aimed for

With target_voters above the number of machines the old identity of the first stayed a voter: two live voters of four. Ruled out: a slow join (log index 66 shows the promotion 1 s after the return). Change: a superseded voter goes once its successor votes; one that was unheard when a replica with a place of its own was promoted goes after the longest election timeout. ReplacementBelowTargetTest fails before (4 voters), passes after.

--- a/src/posthatch/consensus/raft_core.h
+++ b/src/posthatch/consensus/raft_core.h
@@ -177,12 +177,19 @@
   void RunMembershipPolicy(runtime::MonotonicTime now);
   bool AdmitLearner(runtime::MonotonicTime now);
   bool PromoteLearner(runtime::MonotonicTime now);
+  bool DropReplacedVoter(runtime::MonotonicTime now);
   bool DropExcessVoter(runtime::MonotonicTime now);
   bool RemoveSilentLearner(runtime::MonotonicTime now);
   bool RefreshEndpoints(runtime::MonotonicTime now);
   void SetAddress(uint64_t replica_id, Address address);
   bool IsLive(const Member& member, runtime::MonotonicTime now) const;
   bool IsGone(const Member& member, runtime::MonotonicTime now) const;
+  // No message came from it for the longest election timeout.
+  bool IsSilent(const Member& member, runtime::MonotonicTime now) const;
+  // Another voter speaks from its endpoint: its machine has come back under another identity.
+  bool HasSuccessor(const Member& member) const;
+  // The voter that a learner which is being promoted stands in for; 0 if all are heard.
+  uint64_t LongestUnheardVoter(runtime::MonotonicTime now) const;
   bool IsCaughtUp(const Member& member, runtime::MonotonicTime now) const;
 
   const RaftOptions options_;
@@ -236,6 +243,10 @@
   uint64_t transfer_target_ = 0;
   runtime::MonotonicTime transfer_deadline_;
   std::map<uint64_t, Address> joining_;
+  // Which replica speaks from the endpoint of another one, by the other one's id.
+  std::map<uint64_t, uint64_t> successors_;
+  // Voters that were silent when a replica with a place of its own was promoted (DropReplacedVoter).
+  std::set<uint64_t> stood_in_for_;
 
   // Snapshots.
   std::shared_ptr<const storage::Snapshot> snapshot_;  // newest durable one
--- a/src/posthatch/consensus/raft_election.cc
+++ b/src/posthatch/consensus/raft_election.cc
@@ -32,6 +32,7 @@
   transfer_target_ = 0;
   progress_.clear();
   joining_.clear();
+  stood_in_for_.clear();
 }
 
 void RaftCore::BecomeLeader(MonotonicTime now) {
--- a/src/posthatch/consensus/raft_membership-test.cc
+++ b/src/posthatch/consensus/raft_membership-test.cc
@@ -115,5 +115,66 @@
   EXPECT_EQ(VoterCount(cluster.core(cluster.Leader()).configuration()), 3U);
 }
 
+// More voters are aimed for than there are machines: a replaced one must still go, or two losses one
+// after the other leave two live voters of four.
+class ReplacementBelowTargetTest : public testing::Test {
+ protected:
+  static RaftOptions Options() {
+    RaftOptions options;
+    options.target_voters = 9;
+    return options;
+  }
+
+  // Joins as the only replica at `endpoint`.
+  void Join(uint64_t id, const std::string& endpoint) {
+    cluster_.AddFresh(id);
+    RaftMessage message = cluster_.core(id).NewMessage(leader_);
+    message.set_cluster_id(0);
+    message.set_from_endpoint(endpoint);
+    message.mutable_join_request();
+    cluster_.core(leader_).Step(message, cluster_.now());
+  }
+
+  const ClusterConfiguration& configuration() { return cluster_.core(leader_).configuration(); }
+
+  CoreHarness cluster_{3, Options()};
+  uint64_t leader_ = cluster_.RunUntilLeader();
+};
+
+TEST_F(ReplacementBelowTargetTest, LostDiskLeavesAsManyVotersAsMachines) {
+  const uint64_t lost = CoreHarness::Others(leader_).first;
+  cluster_.node(lost).up = false;
+  cluster_.Run(milliseconds(500));
+  Join(9, "host" + std::to_string(lost));
+  cluster_.Run(seconds(3));
+  EXPECT_TRUE(IsVoter(configuration(), 9));
+  EXPECT_EQ(FindMember(configuration(), lost), nullptr);
+  EXPECT_EQ(VoterCount(configuration()), 3U);
+}
+
+TEST_F(ReplacementBelowTargetTest, MachineReplacedAtAnotherAddressLeavesAsManyVotersAsMachines) {
+  const uint64_t lost = CoreHarness::Others(leader_).first;
+  cluster_.node(lost).up = false;
+  cluster_.Run(milliseconds(1000));
+  Join(9, "host9");
+  cluster_.Run(seconds(3));
+  EXPECT_TRUE(IsVoter(configuration(), 9));
+  EXPECT_EQ(FindMember(configuration(), lost), nullptr);
+  EXPECT_EQ(VoterCount(configuration()), 3U);
+}
+
+TEST_F(ReplacementBelowTargetTest, FurtherMachineJoinsBesideTheOthers) {
+  Join(9, "host9");
+  cluster_.Run(seconds(3));
+  EXPECT_EQ(VoterCount(configuration()), 4U);
+}
+
+TEST_F(ReplacementBelowTargetTest, VoterCutOffWhileNobodyJoinsKeepsItsPlace) {
+  const uint64_t away = CoreHarness::Others(leader_).first;
+  cluster_.Isolate(away);
+  cluster_.Run(seconds(6));
+  EXPECT_TRUE(IsVoter(configuration(), away));
+}
+
 }  // namespace
 }  // namespace posthatch::consensus
--- a/src/posthatch/consensus/raft_membership.cc
+++ b/src/posthatch/consensus/raft_membership.cc
@@ -26,7 +26,9 @@
 void RaftCore::SetAddress(uint64_t replica_id, Address address) {
   if (address.endpoint == endpoint_) address.endpoint.clear();
   for (auto& [id, other] : addresses_) {
-    if (id != replica_id && other.endpoint == address.endpoint) other.endpoint.clear();
+    if (id == replica_id || other.endpoint.empty() || other.endpoint != address.endpoint) continue;
+    other.endpoint.clear();
+    successors_[id] = replica_id;
   }
   addresses_[replica_id] = std::move(address);
 }
@@ -66,8 +68,8 @@
   if (!OwnTermCommitted() || IsTransferring() || !HasQuorum(now)) return;
   if (configurations_.back().first > commit_index_) return;
   // The first that has something to do.
-  static_cast<void>(DropExcessVoter(now) || PromoteLearner(now) || RemoveSilentLearner(now) ||
-                    AdmitLearner(now) || RefreshEndpoints(now));
+  static_cast<void>(DropReplacedVoter(now) || DropExcessVoter(now) || PromoteLearner(now) ||
+                    RemoveSilentLearner(now) || AdmitLearner(now) || RefreshEndpoints(now));
 }
 
 // Silent for long, or its machine has come back under another identity (its disk was lost).
@@ -80,6 +82,52 @@
          (superseded && silent >= options_.election_timeout_max);
 }
 
+bool RaftCore::IsSilent(const Member& member, MonotonicTime now) const {
+  const auto found = progress_.find(member.replica_id());
+  return found != progress_.end() &&
+         now - found->second.last_heard >= options_.election_timeout_max;
+}
+
+bool RaftCore::HasSuccessor(const Member& member) const {
+  const auto successor = successors_.find(member.replica_id());
+  return successor != successors_.end() && EndpointOf(member.replica_id()).empty() &&
+         IsVoter(configuration(), successor->second);
+}
+
+uint64_t RaftCore::LongestUnheardVoter(MonotonicTime now) const {
+  constexpr int kHeartbeatsUnheard = 4;
+  const Member* longest = nullptr;
+  runtime::Duration longest_silence = kHeartbeatsUnheard * options_.heartbeat_interval;
+  for (const Member& member : configuration().members()) {
+    const auto progress = progress_.find(member.replica_id());
+    if (!member.voter() || progress == progress_.end()) continue;
+    const runtime::Duration silence = now - progress->second.last_heard;
+    if (silence < longest_silence || EndpointOf(member.replica_id()).empty()) continue;
+    longest = &member;
+    longest_silence = silence;
+  }
+  return longest == nullptr ? 0 : longest->replica_id();
+}
+
+// A voter whose place another one has taken counts in the quorum and can't answer any more: it goes
+// at once, whatever the number of voters aimed for. Either its own machine is back under another
+// identity, or it fell silent before a new replica was promoted and has stayed so.
+bool RaftCore::DropReplacedVoter(MonotonicTime now) {
+  for (const Member& member : configuration().members()) {
+    if (!member.voter() || member.replica_id() == replica_id()) continue;
+    const bool stood_in_for = stood_in_for_.contains(member.replica_id());
+    if (stood_in_for && IsLive(member, now)) {
+      stood_in_for_.erase(member.replica_id());
+      continue;
+    }
+    if (!IsSilent(member, now) || (!stood_in_for && !HasSuccessor(member))) continue;
+    stood_in_for_.erase(member.replica_id());
+    ProposeConfiguration(WithoutMember(configuration(), member.replica_id()), now);
+    return true;
+  }
+  return false;
+}
+
 // Has answered a message of the last shortest election timeout.
 bool RaftCore::IsLive(const Member& member, MonotonicTime now) const {
   const auto found = progress_.find(member.replica_id());
@@ -132,6 +180,11 @@
   if (candidate == nullptr || !wanted || !will_commit) return false;
   Member promoted = *candidate;
   promoted.set_voter(true);
+  const bool has_a_place = std::any_of(
+      successors_.begin(), successors_.end(),
+      [&](const auto& entry) { return entry.second == promoted.replica_id(); });
+  const uint64_t unheard = has_a_place ? 0 : LongestUnheardVoter(now);
+  if (unheard != 0) stood_in_for_.insert(unheard);
   ProposeConfiguration(WithMember(configuration(), promoted), now);
   return true;
 }
