Lean to the worker that every gateway ranks first; keep a former leader's loading marks

Cause: a third call of one subject went to another worker while the first two were being read: with no holder known yet all candidates looked alike. New leaders cleared the marks of workers that still loaded, and calls were shed there. Change: likelihood by rank, the isolation domain in the affinity, marks inherited during the handover, longer pauses after refusals in a row, a longer time to come back while no configuration is known.

--- a/src/posthatch/orders/rollout_coordinator.cc
+++ b/src/posthatch/orders/rollout_coordinator.cc
@@ -35,16 +35,23 @@
 }
 
 void RolloutCoordinator::Annotate(control::Inventory* inventory) const {
-  std::map<std::string, uint64_t> published;
+  std::map<std::string, const control::Backend*> published;
   for (const control::Backend& backend : parts_.fleet().inventory().backends()) {
-    published[backend.id()] = backend.model_revision();
+    published[backend.id()] = &backend;
   }
+  // What the former leader has ordered goes on: its marks stand until this one may order.
+  const bool in_handover = runtime_->clock->Now() < may_order_from_;
   for (control::Backend& backend : *inventory->mutable_backends()) {
     const auto known = published.find(backend.id());
     uint64_t revision = RevisionOf(backend);
-    if (known != published.end()) revision = std::max(revision, known->second);
+    bool inherited = false;
+    if (known != published.end()) {
+      inherited = in_handover && known->second->loading() &&
+                  revision <= known->second->model_revision();
+      revision = std::max(revision, known->second->model_revision());
+    }
     backend.set_model_revision(revision);
-    backend.set_loading(active_.contains(backend.id()));
+    backend.set_loading(inherited || active_.contains(backend.id()));
   }
 }
 
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "absl/container/inlined_vector.h"
@@ -12,6 +13,9 @@
 
 constexpr size_t kRankedCandidates = 3;
 constexpr size_t kRandomCandidates = 2;
+// How likely a worker keeps a prompt's shared segments when the index knows of no holder: all
+// gateways send them to the same first workers, and news of it takes a moment.
+constexpr std::array<double, kRankedCandidates> kKeptLikelihood = {0.6, 0.2, 0.05};
 // A worker in another zone must be this much sooner: bytes between zones cost.
 constexpr double kOtherZonePenaltyMs = 8;
 // Each request in flight there slows the others' tokens a little.
@@ -88,7 +92,7 @@
 std::vector<Placer::Candidate> Placer::Candidates(const PlacementQuery& query,
                                                   const std::vector<WorkerPointer>& usable) const {
   std::vector<Candidate> candidates;
-  const auto add = [&](const WorkerPointer& worker) {
+  const auto add = [&](const WorkerPointer& worker, double likelihood) {
     const bool known = std::any_of(candidates.begin(), candidates.end(), [&](const auto& other) {
       return other.worker == worker;
     });
@@ -99,11 +103,13 @@
         kept = std::max(kept, query.prompt->TokensOf(holder.blocks));
       }
     }
-    candidates.push_back({worker, kept});
+    const auto likely =
+        static_cast<uint64_t>(likelihood * static_cast<double>(query.prompt->shared_tokens));
+    candidates.push_back({worker, kept, query.holders.empty() ? likely : 0});
   };
   for (const WorkerPointer& worker : usable) {
     for (const index::PrefixHolder& holder : query.holders) {
-      if (holder.backend_id == worker->backend.id()) add(worker);
+      if (holder.backend_id == worker->backend.id()) add(worker, 0);
     }
   }
   std::vector<std::pair<uint64_t, size_t>> ranked;
@@ -114,9 +120,9 @@
   const size_t count = std::min(kRankedCandidates, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end());
-  for (size_t i = 0; i < count; ++i) add(usable[ranked[i].second]);
+  for (size_t i = 0; i < count; ++i) add(usable[ranked[i].second], kKeptLikelihood[i]);
   for (size_t i = 0; i < kRandomCandidates; ++i) {
-    add(usable[runtime_->random->Uniform(usable.size())]);
+    add(usable[runtime_->random->Uniform(usable.size())], 0);
   }
   return candidates;
 }
@@ -153,8 +159,10 @@
     }
   }
   const double zone = worker.backend.zone() == zone_ ? 0 : kOtherZonePenaltyMs;
-  return pool_->ExpectedWait(worker) + read_rate_.MillisecondsFor(worker.pending_tokens) + reading +
-         zone + kInFlightPenaltyMs * worker.in_flight;
+  const double likely_saving = read_rate_.MillisecondsFor(
+      candidate.expected_tokens - std::min(candidate.expected_tokens, candidate.kept_tokens));
+  return pool_->ExpectedWait(worker) + read_rate_.MillisecondsFor(worker.pending_tokens) + reading -
+         likely_saving + zone + kInFlightPenaltyMs * worker.in_flight;
 }
 
 Placement Placer::ChooseForPrompt(const PlacementQuery& query,
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -14,7 +14,9 @@
 // What placing needs to know of a prompt.
 struct PromptShape {
   std::vector<uint64_t> tokens_up_to;  // tokens of the first n+1 segments
-  uint64_t affinity = 0;               // equal for prompts that share all but their last segment
+  // Equal for prompts that may share all but their last segment.
+  uint64_t affinity = 0;
+  uint64_t shared_tokens = 0;  // of all but the last segment
 
   uint64_t total_tokens() const { return tokens_up_to.empty() ? 0 : tokens_up_to.back(); }
   uint64_t TokensOf(uint32_t segments) const;
@@ -64,7 +66,8 @@
  private:
   struct Candidate {
     WorkerPointer worker;
-    uint64_t kept_tokens = 0;
+    uint64_t kept_tokens = 0;      // as the index says
+    uint64_t expected_tokens = 0;  // likely to be kept, by the rank
   };
 
   Placement ChooseForPrompt(const PlacementQuery& query, const std::vector<WorkerPointer>& usable);
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -11,6 +11,8 @@
 // Marks that fade with time are looked at this often.
 constexpr runtime::Duration kRefreshInterval = std::chrono::milliseconds(500);
 constexpr runtime::Duration kRetryAfter = std::chrono::milliseconds(300);
+// After a start of the whole fleet the controllers need about so long to elect a leader.
+constexpr runtime::Duration kRetryAfterWithoutConfiguration = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -102,7 +104,10 @@
                                  std::string detail) {
   metrics_.answers.Increment("refused");
   Refusal refusal{reason, runtime::Duration::zero(), std::move(detail)};
-  if (reason == RefusalReason::kUnavailable) refusal.retry_after = kRetryAfter;
+  if (reason == RefusalReason::kUnavailable) {
+    refusal.retry_after =
+        configuration_ == nullptr ? kRetryAfterWithoutConfiguration : kRetryAfter;
+  }
   writer->SendWhole(options_.call_format->MakeRefusal(refusal));
 }
 
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -99,7 +99,11 @@
   }
   // Calls with one segment only share nothing: they may go anywhere.
   const size_t shared = ids.empty() ? 0 : ids.size() - 1;
-  shape_.affinity = index::HashOfSegments(ids, shared);
+  // Prompts of tenants that share nothing needn't meet: the salt of no revision tells them apart.
+  ids.insert(ids.begin(),
+             index::CacheSalt(context_->lookup->SeedFor(admitted_.call.model, 0, admitted_.tenant)));
+  shape_.affinity = index::HashOfSegments(ids, shared + 1);
+  shape_.shared_tokens = shape_.TokensOf(static_cast<uint32_t>(shared));
 }
 
 std::vector<index::PrefixHolder> TrafficRequest::LocatePrefix() {
@@ -201,6 +205,7 @@
   }
   placement_ = std::move(placement);
   worker_ = placement_.worker;
+  TraceDispatch(fields);
   context_->pool->OnDispatched(worker_.get(), placement_.missing_tokens);
   prompt_pending_ = true;
   first_event_seen_ = false;
@@ -212,6 +217,18 @@
       OptionsFor(), ObserverFor(attempt_));
 }
 
+void TrafficRequest::TraceDispatch(const DispatchFields& fields) {
+  context_->runtime->trace->Event(runtime::Severity::kDebug, "CallDispatched",
+                                  {{"request_id", admitted_.call.request_id},
+                                   {"route", admitted_.route.name()},
+                                   {"worker", fields.instance_id},
+                                   {"attempt", attempt_},
+                                   {"revision", revision_},
+                                   {"tokens", shape_.total_tokens()},
+                                   {"missing_tokens", placement_.missing_tokens},
+                                   {"fetch_tokens", placement_.fetch_tokens}});
+}
+
 void TrafficRequest::OnHead(const http::Response& head) {
   const AnswerJudgement judgement = context_->format->Judge(admitted_.call, head);
   if (!judgement.belongs) return OnAttemptFailed(Failure::kForeign);
--- a/src/posthatch/traffic/traffic_request.h
+++ b/src/posthatch/traffic/traffic_request.h
@@ -53,6 +53,7 @@
   bool BudgetAllows();
   void Dispatch(Placement placement);
   DispatchFields FieldsFor(const Placement& placement);
+  void TraceDispatch(const DispatchFields& fields);
   http::CallOptions OptionsFor() const;
   http::CallObserver ObserverFor(uint64_t attempt);
 
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -16,6 +16,7 @@
 constexpr runtime::Duration kFirstEjection = std::chrono::milliseconds(1000);
 constexpr uint32_t kMaxEjectionDoublings = 3;
 constexpr runtime::Duration kBusyPause = std::chrono::milliseconds(150);
+constexpr uint32_t kMaxBusyDoublings = 2;
 // Part of the time that a revision may take, after which older workers get nothing more: the rest
 // covers that this gateway heard of the order later than its sender was told.
 constexpr double kRevisionShare = 0.7;
@@ -198,6 +199,7 @@
 
 void WorkerPool::OnSuccess(Worker* worker) {
   worker->failure_score *= kFailureFade;
+  worker->refusals = 0;
   worker->ejections = 0;
 }
 
@@ -213,7 +215,9 @@
 }
 
 void WorkerPool::OnRefused(Worker* worker) {
-  worker->busy_until = runtime_->clock->Now() + kBusyPause;
+  const uint32_t doublings = std::min(worker->refusals, kMaxBusyDoublings);
+  worker->busy_until = runtime_->clock->Now() + kBusyPause * (1U << doublings);
+  ++worker->refusals;
 }
 
 void WorkerPool::OnRevisionSeen(Worker* worker, uint64_t revision) {
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -30,6 +30,7 @@
   double failure_score = 0;     // rises by one with each failure, fades with each success
   uint32_t ejections = 0;       // in a row
   runtime::MonotonicTime ejected_until;
+  uint32_t refusals = 0;              // in a row
   runtime::MonotonicTime busy_until;  // it refused for want of room, or was misdirected
 };
 
