Gateways tell each other what they have under way at each worker

Cause: each gateway saw only its own eighth of a worker's queue; small prompts waited behind large ones elsewhere in the queue. Weighed: polling every worker's report (priced, and late by 200 ms); samples of measured waits (one per gateway and worker in 2 s).

--- a/src/posthatch/daemon/traffic_gateway_node.cc
+++ b/src/posthatch/daemon/traffic_gateway_node.cc
@@ -75,6 +75,7 @@
   options.inventory_reads_per_second = settings_.inventory_reads_per_second;
   options.revision_deadline = settings_.revision_deadline;
   options.gateways = [this] { return GatewayIds(); };
+  options.gateway_endpoints = [this] { return OtherGatewayEndpoints(); };
   return options;
 }
 
@@ -82,17 +83,29 @@
   return EndpointsOf(membership_, membership::MemberRole::kController, settings_.node.seeds);
 }
 
-std::vector<std::string> TrafficGatewayNode::GatewayIds() const {
+void TrafficGatewayNode::RefreshGateways() const {
   const runtime::MonotonicTime now = runtime_->clock->Now();
-  if (!gateway_ids_.empty() && now - gateway_ids_at_ < kMemberRefresh) return gateway_ids_;
+  if (!gateway_ids_.empty() && now - gateways_at_ < kMemberRefresh) return;
   gateway_ids_ = {settings_.node.node_id};
-  gateway_ids_at_ = now;
+  other_gateway_endpoints_.clear();
+  gateways_at_ = now;
   for (const membership::Member& member : membership_.LiveMembers()) {
-    if (member.role == membership::MemberRole::kGateway) gateway_ids_.push_back(member.node_id);
+    if (member.role != membership::MemberRole::kGateway) continue;
+    gateway_ids_.push_back(member.node_id);
+    other_gateway_endpoints_.push_back(member.internal_endpoint);
   }
+}
+
+std::vector<std::string> TrafficGatewayNode::GatewayIds() const {
+  RefreshGateways();
   return gateway_ids_;
 }
 
+std::vector<std::string> TrafficGatewayNode::OtherGatewayEndpoints() const {
+  RefreshGateways();
+  return other_gateway_endpoints_;
+}
+
 absl::Status TrafficGatewayNode::Start() {
   membership_.Start();
   index_.Start();
--- a/src/posthatch/daemon/traffic_gateway_node.h
+++ b/src/posthatch/daemon/traffic_gateway_node.h
@@ -35,6 +35,8 @@
   traffic::TrafficGatewayOptions TrafficOptions(const PlatformFormats& formats);
   std::vector<std::string> ControllerEndpoints() const;
   std::vector<std::string> GatewayIds() const;
+  std::vector<std::string> OtherGatewayEndpoints() const;
+  void RefreshGateways() const;
   void LeaveFleet(std::function<void()> done);
 
   runtime::Runtime* const runtime_;
@@ -47,7 +49,8 @@
   runtime::Timer leave_timer_;
   // Looked up anew at most once per kMemberRefresh.
   mutable std::vector<std::string> gateway_ids_;
-  mutable runtime::MonotonicTime gateway_ids_at_;
+  mutable std::vector<std::string> other_gateway_endpoints_;
+  mutable runtime::MonotonicTime gateways_at_;
 };
 
 }  // namespace posthatch::daemon
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -76,7 +76,7 @@
 Placement Placer::ChooseForCall(const std::vector<WorkerPointer>& usable) {
   const auto cost = [this](const Worker& worker) {
     const double zone = worker.backend.zone() == zone_ ? 0 : 1;
-    return static_cast<double>(worker.in_flight) * 2 + zone;
+    return static_cast<double>(pool_->TotalLoad(worker).in_flight) * 2 + zone;
   };
   WorkerPointer best;
   const size_t start = runtime_->random->Uniform(usable.size());
@@ -161,8 +161,10 @@
   const double zone = worker.backend.zone() == zone_ ? 0 : kOtherZonePenaltyMs;
   const double likely_saving = read_rate_.MillisecondsFor(
       candidate.expected_tokens - std::min(candidate.expected_tokens, candidate.kept_tokens));
-  return pool_->ExpectedWait(worker) + read_rate_.MillisecondsFor(worker.pending_tokens) + reading -
-         likely_saving + zone + kInFlightPenaltyMs * worker.in_flight;
+  const Load load = pool_->TotalLoad(worker);
+  placement->expected_ms = read_rate_.MillisecondsFor(load.pending_tokens) + reading +
+                           kInFlightPenaltyMs * load.in_flight;
+  return placement->expected_ms + pool_->ExpectedWait(worker) + zone - likely_saving;
 }
 
 Placement Placer::ChooseForPrompt(const PlacementQuery& query,
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -36,6 +36,7 @@
   uint64_t missing_tokens = 0;  // of the prompt, believed not to be kept there
   uint64_t fetch_tokens = 0;    // of those, kept at `fetch_endpoint`
   std::string fetch_endpoint;   // empty: nothing is fetched
+  double expected_ms = 0;       // to the first event, by load and reading alone
 };
 
 // Measures how fast workers read prompts, in tokens a millisecond.
--- a/src/posthatch/traffic/traffic_gateway.h
+++ b/src/posthatch/traffic/traffic_gateway.h
@@ -29,6 +29,8 @@
   size_t max_concurrent_requests = 4096;
   // Ids of the live gateways of the fleet, with this one; asked often.
   std::function<std::vector<std::string>()> gateways;
+  // Internal endpoints of the other gateways; asked often.
+  std::function<std::vector<std::string>()> gateway_endpoints;
 };
 
 // The data plane for routed traffic: takes callers' calls, finds their routes, tenants and workers,
@@ -67,6 +69,7 @@
   gateway::LiveGatewayCount live_gateways_;
   TrafficMetrics metrics_;
   ColdStartLimiter cold_starts_;
+  LoadExchange loads_;
   WorkerPool pool_;
   Placer placer_;
   RetryBudget retry_budget_;
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -273,7 +273,7 @@
   const uint64_t read = placement_.missing_tokens - placement_.fetch_tokens;
   ReadRate* rate = context_->placer->read_rate();
   context_->pool->OnWaited(worker_.get(),
-                           runtime::ToMilliseconds(elapsed) - rate->MillisecondsFor(read));
+                           runtime::ToMilliseconds(elapsed) - placement_.expected_ms);
   if (placement_.fetch_tokens == 0) rate->Record(read, elapsed);
   if (revision_ != seed_.model_revision) return;
   channels::ObjectVersion version;
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -24,8 +24,19 @@
 }  // namespace
 
 WorkerPool::WorkerPool(runtime::Runtime* runtime, WorkerPoolOptions options,
-                       ColdStartLimiter* limiter)
-    : runtime_(runtime), options_(options), limiter_(limiter) {}
+                       ColdStartLimiter* limiter, LoadExchange* loads)
+    : runtime_(runtime), options_(options), limiter_(limiter), loads_(loads) {}
+
+void WorkerPool::ReportLoad(const Worker& worker) {
+  loads_->Set(worker.backend.id(), {worker.in_flight, worker.pending_tokens});
+}
+
+Load WorkerPool::TotalLoad(const Worker& worker) const {
+  Load load = loads_->OfOthers(worker.backend.id());
+  load.in_flight += worker.in_flight;
+  load.pending_tokens += worker.pending_tokens;
+  return load;
+}
 
 void WorkerPool::Update(const control::FleetState& state, const control::Inventory* own,
                         runtime::Duration leader_list_age, const RouteTable& /*routes*/) {
@@ -181,14 +192,17 @@
   ++worker->in_flight;
   worker->pending_tokens += pending_tokens;
   if (IsCold(*worker)) limiter_->CountSend(worker->backend.id());
+  ReportLoad(*worker);
 }
 
 void WorkerPool::OnPromptRead(Worker* worker, uint64_t pending_tokens) {
   worker->pending_tokens -= std::min(worker->pending_tokens, pending_tokens);
+  ReportLoad(*worker);
 }
 
 void WorkerPool::OnEnded(Worker* worker) {
   if (worker->in_flight > 0) --worker->in_flight;
+  ReportLoad(*worker);
 }
 
 void WorkerPool::OnWaited(Worker* worker, double milliseconds) {
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -9,6 +9,7 @@
 #include "posthatch/control/control.pb.h"
 #include "posthatch/runtime/runtime.h"
 #include "posthatch/traffic/cold_start_limiter.h"
+#include "posthatch/traffic/load_exchange.h"
 #include "posthatch/traffic/route_table.h"
 
 namespace posthatch::traffic {
@@ -48,7 +49,8 @@
 // ejection). Event loop thread only.
 class WorkerPool {
  public:
-  WorkerPool(runtime::Runtime* runtime, WorkerPoolOptions options, ColdStartLimiter* limiter);
+  WorkerPool(runtime::Runtime* runtime, WorkerPoolOptions options, ColdStartLimiter* limiter,
+             LoadExchange* loads);
 
   // Puts the fleet's state in force, together with this gateway's own reading of the list (null:
   // none that is newer). `leader_list_age` is the age of the list in `state`.
@@ -63,8 +65,10 @@
   // As Eligible, for when nothing else is left: takes ejected and busy workers too.
   bool EligibleAsLastResort(const Worker& worker) const;
   bool IsCold(const Worker& worker) const;
-  // Milliseconds that a request waits there for others, as measured; fades.
+  // Milliseconds by which first events came later than expected there, as measured; fades.
   double ExpectedWait(const Worker& worker) const;
+  // What all gateways have under way there.
+  Load TotalLoad(const Worker& worker) const;
   // The newest revision that was ordered for `model`; 0 if none is known.
   uint64_t TargetRevision(const std::string& model) const;
 
@@ -90,6 +94,7 @@
     double requests_per_second = 0;
   };
 
+  void ReportLoad(const Worker& worker);
   void Take(const control::Backend& backend, bool loading);
   void FollowTargets(const control::FleetState& state);
   void FollowEvacuations(const control::FleetState& state);
@@ -100,6 +105,7 @@
   runtime::Runtime* const runtime_;
   const WorkerPoolOptions options_;
   ColdStartLimiter* const limiter_;
+  LoadExchange* const loads_;
   absl::flat_hash_map<std::string, WorkerPointer> workers_;
   absl::flat_hash_map<std::string, std::vector<WorkerPointer>> services_;
   absl::flat_hash_map<std::string, ColdStart> cold_starts_;  // by service
