Fetch from the worker ranked first when no holder is known

Cause: spilled calls read their shared segments again although the first-ranked worker kept them. Change: its address goes along as the source; a miss costs about 1 ms.

--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -167,6 +167,23 @@
   return placement->expected_ms + pool_->ExpectedWait(worker) + zone - likely_saving;
 }
 
+void Placer::GuessSource(const PlacementQuery& query, const std::vector<WorkerPointer>& usable,
+                         Placement* placement) const {
+  const bool worth_it = query.prompt->shared_tokens >= kLeastTokensToFetch &&
+                        placement->missing_tokens >= query.prompt->shared_tokens;
+  if (!worth_it || !placement->fetch_endpoint.empty()) return;
+  const WorkerPointer* first = nullptr;
+  for (const WorkerPointer& worker : usable) {
+    if (worker->revision != placement->worker->revision) continue;
+    const bool ranks_before =
+        first == nullptr || RankOf(query.prompt->affinity, worker->backend.id()) <
+                                RankOf(query.prompt->affinity, (*first)->backend.id());
+    if (ranks_before) first = &worker;
+  }
+  if (first == nullptr || *first == placement->worker) return;
+  placement->fetch_endpoint = (*first)->backend.endpoint();
+}
+
 Placement Placer::ChooseForPrompt(const PlacementQuery& query,
                                   const std::vector<WorkerPointer>& usable) {
   Placement best;
@@ -178,6 +195,7 @@
     best = std::move(placement);
     best_cost = cost;
   }
+  GuessSource(query, usable, &best);
   return best;
 }
 
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -76,6 +76,10 @@
   std::vector<WorkerPointer> Usable(const PlacementQuery& query) const;
   std::vector<Candidate> Candidates(const PlacementQuery& query,
                                     const std::vector<WorkerPointer>& usable) const;
+  // Where the shared segments may be kept, though the index knows of nobody: the worker that all
+  // gateways rank first among those of the same revision. A miss there costs next to nothing.
+  void GuessSource(const PlacementQuery& query, const std::vector<WorkerPointer>& usable,
+                   Placement* placement) const;
   // Fills in what is missing at the candidate and where to fetch from; returns the expected
   // milliseconds to the first event.
   double Estimate(const PlacementQuery& query, const Candidate& candidate,
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -153,8 +153,7 @@
   fields.priority = std::min(admitted_.priority, kLowestPriority);
   fields.cache_salt = index::CacheSalt(
       context_->lookup->SeedFor(admitted_.call.model, revision_, admitted_.tenant));
-  // What is kept elsewhere was looked up for the newest revision.
-  if (revision_ == seed_.model_revision) fields.fetch_endpoint = placement.fetch_endpoint;
+  fields.fetch_endpoint = placement.fetch_endpoint;
   return fields;
 }
 
