--- /dev/null
+++ b/src/posthatch/traffic/traffic_gateway-test.cc
@@ -0,0 +1,151 @@
+#include "posthatch/traffic/traffic_gateway.h"
+
+#include "posthatch/traffic/traffic_fixture-test.h"
+
+namespace posthatch::traffic {
+namespace {
+
+class TrafficGatewayTest : public TrafficTest {};
+
+TEST_F(TrafficGatewayTest, WithoutAConfigurationItIsNotReadyAndPromisesToServeLater) {
+  view_.fleet.clear_traffic();
+  view_.fleet.set_traffic_index(0);
+  Start();
+  EXPECT_FALSE(gateway_->Ready());
+  const auto writer = Send("once");
+  EXPECT_EQ(writer->whole.status, 503);
+  EXPECT_TRUE(writer->whole.headers.Has("Retry"));
+}
+
+TEST_F(TrafficGatewayTest, UnknownRouteKeyAndMalformedCallAreToldApart) {
+  Start();
+  EXPECT_EQ(Send("nowhere")->whole.status, 404);
+  EXPECT_EQ(Send("once", "no-such-key")->whole.status, 401);
+  http::Request malformed;
+  malformed.method = "POST";
+  malformed.target = "/once/x";
+  malformed.headers.Add("Host", "h");
+  malformed.headers.Add("Malformed", "1");
+  auto writer = std::make_shared<gateway::FakeWriter>();
+  gateway_->HandleRequest(std::move(malformed), writer);
+  EXPECT_EQ(writer->whole.status, 400);
+  EXPECT_TRUE(client_.calls.empty());
+}
+
+TEST_F(TrafficGatewayTest, PublicRouteTakesCallsWithoutAKey) {
+  view_.fleet.mutable_traffic()->mutable_routes(0)->set_public_access(true);
+  Start();
+  Send("once", "");
+  ASSERT_EQ(client_.calls.size(), 1U);
+  EXPECT_EQ(Last().Field("Tenant"), "");
+}
+
+TEST_F(TrafficGatewayTest, ServesOnWithItsLastConfigurationWhenTheLeaseHasRunOut) {
+  Start();
+  view_.expiry = clock_.now - seconds(10);
+  EXPECT_TRUE(gateway_->Ready());
+  Send("once");
+  EXPECT_EQ(client_.calls.size(), 1U);
+}
+
+TEST_F(TrafficGatewayTest, RevokedKeyIsRefusedAsSoonAsTheChangeIsInForce) {
+  Start();
+  view_.fleet.mutable_traffic()->mutable_tenants(0)->clear_keys();
+  view_.fleet.set_traffic_index(2);
+  view_.Changed();
+  EXPECT_EQ(Send("once")->whole.status, 401);
+}
+
+TEST_F(TrafficGatewayTest, DrainingWorkerGetsNothingMoreEvenIfAnOlderListComesLate) {
+  Start();
+  control::Backend* s1 = view_.fleet.mutable_inventory()->mutable_backends(3);
+  ASSERT_EQ(s1->id(), "s1");
+  s1->set_draining(true);
+  view_.Changed();
+  s1->set_draining(false);
+  view_.Changed();
+  for (int i = 0; i < 8; ++i) {
+    Send("once");
+    EXPECT_EQ(Last().endpoint, "s2:80");
+  }
+}
+
+TEST_F(TrafficGatewayTest, EvacuatedZoneGetsNothingUntilItIsLifted) {
+  Start();
+  control::Evacuation* evacuation = view_.fleet.add_evacuations();
+  evacuation->set_name("a");
+  control::Requirement* requirement = evacuation->mutable_selector()->add_requirements();
+  requirement->set_key("zone");
+  requirement->set_operator_(control::Requirement::IN);
+  requirement->add_values("a");
+  view_.Changed();
+  for (int i = 0; i < 8; ++i) {
+    Send("stream");
+    EXPECT_EQ(Last().endpoint, "w3:80");
+  }
+  EXPECT_EQ(Send("once")->whole.status, 503);
+}
+
+TEST_F(TrafficGatewayTest, WorkerThatAppearsWhileServingStartsSlowly) {
+  view_.fleet.mutable_inventory()->mutable_backends()->DeleteSubrange(0, 3);
+  Start();
+  AddWorker("w9", "llm", "a");
+  view_.Changed();
+  Send("stream");
+  EXPECT_EQ(client_.calls.size(), 1U);
+  EXPECT_EQ(Send("stream")->whole.status, 503) << "a second one at once would be too much";
+  timers_.Advance(milliseconds(800));
+  Send("stream");
+  EXPECT_EQ(client_.calls.size(), 2U);
+}
+
+TEST_F(TrafficGatewayTest, OnlyAFewGatewaysOfALargeFleetSendToAColdWorker) {
+  const size_t fleet = 80;
+  size_t allowed = 0;
+  gateways_.clear();
+  for (size_t i = 0; i < fleet; ++i) gateways_.push_back("gateway-" + std::to_string(i));
+  for (size_t i = 0; i < fleet; ++i) {
+    const ColdStartLimiter limiter(&clock_, gateways_[i], [this] { return gateways_; });
+    allowed += limiter.MaySend("w9", 5.2) ? 1 : 0;
+  }
+  EXPECT_EQ(allowed, 5U);
+}
+
+TEST_F(TrafficGatewayTest, AfterTheDeadlineOfARevisionNothingStartsOnAnOlderOne) {
+  options_.revision_deadline = seconds(10);
+  Start();
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  view_.Changed();
+  Send("stream");
+  EXPECT_EQ(client_.calls.size(), 1U) << "until then workers serve on at the revision they have";
+  timers_.Advance(seconds(8));
+  EXPECT_EQ(Send("stream")->whole.status, 503);
+}
+
+TEST_F(TrafficGatewayTest, LoadOfOtherGatewaysTurnsCallsAway) {
+  Start();
+  Send("stream");
+  const std::string preferred = Last().Field("Instance");
+  TrafficMessage message;
+  LoadReport* report = message.mutable_load_report();
+  report->set_incarnation(5);
+  report->set_report(1);
+  WorkerLoad* load = report->add_loads();
+  load->set_worker_id(preferred);
+  load->set_in_flight(40);
+  load->set_pending_tokens(200000);
+  runtime::Envelope envelope;
+  envelope.set_from_node("gateway-2");
+  envelope.set_payload(message.SerializeAsString());
+  transport_.receiver(envelope);
+  Send("stream");
+  EXPECT_NE(Last().Field("Instance"), preferred);
+  EXPECT_FALSE(Last().Field("Source").empty()) << "what the preferred one keeps may be fetched";
+  timers_.Advance(seconds(4));
+  EXPECT_EQ(LoadExchange(&runtime_, {}, [] { return std::vector<std::string>(); })
+                .OfOthers(preferred),
+            Load());
+}
+
+}  // namespace
+}  // namespace posthatch::traffic
--- /dev/null
+++ b/src/posthatch/traffic/traffic_request-test.cc
@@ -0,0 +1,197 @@
+#include "posthatch/traffic/traffic_request.h"
+
+#include <set>
+
+#include "posthatch/traffic/traffic_fixture-test.h"
+
+namespace posthatch::traffic {
+namespace {
+
+using http::CallProgress;
+
+class TrafficRequestTest : public TrafficTest {
+ protected:
+  TrafficRequestTest() { Start(); }
+};
+
+TEST_F(TrafficRequestTest, MethodTargetAndBodyGoOnAndTheAnswerComesBackWhole) {
+  const auto writer = Send("once");
+  EXPECT_EQ(Last().request.method, "POST");
+  EXPECT_EQ(Last().request.target, "/once/x");
+  EXPECT_EQ(Last().request.body, "body");
+  EXPECT_EQ(Last().Field("Tenant"), "one");
+  Whole(200, "answer");
+  EXPECT_EQ(writer->whole.status, 200);
+  EXPECT_EQ(writer->whole.body, "answer");
+}
+
+TEST_F(TrafficRequestTest, UnrepeatableCallThatMayHaveRunIsNotSentAgainNorPromised) {
+  const auto writer = Send("once");
+  Last().Error(CallProgress::kSent);
+  EXPECT_EQ(client_.calls.size(), 1U);
+  EXPECT_EQ(writer->whole.status, 502);
+}
+
+TEST_F(TrafficRequestTest, UnrepeatableCallThatProvablyDidNotRunIsSentElsewhere) {
+  const auto writer = Send("once");
+  const std::string first = Last().endpoint;
+  Head(503, "", /*refused=*/true);
+  ASSERT_EQ(client_.calls.size(), 2U);
+  EXPECT_NE(Last().endpoint, first);
+  Whole(200, "answer");
+  EXPECT_EQ(writer->whole.status, 200);
+}
+
+TEST_F(TrafficRequestTest, OnlyRefusalsEndAsAPromiseWithATimeToComeBack) {
+  const auto writer = Send("once");
+  for (int i = 0; i < 10 && writer->answers == 0; ++i) Head(503, "", /*refused=*/true);
+  EXPECT_EQ(writer->whole.status, 503);
+  EXPECT_TRUE(writer->whole.headers.Has("Retry"));
+}
+
+TEST_F(TrafficRequestTest, RefusalAfterARunThatGotNoAnswerIsNoPromise) {
+  const auto writer = Send("often");
+  Last().Error(CallProgress::kSent);
+  ASSERT_EQ(client_.calls.size(), 2U);
+  for (int i = 0; i < 10 && writer->answers == 0; ++i) Head(503, "", /*refused=*/true);
+  EXPECT_EQ(writer->whole.status, 502);
+}
+
+TEST_F(TrafficRequestTest, AnAnswerToAnotherCallIsNeverPassedOn) {
+  const auto writer = Send("once");
+  const auto call = client_.calls.back();
+  Head(200, "someone-else");
+  call->Piece("not yours");
+  call->End();
+  timers_.Advance(milliseconds(1));
+  EXPECT_EQ(writer->whole.status, 502);
+  EXPECT_TRUE(call->cancelled);
+}
+
+TEST_F(TrafficRequestTest, WorkersOwnPromiseAfterARunIsTurnedIntoAFailure) {
+  const auto writer = Send("once");
+  Whole(503, "I did run it");
+  EXPECT_EQ(writer->whole.status, 502);
+}
+
+TEST_F(TrafficRequestTest, NoMoreRunsThanTheRouteAllows) {
+  const auto writer = Send("often");
+  Last().Error(CallProgress::kSent);
+  Last().Error(CallProgress::kSent);
+  EXPECT_EQ(client_.calls.size(), 2U);
+  EXPECT_EQ(writer->whole.status, 502);
+}
+
+TEST_F(TrafficRequestTest, UnreachableWorkerCostsNoRunAndIsAvoidedAfterwards) {
+  const auto writer = Send("once");
+  const std::string dead = Last().endpoint;
+  Last().Error(CallProgress::kNotSent);
+  ASSERT_EQ(client_.calls.size(), 2U);
+  Whole(200, "answer");
+  EXPECT_EQ(writer->whole.status, 200);
+  for (int i = 0; i < 10; ++i) {
+    Send("once");
+    EXPECT_NE(Last().endpoint, dead);
+    Whole(200, "answer");
+  }
+}
+
+TEST_F(TrafficRequestTest, CallerThatLeavesEndsTheWorkersCall) {
+  const auto writer = Send("once");
+  const auto call = client_.calls.back();
+  writer->on_gone();
+  timers_.Advance(milliseconds(1));
+  EXPECT_TRUE(call->cancelled);
+  EXPECT_EQ(writer->answers, 0);
+}
+
+TEST_F(TrafficRequestTest, DeadlineAnswersAtOnceAndPromisesNothing) {
+  const auto writer = Send("once");
+  timers_.Advance(seconds(5));
+  EXPECT_EQ(writer->whole.status, 504);
+}
+
+TEST_F(TrafficRequestTest, EventsArePassedOnWholeAndAtOnce) {
+  const auto writer = Send("stream");
+  Head(200);
+  EXPECT_TRUE(writer->started);
+  Last().Piece("id: 1\ndata: a\n\nid: 2\nda");
+  EXPECT_EQ(writer->written, "id: 1\ndata: a\n\n");
+  Last().Piece("ta: b\n\n");
+  EXPECT_EQ(writer->written, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  Last().End();
+  EXPECT_TRUE(writer->finished);
+}
+
+TEST_F(TrafficRequestTest, StreamThatEndsInsideAnEventIsCutNotFinished) {
+  const auto writer = Send("stream");
+  Head(200);
+  Last().Piece("id: 1\ndata: a\n\nid: 2\nda");
+  Last().End();
+  EXPECT_TRUE(writer->aborted);
+  EXPECT_FALSE(writer->finished);
+  EXPECT_EQ(client_.calls.size(), 1U) << "the route's streams can't be resumed";
+}
+
+TEST_F(TrafficRequestTest, ResumableStreamGoesOnElsewhereWithoutGapOrDouble) {
+  const auto writer = Send("resume");
+  const std::string first = Last().endpoint;
+  Head(200);
+  Last().Piece("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  Last().Error(CallProgress::kAnswered);
+  ASSERT_EQ(client_.calls.size(), 2U);
+  EXPECT_NE(Last().endpoint, first);
+  EXPECT_EQ(Last().Field("After"), "2");
+  Head(200);
+  Last().Piece("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  Last().End();
+  EXPECT_TRUE(writer->finished);
+  EXPECT_EQ(writer->written, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST_F(TrafficRequestTest, KeepsPromptsOfOneSubjectTogether) {
+  std::set<std::string> endpoints;
+  for (int i = 0; i < 6; ++i) {
+    Send("stream");
+    endpoints.insert(Last().endpoint);
+    Head(200);
+    Last().Piece("id: 1\ndata: a\n\n");
+    Last().End();
+    timers_.Advance(milliseconds(50));
+  }
+  EXPECT_EQ(endpoints.size(), 1U);
+}
+
+TEST_F(TrafficRequestTest, SaltFollowsTheRevisionThatIsExpected) {
+  Send("stream");
+  EXPECT_EQ(Last().Field("Revision"), "1");
+  const std::string salt = Last().Field("Salt");
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  for (control::Backend& backend : *view_.fleet.mutable_inventory()->mutable_backends()) {
+    if (backend.model() == "m") backend.set_model_revision(2);
+  }
+  view_.Changed();
+  Send("stream");
+  EXPECT_EQ(Last().Field("Revision"), "2");
+  EXPECT_NE(Last().Field("Salt"), salt);
+}
+
+TEST_F(TrafficRequestTest, RevisionLearntFromARefusalIsUsedForTheNextTry) {
+  Send("stream");
+  http::Response head;
+  head.status = 421;
+  head.headers.Add("Id", Last().Field("Id"));
+  head.headers.Add("Revision", "2");
+  const std::string refused = Last().endpoint;
+  client_.calls.back()->observer.on_head(head);
+  timers_.Advance(milliseconds(700));
+  std::string expected;
+  for (int i = 0; i < 30; ++i) {
+    Send("stream");
+    if (Last().endpoint == refused) expected = Last().Field("Revision");
+  }
+  EXPECT_TRUE(expected.empty() || expected == "2");
+}
+
+}  // namespace
+}  // namespace posthatch::traffic
