A silent voter of an even number goes at once

Ruled out: the replacements after losses (they leave three). Change: RunMembershipPolicy drops the silent one; one that was only away joins again.

--- a/src/posthatch/consensus/raft_membership-test.cc
+++ b/src/posthatch/consensus/raft_membership-test.cc
@@ -169,6 +169,21 @@
   EXPECT_EQ(VoterCount(configuration()), 4U);
 }
 
+TEST_F(ReplacementBelowTargetTest, MachineThatGoesAfterItsSuccessorJoinedLeavesThreeVoters) {
+  Join(9, "host9");
+  cluster_.Run(seconds(3));
+  ASSERT_EQ(VoterCount(configuration()), 4U);
+  const uint64_t leaving = CoreHarness::Others(leader_).first;
+  cluster_.node(leaving).up = false;
+  cluster_.Run(seconds(3));
+  EXPECT_EQ(FindMember(configuration(), leaving), nullptr);
+  EXPECT_EQ(VoterCount(configuration()), 3U);
+  cluster_.node(leaving).up = true;
+  AskToJoin(cluster_, leader_, leaving);
+  cluster_.Run(seconds(3));
+  EXPECT_TRUE(IsVoter(configuration(), leaving)) << "it was only away";
+}
+
 TEST_F(ReplacementBelowTargetTest, VoterCutOffWhileNobodyJoinsKeepsItsPlace) {
   const uint64_t away = CoreHarness::Others(leader_).first;
   cluster_.Isolate(away);
--- a/src/posthatch/consensus/raft_membership.cc
+++ b/src/posthatch/consensus/raft_membership.cc
@@ -111,7 +111,9 @@
 
 // A voter whose place another one has taken counts in the quorum and can't answer any more: it goes
 // at once, whatever the number of voters aimed for. Either its own machine is back under another
-// identity, or it fell silent before a new replica was promoted and has stayed so.
+// identity, or it fell silent before a new replica was promoted and has stayed so. A silent one of
+// an even number goes too, as after a planned replacement: without it one more may be lost, with it
+// not. One that was only away joins again.
 bool RaftCore::DropReplacedVoter(MonotonicTime now) {
   for (const Member& member : configuration().members()) {
     if (!member.voter() || member.replica_id() == replica_id()) continue;
@@ -120,7 +122,9 @@
       stood_in_for_.erase(member.replica_id());
       continue;
     }
-    if (!IsSilent(member, now) || (!stood_in_for && !HasSuccessor(member))) continue;
+    const bool evens_out = VoterCount(configuration()) % 2 == 0;
+    const bool replaced = stood_in_for || evens_out || HasSuccessor(member);
+    if (!IsSilent(member, now) || !replaced) continue;
     stood_in_for_.erase(member.replica_id());
     ProposeConfiguration(WithoutMember(configuration(), member.replica_id()), now);
     return true;
