Send gateways differences of the inventory and of the traffic configuration

Change: inventory commands and messages carry differences, operators' partial changes travel as patches without the entries' sources, a push is serialized once for all gateways that lack the same, marks are coalesced for 40 ms, index updates are batched for longer in larger fleets.

--- a/src/posthatch/consensus/raft_core.h
+++ b/src/posthatch/consensus/raft_core.h
@@ -245,7 +245,8 @@
   std::map<uint64_t, Address> joining_;
   // Which replica speaks from the endpoint of another one, by the other one's id.
   std::map<uint64_t, uint64_t> successors_;
-  // Voters that were silent when a replica with a place of its own was promoted (DropReplacedVoter).
+  // Voters that were silent when a replica with a place of its own was promoted
+  // (DropReplacedVoter).
   std::set<uint64_t> stood_in_for_;
 
   // Snapshots.
--- a/src/posthatch/consensus/raft_membership-test.cc
+++ b/src/posthatch/consensus/raft_membership-test.cc
@@ -115,8 +115,8 @@
   EXPECT_EQ(VoterCount(cluster.core(cluster.Leader()).configuration()), 3U);
 }
 
-// More voters are aimed for than there are machines: a replaced one must still go, or two losses one
-// after the other leave two live voters of four.
+// More voters are aimed for than there are machines: a replaced one must still go, or two losses
+// one after the other leave two live voters of four.
 class ReplacementBelowTargetTest : public testing::Test {
  protected:
   static RaftOptions Options() {
--- a/src/posthatch/consensus/raft_membership.cc
+++ b/src/posthatch/consensus/raft_membership.cc
@@ -184,9 +184,9 @@
   if (candidate == nullptr || !wanted || !will_commit) return false;
   Member promoted = *candidate;
   promoted.set_voter(true);
-  const bool has_a_place = std::any_of(
-      successors_.begin(), successors_.end(),
-      [&](const auto& entry) { return entry.second == promoted.replica_id(); });
+  const bool has_a_place =
+      std::any_of(successors_.begin(), successors_.end(),
+                  [&](const auto& entry) { return entry.second == promoted.replica_id(); });
   const uint64_t unheard = has_a_place ? 0 : LongestUnheardVoter(now);
   if (unheard != 0) stood_in_for_.insert(unheard);
   ProposeConfiguration(WithMember(configuration(), promoted), now);
--- a/src/posthatch/control/control_state.cc
+++ b/src/posthatch/control/control_state.cc
@@ -138,6 +138,15 @@
   CommandResult result = traffic_.Apply(change, &changed);
   if (!changed) return result;
   *fleet_.mutable_traffic() = traffic_.newest();
+  RemoveSources(fleet_.mutable_traffic());
+  if (change.has_patch()) {
+    TrafficPatch patch = change.patch();
+    RemoveSources(patch.mutable_upsert());
+    patch.mutable_upsert()->set_version(change.version());
+    deltas_.NoteTraffic(fleet_.traffic_index(), index, patch);
+  } else {
+    deltas_.ForgetTraffic();
+  }
   fleet_.set_traffic_index(index);
   sections_changed_ = true;
   FollowIsolation(index);
@@ -158,9 +167,9 @@
 
 CommandResult ControlState::ApplyRevision(uint64_t index, const Command& command) {
   const SetModelRevision& order = command.set_model_revision();
-  CommandResult result = order.revision() > 0 ? revisions_.Name(command.request_id(), order)
-                                              : revisions_.Apply(command.request_id(), order,
-                                                                 fleet_.configuration());
+  CommandResult result =
+      order.revision() > 0 ? revisions_.Name(command.request_id(), order)
+                           : revisions_.Apply(command.request_id(), order, fleet_.configuration());
   if (result.code() != CommandResult::OK) return result;
   const std::string object = "model/" + order.model();
   if (objects_.RaiseEpoch(object, result.version())) changed_objects_.push_back(object);
@@ -198,6 +207,8 @@
     objects_.RaiseEpochByOne("drain/" + backend_id);
     changed_objects_.push_back("drain/" + backend_id);
   }
+  deltas_.NoteInventory(fleet_.inventory_index(), index,
+                        DifferenceOf(fleet_.inventory(), inventory_.inventory()));
   *fleet_.mutable_inventory() = inventory_.inventory();
   fleet_.set_inventory_index(index);
   sections_changed_ = true;
@@ -265,6 +276,7 @@
   objects_.Restore(parsed.objects());
   answered_.Restore(parsed);
   traffic_.Restore(parsed.traffic());
+  deltas_.Clear();
   fleet_ = std::move(*parsed.mutable_fleet());
   if (section_listener_) section_listener_();
   return absl::OkStatus();
--- a/src/posthatch/control/control_state.h
+++ b/src/posthatch/control/control_state.h
@@ -16,6 +16,7 @@
 #include "posthatch/control/isolation_registry.h"
 #include "posthatch/control/model_revisions.h"
 #include "posthatch/control/object_versions.h"
+#include "posthatch/control/section_deltas.h"
 #include "posthatch/control/traffic_state.h"
 #include "posthatch/control/worker_lease_table.h"
 
@@ -44,6 +45,10 @@
   const FleetState& fleet() const { return fleet_; }
   const ConfigurationHistory& history() const { return history_; }
   const WorkerLeaseTable& worker_leases() const { return leases_; }
+  // The traffic configuration in force, with the entries as the operators wrote them.
+  const TrafficConfiguration& traffic() const { return traffic_.newest(); }
+  // What changed last, for messages to gateways.
+  const SectionDeltas& deltas() const { return deltas_; }
   // Control time of the last delivery command (see DeliveryRecords).
   int64_t delivery_now_ms() const { return deliveries_.now_ms(); }
   // Called after a command that changed a section of fleet(), or a restore.
@@ -78,6 +83,7 @@
   ObjectVersions objects_;
   AnsweredRequests answered_;
   TrafficState traffic_;
+  SectionDeltas deltas_;
   FleetState fleet_;
 
   std::vector<Listener> object_listeners_;
--- a/src/posthatch/control/controller_service.cc
+++ b/src/posthatch/control/controller_service.cc
@@ -5,6 +5,7 @@
 
 #include "absl/status/status.h"
 #include "posthatch/control/controller_metrics.h"
+#include "posthatch/control/fingerprint.h"
 #include "posthatch/control/state_views.h"
 #include "posthatch/control/worker_lease_planner.h"
 
@@ -16,6 +17,7 @@
 // Waiting changes are looked at this long after an acknowledgement, and this often in any case.
 constexpr runtime::Duration kCheckDelay = std::chrono::milliseconds(1);
 constexpr runtime::Duration kCheckInterval = std::chrono::milliseconds(50);
+constexpr runtime::Duration kRefreshDelay = std::chrono::milliseconds(40);
 constexpr uint32_t kNeverRead = UINT32_MAX;
 constexpr int kStatusUnavailable = 503;
 
@@ -48,6 +50,7 @@
                           OnInventory(std::move(inventory), asked_at);
                         }),
       metrics_(std::make_unique<ControllerMetrics>(runtime->metrics)),
+      refresh_timer_(runtime->timers),
       push_timer_(runtime->timers),
       check_timer_(runtime->timers),
       plan_timer_(runtime->timers) {
@@ -170,8 +173,7 @@
   grant->set_inventory_age_ms(InventoryAgeMs());
   CopyNewerSections(state_->fleet(), IndicesOf(renewal), grant->mutable_changed(),
                     grant->mutable_changed_sections());
-  SendConfigurationAsPatch(state_->history(), renewal.configuration_index(),
-                           grant->mutable_changed());
+  SendDifferences(IndicesOf(renewal), grant->mutable_changed());
   if (session != nullptr) {
     session->sent_up_to = HighestIndex(IndicesOf(state_->fleet()));
     session->sent_at = runtime_->clock->Now();
@@ -202,30 +204,38 @@
   const runtime::MonotonicTime now = runtime_->clock->Now();
   const FleetState& fleet = state_->fleet();
   const uint64_t newest = HighestIndex(IndicesOf(fleet));
-  // Most sessions lack the same sections: each message is made once.
-  std::map<SectionIndices, ControlMessage> messages;
+  // Most sessions lack the same sections: each message is made and serialized once.
+  std::map<SectionIndices, std::string> payloads;
   ++last_push_;
   for (auto& [key, session] : sessions_.mutable_sessions()) {
     if (session.expiry <= now || HighestIndex(session.known) >= newest) continue;
     if (session.sent_up_to >= newest && now - session.sent_at < options_.push_retry) continue;
-    ControlMessage& message = messages[session.known];
-    if (!message.has_state_push()) {
+    std::string& payload = payloads[session.known];
+    if (payload.empty()) {
+      ControlMessage message;
       StatePush* push = message.mutable_state_push();
       push->set_push(last_push_);
       push->set_term(term_);
       push->set_inventory_age_ms(InventoryAgeMs());
       CopyNewerSections(fleet, session.known, push->mutable_changed(),
                         push->mutable_changed_sections());
-      SendConfigurationAsPatch(state_->history(), IndexOf(session.known, Section::kConfiguration),
-                               push->mutable_changed());
+      SendDifferences(session.known, push->mutable_changed());
+      payload = SerializeDeterministically(message);
     }
     session.sent_up_to = newest;
     session.sent_at = now;
     metrics_->pushes().Increment();
-    Send(session.endpoint, message);
+    runtime_->transport->Send(session.endpoint, runtime::SERVICE_CONTROL, payload,
+                              runtime::Delivery::kStream);
   }
 }
 
+void ControllerService::SendDifferences(const SectionIndices& known, FleetState* changed) const {
+  SendConfigurationAsPatch(state_->history(), IndexOf(known, Section::kConfiguration), changed);
+  state_->deltas().SendInventoryAsChange(IndexOf(known, Section::kInventory), changed);
+  state_->deltas().SendTrafficAsPatches(IndexOf(known, Section::kTraffic), changed);
+}
+
 uint32_t ControllerService::InventoryAgeMs() const {
   if (!inventory_known_) return kNeverRead;
   return static_cast<uint32_t>(
@@ -377,7 +387,7 @@
   ControlMessage message;
   QueryResponse* response = message.mutable_query_response();
   if (request.name() == "traffic") {
-    response->set_payload(SerializeDeterministically(state_->fleet().traffic()));
+    response->set_payload(SerializeDeterministically(state_->traffic()));
   } else if (request.name() == "controllers" && options_.controllers_view) {
     view.json = options_.controllers_view();
   } else {
@@ -417,12 +427,15 @@
 }
 
 void ControllerService::RefreshInventory() {
-  if (last_reading_.backends().empty()) return;
+  if (last_reading_.backends().empty() || refresh_timer_.running()) return;
   if (inventory_under_way_) {
     refresh_wanted_ = true;
     return;
   }
-  OnInventory(last_reading_, last_reading_at_);
+  // Annotations that change close together go into one command.
+  refresh_timer_.Start(kRefreshDelay, [this] {
+    if (leading_) OnInventory(last_reading_, last_reading_at_);
+  });
 }
 
 void ControllerService::OnInventory(Inventory inventory, runtime::MonotonicTime asked_at) {
@@ -438,7 +451,9 @@
   if (inventory_under_way_) return;
   inventory_under_way_ = true;
   Command command;
-  *command.mutable_set_inventory()->mutable_inventory() = std::move(inventory);
+  *command.mutable_set_inventory()->mutable_change() =
+      DifferenceOf(state_->fleet().inventory(), inventory);
+  command.mutable_set_inventory()->set_base_version(state_->fleet().inventory().version());
   ProposeOwn(command, [this, asked_at](bool applied) {
     inventory_under_way_ = false;
     if (applied) {
--- a/src/posthatch/control/controller_service.h
+++ b/src/posthatch/control/controller_service.h
@@ -107,6 +107,8 @@
   void ProposeOwn(const Command& command, std::function<void(bool applied)> done);
 
   void Send(const std::string& endpoint, const ControlMessage& message);
+  // Replaces whole sections of `changed` by differences from the receiver's, where they are known.
+  void SendDifferences(const SectionIndices& known, FleetState* changed) const;
 
   runtime::Runtime* const runtime_;
   const ControllerServiceOptions options_;
@@ -137,6 +139,7 @@
   bool inventory_known_ = false;
   Inventory last_reading_;  // as the platform told it
   runtime::MonotonicTime last_reading_at_;
+  runtime::Timer refresh_timer_;
   bool refresh_wanted_ = false;  // annotations changed while a reading was under way
   runtime::MonotonicTime inventory_read_at_;
   runtime::Timer push_timer_;
--- a/src/posthatch/control/fleet_sections.cc
+++ b/src/posthatch/control/fleet_sections.cc
@@ -9,9 +9,8 @@
 namespace {
 
 constexpr std::array<Section, kSectionCount> kSections = {
-    Section::kConfiguration, Section::kIsolation, Section::kRevisions,
-    Section::kEvacuations,   Section::kInventory, Section::kLeases,
-    Section::kTraffic};
+    Section::kConfiguration, Section::kIsolation, Section::kRevisions, Section::kEvacuations,
+    Section::kInventory,     Section::kLeases,    Section::kTraffic};
 
 uint64_t IndexOf(const FleetState& state, Section section) {
   switch (section) {
--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -9,6 +9,7 @@
 #include "posthatch/control/configuration_validator.h"
 #include "posthatch/control/fingerprint.h"
 #include "posthatch/control/fleet_sections.h"
+#include "posthatch/control/section_deltas.h"
 
 namespace posthatch::control {
 namespace {
@@ -221,7 +222,9 @@
 
 GatewaySession::Outcome GatewaySession::PutInForce(
     FleetState changed, const google::protobuf::RepeatedPtrField<std::string>& names) {
-  if (!MakeConfigurationWhole(state_, &changed)) return Outcome::kOutOfStep;
+  const bool whole = MakeConfigurationWhole(state_, &changed) &&
+                     MakeInventoryWhole(state_, &changed) && MakeTrafficWhole(state_, &changed);
+  if (!whole) return Outcome::kOutOfStep;
   const bool new_configuration = changed.configuration_index() > state_.configuration_index();
   if (new_configuration) {
     const std::vector<std::string> errors = ValidateConfiguration(changed.configuration());
--- a/src/posthatch/control/inventory_state.cc
+++ b/src/posthatch/control/inventory_state.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "posthatch/control/fingerprint.h"
+#include "posthatch/control/section_deltas.h"
 
 namespace posthatch::control {
 namespace {
@@ -22,8 +23,19 @@
 
 CommandResult InventoryState::Apply(const SetInventory& reading, Change* change) {
   CommandResult result;
-  Inventory next = reading.inventory();
-  SortBackends(&next);
+  Inventory next;
+  if (reading.has_change()) {
+    if (reading.base_version() != inventory_.version()) {
+      result.set_code(CommandResult::VERSION_CONFLICT);
+      result.set_version(inventory_.version());
+      return result;
+    }
+    next = inventory_;
+    ApplyInventoryChange(reading.change(), &next);
+  } else {
+    next = reading.inventory();
+    SortBackends(&next);
+  }
   if (next.backends_size() > kMaxBackends || !IdsAreUnique(next)) {
     result.set_code(CommandResult::INVALID);
     result.add_errors(absl::StrCat("backends: at most ", kMaxBackends, ", each with its own id"));
--- a/src/posthatch/control/operator_api.cc
+++ b/src/posthatch/control/operator_api.cc
@@ -44,8 +44,8 @@
 
 void OperatorApi::HandleChange(Command command, std::shared_ptr<http::ResponseWriter> writer) {
   // Each call is an order of its own: what makes a resend safe is the order's content.
-  command.set_request_id(absl::StrCat("op-", absl::Hex(runtime_->transport->incarnation()), "-",
-                                      ++last_order_));
+  command.set_request_id(
+      absl::StrCat("op-", absl::Hex(runtime_->transport->incarnation()), "-", ++last_order_));
   control_client_->Propose(
       command, options_.change_timeout, /*until_in_force=*/false,
       [this, command, writer = std::move(writer)](const absl::StatusOr<CommandResult>& answer) {
--- a/src/posthatch/control/traffic_state.cc
+++ b/src/posthatch/control/traffic_state.cc
@@ -58,6 +58,13 @@
   return result;
 }
 
+void RemoveSources(TrafficConfiguration* configuration) {
+  for (TrafficRoute& route : *configuration->mutable_routes()) route.clear_source();
+  for (TrafficService& service : *configuration->mutable_services()) service.clear_source();
+  for (TrafficTenant& tenant : *configuration->mutable_tenants()) tenant.clear_source();
+  if (configuration->has_limits()) configuration->mutable_limits()->clear_source();
+}
+
 CommandResult TrafficState::Apply(const ChangeTraffic& change, bool* changed) {
   *changed = false;
   CommandResult result;
--- a/src/posthatch/control/traffic_state.h
+++ b/src/posthatch/control/traffic_state.h
@@ -32,6 +32,9 @@
   std::deque<AcceptedTrafficChange> accepted_;
 };
 
+// Takes away the entries as the operators wrote them: gateways don't need them.
+void RemoveSources(TrafficConfiguration* configuration);
+
 // The entries of `base` changed as `patch` says.
 TrafficConfiguration ApplyTrafficPatch(const TrafficConfiguration& base, const TrafficPatch& patch);
 
--- a/src/posthatch/daemon/controller_node.cc
+++ b/src/posthatch/daemon/controller_node.cc
@@ -79,8 +79,8 @@
   operator_api_ = std::make_unique<control::OperatorApi>(runtime, control::OperatorApiOptions{},
                                                          formats_->operators, service_.client(),
                                                          service_.client());
-  rollouts_ = std::make_unique<orders::RolloutCoordinator>(runtime, RolloutSettings(),
-                                                           RolloutParts());
+  rollouts_ =
+      std::make_unique<orders::RolloutCoordinator>(runtime, RolloutSettings(), RolloutParts());
 }
 
 orders::RolloutOptions ControllerNode::RolloutSettings() const {
--- a/src/posthatch/daemon/process_runner.cc
+++ b/src/posthatch/daemon/process_runner.cc
@@ -24,9 +24,8 @@
         runtime_(asio_runtime->runtime()),
         node_(node),
         limits_(limits),
-        settings_watch_(
-            runtime_->timers, settings_file.path, node.seeds, settings_file.read_seeds,
-            [this](const std::vector<std::string>& seeds) { OnSeedsChanged(seeds); }),
+        settings_watch_(runtime_->timers, settings_file.path, node.seeds, settings_file.read_seeds,
+                        [this](const std::vector<std::string>& seeds) { OnSeedsChanged(seeds); }),
         drain_notice_(runtime_->timers),
         drain_deadline_(runtime_->timers),
         drain_poll_(runtime_->timers) {}
--- a/src/posthatch/daemon/settings_table.cc
+++ b/src/posthatch/daemon/settings_table.cc
@@ -222,8 +222,9 @@
        .target = [](SettingsDraft* draft) -> SettingTarget {
          return &draft->gateway.retry_budget_ratio;
        },
-       .help = "Routed traffic: arrivals at workers beyond the first of each request, as a share of "
-               "the requests, for all gateways together."},
+       .help =
+           "Routed traffic: arrivals at workers beyond the first of each request, as a share of "
+           "the requests, for all gateways together."},
       {.table = "gateway",
        .name = "retry_budget_slack",
        .kind = SettingKind::kDecimal,
@@ -313,8 +314,9 @@
        .target = [](SettingsDraft* draft) -> SettingTarget {
          return &draft->controller.order_handover;
        },
-       .help = "How long a new leading controller waits before it orders workers, so that two never "
-               "order one by turns."},
+       .help =
+           "How long a new leading controller waits before it orders workers, so that two never "
+           "order one by turns."},
   };
 }
 
--- a/src/posthatch/index/block_hash.h
+++ b/src/posthatch/index/block_hash.h
@@ -28,8 +28,8 @@
 std::vector<BlockHash> HashBlocks(std::string_view cache_salt, std::string_view prompt,
                                   size_t block_bytes);
 
-// Hashes of a prompt's segments, which are named by ids that cover all before them. The same salt and
-// id give the same hash wherever they are met: in a prompt or in a worker's event.
+// Hashes of a prompt's segments, which are named by ids that cover all before them. The same salt
+// and id give the same hash wherever they are met: in a prompt or in a worker's event.
 BlockHash HashSegment(std::string_view cache_salt, std::string_view segment_id);
 std::vector<BlockHash> HashSegments(std::string_view cache_salt,
                                     const std::vector<std::string>& segment_ids);
--- a/src/posthatch/index/index_update_publisher.cc
+++ b/src/posthatch/index/index_update_publisher.cc
@@ -75,7 +75,10 @@
 }
 
 void IndexUpdatePublisher::StartBatch() {
-  if (!batch_timer_.running()) batch_timer_.Start(options_.batch_period, [this] { Flush(); });
+  if (batch_timer_.running()) return;
+  const auto factor = static_cast<int64_t>(
+      std::max<size_t>(1, gateways_().size() / std::max<size_t>(1, options_.gateways_at_period)));
+  batch_timer_.Start(options_.batch_period * factor, [this] { Flush(); });
 }
 
 void IndexUpdatePublisher::Refill() {
--- a/src/posthatch/index/kv_event_format.cc
+++ b/src/posthatch/index/kv_event_format.cc
@@ -13,8 +13,8 @@
     const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     http::Request request;
     request.method = "GET";
-    request.target = absl::StrCat("/kv_events?epoch=", epoch, "&after=", after,
-                                  "&wait_ms=", wait_ms);
+    request.target =
+        absl::StrCat("/kv_events?epoch=", epoch, "&after=", after, "&wait_ms=", wait_ms);
     return request;
   }
   absl::StatusOr<KvEventBatch> ReadBatch(std::string_view body) const override {
--- a/src/posthatch/index/worker_event_feed.cc
+++ b/src/posthatch/index/worker_event_feed.cc
@@ -152,7 +152,8 @@
     recent_missing_ += 1;
     lost = true;
   }
-  const double tolerated = options_.tolerated_missing_share * std::max(recent_events_, kRecentLeast);
+  const double tolerated =
+      options_.tolerated_missing_share * std::max(recent_events_, kRecentLeast);
   if (lost && recent_missing_ > tolerated) {
     recent_missing_ = 0;
     Lost("gap");
--- a/src/posthatch/index/worker_event_feed.h
+++ b/src/posthatch/index/worker_event_feed.h
@@ -85,7 +85,7 @@
   std::string body_;
   runtime::MonotonicTime last_answer_;
   bool silence_reported_ = false;
-  double recent_events_ = 0;   // of the last some hundred, and how many of them are missing
+  double recent_events_ = 0;  // of the last some hundred, and how many of them are missing
   double recent_missing_ = 0;
   std::string unsaid_loss_;  // its reason; found while the lease was not held
   runtime::Timer poll_timer_;
--- a/src/posthatch/orders/order_format.h
+++ b/src/posthatch/orders/order_format.h
@@ -13,7 +13,7 @@
   std::string worker_id;  // the only incarnation that may take it
   std::string model;
   uint64_t revision = 0;
-  std::string holder;     // the machine that orders
+  std::string holder;  // the machine that orders
   uint64_t fencing_token = 0;
 };
 
--- a/src/posthatch/orders/rollout_coordinator.cc
+++ b/src/posthatch/orders/rollout_coordinator.cc
@@ -46,8 +46,8 @@
     uint64_t revision = RevisionOf(backend);
     bool inherited = false;
     if (known != published.end()) {
-      inherited = in_handover && known->second->loading() &&
-                  revision <= known->second->model_revision();
+      inherited =
+          in_handover && known->second->loading() && revision <= known->second->model_revision();
       revision = std::max(revision, known->second->model_revision());
     }
     backend.set_model_revision(revision);
@@ -122,9 +122,9 @@
 
 void RolloutCoordinator::Advance(const std::string& worker_id, Progress* progress) {
   const control::Inventory& inventory = parts_.fleet().inventory();
-  const bool listed = std::any_of(
-      inventory.backends().begin(), inventory.backends().end(),
-      [&](const control::Backend& backend) { return backend.id() == worker_id; });
+  const bool listed =
+      std::any_of(inventory.backends().begin(), inventory.backends().end(),
+                  [&](const control::Backend& backend) { return backend.id() == worker_id; });
   if (!listed) {
     active_.erase(worker_id);
     return;
@@ -216,8 +216,7 @@
   Call(worker_id, progress, parts_.format->ReportRequest(worker_id),
        [this, worker_id, model = progress->model](const http::Response* answer) {
          if (answer == nullptr || answer->status != kStatusOk) return;
-         const absl::StatusOr<WorkerReport> report =
-             parts_.format->ReadReport(answer->body, model);
+         const absl::StatusOr<WorkerReport> report = parts_.format->ReadReport(answer->body, model);
          if (report.ok()) OnReport(worker_id, *report);
        });
 }
--- a/src/posthatch/traffic/call_format.h
+++ b/src/posthatch/traffic/call_format.h
@@ -29,15 +29,15 @@
 
 // What a dispatch tells its worker.
 struct DispatchFields {
-  std::string instance_id;             // the only worker incarnation that may run it
-  std::string tenant;                  // empty: none
-  runtime::Duration time_left{0};      // until the worker stops
-  std::string cache_salt;              // empty: none
-  uint64_t expected_revision = 0;      // 0: any
-  std::optional<uint32_t> priority;    // 0 goes first
-  std::string fetch_endpoint;          // where kept segments may be fetched from; empty: nowhere
-  std::string save_endpoint;           // where segments are to be kept as well; empty: nowhere
-  std::string resume_after;            // id of the last event passed on; empty: from the start
+  std::string instance_id;           // the only worker incarnation that may run it
+  std::string tenant;                // empty: none
+  runtime::Duration time_left{0};    // until the worker stops
+  std::string cache_salt;            // empty: none
+  uint64_t expected_revision = 0;    // 0: any
+  std::optional<uint32_t> priority;  // 0 goes first
+  std::string fetch_endpoint;        // where kept segments may be fetched from; empty: nowhere
+  std::string save_endpoint;         // where segments are to be kept as well; empty: nowhere
+  std::string resume_after;          // id of the last event passed on; empty: from the start
 };
 
 enum class Execution {
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -45,8 +45,8 @@
 void LoadExchange::Schedule() {
   if (send_timer_.running()) return;
   const size_t gateways = gateways_().size() + 1;
-  const size_t factor =
-      std::max<size_t>(1, (gateways + options_.gateways_at_period - 1) / options_.gateways_at_period);
+  const size_t factor = std::max<size_t>(
+      1, (gateways + options_.gateways_at_period - 1) / options_.gateways_at_period);
   send_timer_.Start(options_.period * static_cast<int64_t>(factor), [this] { Send(); });
 }
 
--- a/src/posthatch/traffic/load_exchange.h
+++ b/src/posthatch/traffic/load_exchange.h
@@ -13,8 +13,8 @@
 namespace posthatch::traffic {
 
 struct LoadExchangeOptions {
-  // Between reports of a gateway in a fleet of up to `gateways_at_period`; longer in proportion in a
-  // larger one, so that what a gateway sends and receives stays about the same.
+  // Between reports of a gateway in a fleet of up to `gateways_at_period`; longer in proportion in
+  // a larger one, so that what a gateway sends and receives stays about the same.
   runtime::Duration period = std::chrono::milliseconds(20);
   size_t gateways_at_period = 8;
   // Everything is told again this often.
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -93,9 +93,8 @@
                                                   const std::vector<WorkerPointer>& usable) const {
   std::vector<Candidate> candidates;
   const auto add = [&](const WorkerPointer& worker, double likelihood) {
-    const bool known = std::any_of(candidates.begin(), candidates.end(), [&](const auto& other) {
-      return other.worker == worker;
-    });
+    const bool known = std::any_of(candidates.begin(), candidates.end(),
+                                   [&](const auto& other) { return other.worker == worker; });
     if (known) return;
     uint64_t kept = 0;
     for (const index::PrefixHolder& holder : query.holders) {
@@ -130,8 +129,8 @@
 double Placer::FetchMilliseconds(const control::WorkerEngine& engine, uint64_t tokens,
                                  bool same_zone) const {
   if (engine.link_mbps() <= 0 || engine.kv_token_bytes() == 0) return 1e9;
-  const double bits = static_cast<double>(tokens) * static_cast<double>(engine.kv_token_bytes()) *
-                      kBitsPerByte;
+  const double bits =
+      static_cast<double>(tokens) * static_cast<double>(engine.kv_token_bytes()) * kBitsPerByte;
   const double milliseconds = bits / (engine.link_mbps() * kKilobitsPerMegabit);
   return kFetchOverheadMs + milliseconds * (same_zone ? 1 : 2);
 }
--- a/src/posthatch/traffic/retry_budget.cc
+++ b/src/posthatch/traffic/retry_budget.cc
@@ -22,9 +22,9 @@
   Window& window = windows_[service];
   Forget(&window);
   const uint32_t gateways = options_.live_gateways ? std::max(1U, options_.live_gateways()) : 1;
-  const double allowed = options_.used_share *
-                         (options_.ratio * static_cast<double>(window.requests.size()) +
-                          options_.slack / gateways);
+  const double allowed =
+      options_.used_share *
+      (options_.ratio * static_cast<double>(window.requests.size()) + options_.slack / gateways);
   if (static_cast<double>(window.retries.size()) + 1 > allowed) return false;
   window.retries.push_back(clock_->Now());
   return true;
--- a/src/posthatch/traffic/traffic_fixture-test.h
+++ b/src/posthatch/traffic/traffic_fixture-test.h
@@ -87,9 +87,7 @@
 class NoTrust : public channels::ObjectTrust {
  public:
   bool IsFresh(const std::string&, const channels::ObjectVersion&) const override { return false; }
-  bool CurrentVersion(const std::string&, channels::ObjectVersion*) const override {
-    return false;
-  }
+  bool CurrentVersion(const std::string&, channels::ObjectVersion*) const override { return false; }
 };
 
 class SilentTrace : public runtime::TraceSink {
--- a/src/posthatch/traffic/traffic_gateway-test.cc
+++ b/src/posthatch/traffic/traffic_gateway-test.cc
@@ -142,9 +142,9 @@
   EXPECT_NE(Last().Field("Instance"), preferred);
   EXPECT_FALSE(Last().Field("Source").empty()) << "what the preferred one keeps may be fetched";
   timers_.Advance(seconds(4));
-  EXPECT_EQ(LoadExchange(&runtime_, {}, [] { return std::vector<std::string>(); })
-                .OfOthers(preferred),
-            Load());
+  EXPECT_EQ(
+      LoadExchange(&runtime_, {}, [] { return std::vector<std::string>(); }).OfOthers(preferred),
+      Load());
 }
 
 }  // namespace
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -74,10 +74,9 @@
 }
 
 void TrafficGateway::Start() {
-  view_->AddListener(
-      [this, alive = std::weak_ptr<bool>(alive_)](const control::FleetState&) {
-        if (!alive.expired()) OnStateChanged();
-      });
+  view_->AddListener([this, alive = std::weak_ptr<bool>(alive_)](const control::FleetState&) {
+    if (!alive.expired()) OnStateChanged();
+  });
   OnStateChanged();
   inventory_.Start();
   refresh_timer_.Start(kRefreshInterval, [this] { UpdatePool(); });
@@ -106,8 +105,7 @@
   metrics_.answers.Increment("refused");
   Refusal refusal{reason, runtime::Duration::zero(), std::move(detail)};
   if (reason == RefusalReason::kUnavailable) {
-    refusal.retry_after =
-        configuration_ == nullptr ? kRetryAfterWithoutConfiguration : kRetryAfter;
+    refusal.retry_after = configuration_ == nullptr ? kRetryAfterWithoutConfiguration : kRetryAfter;
   }
   writer->SendWhole(options_.call_format->MakeRefusal(refusal));
 }
--- a/src/posthatch/traffic/traffic_parts-test.cc
+++ b/src/posthatch/traffic/traffic_parts-test.cc
@@ -34,7 +34,8 @@
 }
 
 TEST(EventSplitterTest, AnyCutOfTheBytesGivesTheSameEvents) {
-  const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+  const std::string stream =
+      "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
   for (size_t cut = 0; cut <= stream.size(); ++cut) {
     EventSplitter splitter;
     std::string out = splitter.Feed(stream.substr(0, cut));
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -61,9 +61,7 @@
 }
 
 TrafficRequest::TrafficRequest(TrafficContext* context, AdmittedCall admitted)
-    : context_(context),
-      admitted_(std::move(admitted)),
-      deadline_timer_(context->runtime->timers) {
+    : context_(context), admitted_(std::move(admitted)), deadline_timer_(context->runtime->timers) {
   runtime::Duration hold = std::chrono::milliseconds(admitted_.route.timeout_ms());
   if (admitted_.call.time_left.has_value()) hold = std::min(hold, *admitted_.call.time_left);
   deadline_ = admitted_.received + hold;
@@ -100,16 +98,15 @@
   // Calls with one segment only share nothing: they may go anywhere.
   const size_t shared = ids.empty() ? 0 : ids.size() - 1;
   // Prompts of tenants that share nothing needn't meet: the salt of no revision tells them apart.
-  ids.insert(ids.begin(),
-             index::CacheSalt(context_->lookup->SeedFor(admitted_.call.model, 0, admitted_.tenant)));
+  ids.insert(ids.begin(), index::CacheSalt(context_->lookup->SeedFor(admitted_.call.model, 0,
+                                                                     admitted_.tenant)));
   shape_.affinity = index::HashOfSegments(ids, shared + 1);
   shape_.shared_tokens = shape_.TokensOf(static_cast<uint32_t>(shared));
 }
 
 std::vector<index::PrefixHolder> TrafficRequest::LocatePrefix() {
   const std::string& model = admitted_.call.model;
-  seed_ = context_->lookup->SeedFor(model, context_->pool->TargetRevision(model),
-                                    admitted_.tenant);
+  seed_ = context_->lookup->SeedFor(model, context_->pool->TargetRevision(model), admitted_.tenant);
   std::vector<std::string> ids;
   for (const PromptSegment& segment : admitted_.call.segments) ids.push_back(segment.id);
   chain_ = index::HashSegments(index::CacheSalt(seed_), ids);
@@ -195,8 +192,7 @@
   context_->metrics->dispatches.Increment(
       stream_started_ ? "resume" : (runs_ + other_tries_ > 0 ? "retry" : "first"));
   if (IsPrompt()) {
-    context_->metrics->prompt_tokens.Increment("asked",
-                                               static_cast<double>(shape_.total_tokens()));
+    context_->metrics->prompt_tokens.Increment("asked", static_cast<double>(shape_.total_tokens()));
     context_->metrics->prompt_tokens.Increment("believed_missing",
                                                static_cast<double>(placement.missing_tokens));
     context_->metrics->prompt_tokens.Increment("fetched",
@@ -276,8 +272,7 @@
   if (placement_.fetch_tokens == 0) rate->Record(read, elapsed);
   if (revision_ != seed_.model_revision) return;
   channels::ObjectVersion version;
-  const std::string object =
-      index::HolderObject(index::HolderKind::kWorker, worker_->backend.id());
+  const std::string object = index::HolderObject(index::HolderKind::kWorker, worker_->backend.id());
   if (context_->trust->CurrentVersion(object, &version)) {
     context_->locator->RecordDispatch(seed_, chain_, worker_->backend.id(), version.epoch());
   }
--- a/src/posthatch/traffic/traffic_request.h
+++ b/src/posthatch/traffic/traffic_request.h
@@ -88,9 +88,9 @@
   std::vector<index::BlockHash> chain_;
 
   // Over all attempts.
-  uint64_t attempt_ = 0;     // number of the running one; callbacks of earlier ones are ignored
-  uint32_t runs_ = 0;        // dispatches that may have run
-  uint32_t other_tries_ = 0; // dispatches that are proved not to have run
+  uint64_t attempt_ = 0;      // number of the running one; callbacks of earlier ones are ignored
+  uint32_t runs_ = 0;         // dispatches that may have run
+  uint32_t other_tries_ = 0;  // dispatches that are proved not to have run
   std::vector<std::string> tried_;
   bool stream_started_ = false;
   EventSplitter events_;
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -101,11 +101,11 @@
   const runtime::MonotonicTime now = runtime_->clock->Now();
   for (auto& [id, worker] : workers_) {
     const control::LabelMap labels = control::BackendLabels(worker->backend);
-    const bool evacuated = std::any_of(
-        state.evacuations().begin(), state.evacuations().end(),
-        [&labels](const control::Evacuation& evacuation) {
-          return control::SelectorMatches(evacuation.selector(), labels);
-        });
+    const bool evacuated =
+        std::any_of(state.evacuations().begin(), state.evacuations().end(),
+                    [&labels](const control::Evacuation& evacuation) {
+                      return control::SelectorMatches(evacuation.selector(), labels);
+                    });
     // It may have lost what it kept and started anew while it got nothing.
     const ColdStart* cold_start = ColdStartOf(*worker);
     if (worker->evacuated && !evacuated && cold_start != nullptr) {
@@ -178,8 +178,7 @@
 bool WorkerPool::EligibleAsLastResort(const Worker& worker) const { return MayStart(worker); }
 
 double WorkerPool::ExpectedWait(const Worker& worker) const {
-  const double age_ms =
-      runtime::ToMilliseconds(runtime_->clock->Now() - worker.wait_measured);
+  const double age_ms = runtime::ToMilliseconds(runtime_->clock->Now() - worker.wait_measured);
   return worker.wait_ms * std::exp2(-age_ms / kWaitHalfLifeMs);
 }
 
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -28,8 +28,8 @@
   uint64_t pending_tokens = 0;  // of those, prompt tokens to be read before the first event
   double wait_ms = 0;           // moving average of measured waits ...
   runtime::MonotonicTime wait_measured;  // ... the last time then
-  double failure_score = 0;     // rises by one with each failure, fades with each success
-  uint32_t ejections = 0;       // in a row
+  double failure_score = 0;              // rises by one with each failure, fades with each success
+  uint32_t ejections = 0;                // in a row
   runtime::MonotonicTime ejected_until;
   uint32_t refusals = 0;              // in a row
   runtime::MonotonicTime busy_until;  // it refused for want of room, or was misdirected
