--- /dev/null
+++ b/src/posthatch/control/traffic_state-test.cc
@@ -0,0 +1,250 @@
+#include "posthatch/control/traffic_state.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "posthatch/control/control_state.h"
+#include "posthatch/control/fleet_sections.h"
+#include "posthatch/control/section_deltas.h"
+#include "posthatch/control/traffic_validator.h"
+
+namespace posthatch::control {
+namespace {
+
+TrafficConfiguration SmallTraffic() {
+  TrafficConfiguration configuration;
+  TrafficService* service = configuration.add_services();
+  service->set_name("llm");
+  service->mutable_engine()->add_models("m");
+  service->set_source("{\"name\":\"llm\"}");
+  TrafficRoute* route = configuration.add_routes();
+  route->set_name("r");
+  route->set_host("h");
+  route->set_path_prefix("/r/");
+  route->set_kind(REPEATABLE);
+  route->set_timeout_ms(100);
+  route->add_targets()->set_service("llm");
+  route->mutable_targets(0)->set_weight(1);
+  TrafficTenant* tenant = configuration.add_tenants();
+  tenant->set_name("t");
+  tenant->add_keys("key");
+  return configuration;
+}
+
+ChangeTraffic Whole(uint64_t base, uint64_t version, const TrafficConfiguration& configuration) {
+  ChangeTraffic change;
+  change.set_base_version(base);
+  change.set_version(version);
+  *change.mutable_whole() = configuration;
+  return change;
+}
+
+// Sets the first route's time-out.
+ChangeTraffic TimeoutPatch(uint64_t base, uint64_t version, uint32_t timeout_ms) {
+  ChangeTraffic change;
+  change.set_base_version(base);
+  change.set_version(version);
+  TrafficRoute* route = change.mutable_patch()->mutable_upsert()->add_routes();
+  *route = SmallTraffic().routes(0);
+  route->set_timeout_ms(timeout_ms);
+  return change;
+}
+
+class TrafficStateTest : public testing::Test {
+ protected:
+  CommandResult::Code Apply(const ChangeTraffic& change) {
+    return state_.Apply(change, &changed_).code();
+  }
+  TrafficState state_;
+  bool changed_ = false;
+};
+
+TEST_F(TrafficStateTest, OfTwoChangesOfOneVersionOneWinsEvenWithTheSameNumber) {
+  ASSERT_EQ(Apply(Whole(0, 3, SmallTraffic())), CommandResult::OK);
+  EXPECT_EQ(Apply(TimeoutPatch(3, 7, 200)), CommandResult::OK);
+  EXPECT_EQ(Apply(TimeoutPatch(3, 7, 300)), CommandResult::VERSION_CONFLICT);
+  EXPECT_EQ(state_.newest().routes(0).timeout_ms(), 200U);
+}
+
+TEST_F(TrafficStateTest,
+       AcceptedChangeSentAgainIsAcknowledgedAgainWhateverFollowedAndAfterARestore) {
+  const ChangeTraffic first = Whole(0, 3, SmallTraffic());
+  Apply(first);
+  const ChangeTraffic second = TimeoutPatch(3, 7, 200);
+  Apply(second);
+  Apply(TimeoutPatch(7, 9, 300));
+  TrafficSnapshot snapshot;
+  state_.Save(&snapshot);
+  TrafficState restored;
+  restored.Restore(snapshot);
+  for (TrafficState* state : {&state_, &restored}) {
+    for (const ChangeTraffic& change : {first, second}) {
+      EXPECT_EQ(state->Apply(change, &changed_).code(), CommandResult::OK);
+      EXPECT_FALSE(changed_);
+      EXPECT_EQ(state->newest().routes(0).timeout_ms(), 300U);
+    }
+  }
+}
+
+TEST_F(TrafficStateTest, RefusedChangeMayComeAgainAndBeTaken) {
+  Apply(Whole(0, 3, SmallTraffic()));
+  const ChangeTraffic early = TimeoutPatch(5, 7, 200);
+  EXPECT_EQ(Apply(early), CommandResult::VERSION_CONFLICT);
+  Apply(TimeoutPatch(3, 5, 150));
+  EXPECT_EQ(Apply(early), CommandResult::OK);
+}
+
+TEST_F(TrafficStateTest, VersionsMustRise) {
+  Apply(Whole(0, 3, SmallTraffic()));
+  EXPECT_EQ(Apply(TimeoutPatch(3, 3, 200)), CommandResult::INVALID);
+  EXPECT_EQ(Apply(TimeoutPatch(3, 2, 200)), CommandResult::INVALID);
+  EXPECT_EQ(state_.newest().version(), 3U);
+}
+
+TEST_F(TrafficStateTest, PatchRemovesReplacesAndAdds) {
+  Apply(Whole(0, 1, SmallTraffic()));
+  ChangeTraffic change;
+  change.set_base_version(1);
+  change.set_version(2);
+  TrafficRoute* added = change.mutable_patch()->mutable_upsert()->add_routes();
+  *added = SmallTraffic().routes(0);
+  added->set_name("new");
+  added->set_path_prefix("/new/");
+  change.mutable_patch()->add_removed_routes("r");
+  ASSERT_EQ(Apply(change), CommandResult::OK);
+  ASSERT_EQ(state_.newest().routes_size(), 1);
+  EXPECT_EQ(state_.newest().routes(0).name(), "new");
+}
+
+TEST(TrafficValidatorTest, EachRuleIsToldWithItsEntry) {
+  EXPECT_TRUE(ValidateTraffic(SmallTraffic()).empty());
+  const auto broken = [](auto change) {
+    TrafficConfiguration configuration = SmallTraffic();
+    change(&configuration);
+    return ValidateTraffic(configuration).size();
+  };
+  using Traffic = TrafficConfiguration;
+  EXPECT_EQ(broken([](Traffic* t) { t->mutable_routes(0)->mutable_targets(0)->set_service("x"); }),
+            1U);
+  EXPECT_EQ(broken([](Traffic* t) { t->mutable_routes(0)->mutable_targets(0)->set_weight(0); }),
+            1U);
+  EXPECT_EQ(broken([](Traffic* t) { t->mutable_routes(0)->set_timeout_ms(0); }), 1U);
+  EXPECT_EQ(broken([](Traffic* t) { t->mutable_routes(0)->set_path_prefix("/r"); }), 1U);
+  EXPECT_EQ(broken([](Traffic* t) { t->mutable_routes(0)->clear_kind(); }), 1U);
+  EXPECT_EQ(broken([](Traffic* t) {
+              *t->add_routes() = t->routes(0);
+              t->mutable_routes(1)->set_name("other");
+            }),
+            1U);
+  EXPECT_EQ(broken([](Traffic* t) {
+              *t->add_tenants() = t->tenants(0);
+              t->mutable_tenants(1)->set_name("other");
+            }),
+            1U);
+}
+
+class TrafficControlTest : public testing::Test {
+ protected:
+  CommandResult Apply(Command command) {
+    command.set_request_id("id-" + std::to_string(++index_));
+    CommandResult result;
+    EXPECT_TRUE(result.ParseFromString(state_.Apply(index_, 1, command.SerializeAsString())));
+    return result;
+  }
+  CommandResult ApplyTraffic(const ChangeTraffic& change) {
+    Command command;
+    *command.mutable_change_traffic() = change;
+    return Apply(command);
+  }
+  CommandResult NameRevision(uint64_t revision) {
+    Command command;
+    command.mutable_set_model_revision()->set_model("m");
+    command.mutable_set_model_revision()->set_revision(revision);
+    return Apply(command);
+  }
+
+  ControlState state_;
+  uint64_t index_ = 0;
+};
+
+TEST_F(TrafficControlTest, GatewaysGetNoSourcesAndReadersGetThemUnchanged) {
+  ApplyTraffic(Whole(0, 1, SmallTraffic()));
+  EXPECT_EQ(state_.fleet().traffic().services(0).source(), "");
+  EXPECT_EQ(state_.traffic().services(0).source(), "{\"name\":\"llm\"}");
+}
+
+TEST_F(TrafficControlTest, RevisionsTakeTheOperatorsNumbersAndNeverFall) {
+  ApplyTraffic(Whole(0, 1, SmallTraffic()));
+  ASSERT_EQ(state_.fleet().revisions_size(), 1);
+  EXPECT_EQ(state_.fleet().revisions(0).revision(), 1U);
+  EXPECT_EQ(NameRevision(4).version(), 4U);
+  EXPECT_EQ(NameRevision(4).code(), CommandResult::OK);
+  EXPECT_EQ(NameRevision(2).code(), CommandResult::OK);
+  EXPECT_EQ(state_.fleet().revisions(0).revision(), 4U);
+}
+
+TEST_F(TrafficControlTest, IsolatedTenantGetsADomainOfItsOwn) {
+  ApplyTraffic(Whole(0, 1, SmallTraffic()));
+  TrafficConfiguration isolated = SmallTraffic();
+  isolated.mutable_tenants(0)->set_isolated(true);
+  ApplyTraffic(Whole(1, 2, isolated));
+  for (const TenantIsolation& domain : state_.fleet().isolation()) {
+    EXPECT_EQ(domain.generation(), index_) << domain.tenant();
+    EXPECT_EQ(domain.isolated(), domain.tenant() == "t");
+  }
+}
+
+// Whatever a gateway has, what it is sent makes it equal to the leader's state, or tells it that it
+// is out of step.
+TEST_F(TrafficControlTest, DifferencesMakeTheSameSectionsAsWholeOnes) {
+  ApplyTraffic(Whole(0, 1, SmallTraffic()));
+  std::vector<FleetState> gateways = {state_.fleet()};
+  for (uint32_t step = 1; step <= 6; ++step) {
+    if (step == 4) {
+      ApplyTraffic(Whole(step, step + 1, SmallTraffic()));
+    } else {
+      ApplyTraffic(TimeoutPatch(step, step + 1, 100 * step));
+    }
+    Command command;
+    for (uint32_t id = step; id < step + 9; ++id) {
+      Backend* backend = command.mutable_set_inventory()->mutable_inventory()->add_backends();
+      backend->set_id("w" + std::to_string(id));
+      backend->set_draining(id == step);
+    }
+    Apply(command);
+    for (FleetState& gateway : gateways) {
+      FleetState changed;
+      google::protobuf::RepeatedPtrField<std::string> names;
+      const SectionIndices known = IndicesOf(gateway);
+      CopyNewerSections(state_.fleet(), known, &changed, &names);
+      state_.deltas().SendInventoryAsChange(IndexOf(known, Section::kInventory), &changed);
+      state_.deltas().SendTrafficAsPatches(IndexOf(known, Section::kTraffic), &changed);
+      FleetState behind;
+      EXPECT_EQ(MakeTrafficWhole(behind, &changed), changed.traffic_base_index() == 0);
+      ASSERT_TRUE(MakeInventoryWhole(gateway, &changed));
+      ASSERT_TRUE(MakeTrafficWhole(gateway, &changed));
+      ApplyNewerSections(changed, names, &gateway);
+      EXPECT_EQ(gateway.traffic().SerializeAsString(),
+                state_.fleet().traffic().SerializeAsString());
+      EXPECT_EQ(gateway.inventory().SerializeAsString(),
+                state_.fleet().inventory().SerializeAsString());
+    }
+    gateways.push_back(FleetState());
+    gateways.push_back(state_.fleet());
+  }
+}
+
+TEST_F(TrafficControlTest, InventoryDifferenceFromAnOlderListIsNotTaken) {
+  Command whole;
+  whole.mutable_set_inventory()->mutable_inventory()->add_backends()->set_id("w1");
+  Apply(whole);
+  Command stale;
+  stale.mutable_set_inventory()->mutable_change()->add_removed("w1");
+  stale.mutable_set_inventory()->set_base_version(0);
+  EXPECT_EQ(Apply(stale).code(), CommandResult::VERSION_CONFLICT);
+  EXPECT_EQ(state_.fleet().inventory().backends_size(), 1);
+}
+
+}  // namespace
+}  // namespace posthatch::control
--- a/src/posthatch/gateway/bodies-fuzz.cc
+++ b/src/posthatch/gateway/bodies-fuzz.cc
@@ -2,9 +2,9 @@
 #include <cstdint>
 #include <string>
 
+#include "posthatch/control/inventory_format.h"
 #include "posthatch/gateway/answer_check.h"
 #include "posthatch/gateway/inference_body.h"
-#include "posthatch/control/inventory_format.h"
 
 // Bodies of callers, back ends and the platform's list.
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
--- /dev/null
+++ b/src/posthatch/orders/rollout_coordinator-test.cc
@@ -0,0 +1,215 @@
+#include "posthatch/orders/rollout_coordinator.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "posthatch/simulation/sim_world.h"
+
+namespace posthatch::orders {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class TestOrderFormat : public OrderFormat {
+ public:
+  http::Request OrderRequest(const LoadOrder& order) const override {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/order/" + std::to_string(order.revision);
+    request.headers.Add("Token", std::to_string(order.fencing_token));
+    return request;
+  }
+  OrderAnswer ReadOrderAnswer(const http::Response& head) const override {
+    return head.status == 202   ? OrderAnswer::kTaken
+           : head.status == 412 ? OrderAnswer::kFenced
+                                : OrderAnswer::kUnclear;
+  }
+  http::Request ReportRequest(const std::string&) const override {
+    http::Request request;
+    request.method = "GET";
+    request.target = "/report";
+    return request;
+  }
+  absl::StatusOr<WorkerReport> ReadReport(const std::string& body,
+                                          const std::string&) const override {
+    WorkerReport report;
+    report.revision = std::stoull(body);
+    report.busy = report.revision == 0;
+    return report;
+  }
+};
+
+// A controller that leads, and workers that take `kLoadTime` to load.
+class RolloutCoordinatorTest : public testing::Test {
+ protected:
+  static constexpr int kWorkers = 10;
+  static constexpr runtime::Duration kLoadTime = milliseconds(700);
+
+  RolloutCoordinatorTest() : world_(3) {
+    controller_ = world_.AddHost("controller", "a", "10.0.0.1");
+    for (int i = 0; i < kWorkers; ++i) AddWorker("w" + std::to_string(i), i);
+    controller_->SetBoot([this](runtime::Runtime* runtime) {
+      RolloutOptions options;
+      options.holder = "controller";
+      RolloutCoordinator::Parts parts;
+      parts.format = &format_;
+      parts.fleet = [this]() -> const control::FleetState& { return fleet_; };
+      parts.may_order = [this] { return may_order_; };
+      parts.publish = [this] { Publish(); };
+      coordinator_ = std::make_shared<RolloutCoordinator>(runtime, options, parts);
+      return coordinator_;
+    });
+    controller_->Start();
+    control::ModelRevision* revision = fleet_.add_revisions();
+    revision->set_model("m");
+    revision->set_revision(1);
+  }
+
+  void AddWorker(const std::string& id, int number) {
+    simulation::SimHost* host = world_.AddHost(id, "a", "10.0.1." + std::to_string(number + 1));
+    revisions_[id] = 1;
+    host->SetBoot([this, id, host](runtime::Runtime* runtime) -> std::shared_ptr<void> {
+      auto server = runtime->http_servers->Listen(
+          host->http_endpoint(), {},
+          [this, id](const http::Request& request,
+                     const std::shared_ptr<http::ResponseWriter>& writer) {
+            writer->SendWhole(AnswerFor(id, request));
+          });
+      return std::shared_ptr<http::HttpServer>(std::move(*server));
+    });
+    host->Start();
+    control::Backend* backend = fleet_.mutable_inventory()->add_backends();
+    backend->set_id(id);
+    backend->set_kind(control::BACKEND_KIND_WORKER);
+    backend->set_endpoint(host->http_endpoint());
+    backend->set_model("m");
+    backend->set_model_revision(1);
+  }
+
+  http::Response AnswerFor(const std::string& id, const http::Request& request) {
+    http::Response response;
+    if (request.target == "/report") {
+      response.body = std::to_string(loading_.contains(id) ? 0 : revisions_[id]);
+      return response;
+    }
+    orders_.push_back(id);
+    tokens_.push_back(std::string(request.headers.Get("Token")));
+    response.status = order_status_;
+    if (order_status_ != 202) return response;
+    EXPECT_TRUE(MarkedLoading(id)) << "gateways must keep away before the worker is ordered";
+    loading_[id] = std::stoull(request.target.substr(7));
+    most_loading_ = std::max(most_loading_, loading_.size());
+    world_.At(kLoadTime, [this, id] {
+      revisions_[id] = loading_[id];
+      loading_.erase(id);
+    });
+    return response;
+  }
+
+  bool MarkedLoading(const std::string& id) const {
+    return std::any_of(
+        fleet_.inventory().backends().begin(), fleet_.inventory().backends().end(),
+        [&](const control::Backend& backend) { return backend.id() == id && backend.loading(); });
+  }
+
+  // What the control state does with a reading; the platform's list lags and tells old revisions.
+  void Publish() {
+    control::Inventory reading = fleet_.inventory();
+    for (control::Backend& backend : *reading.mutable_backends()) backend.set_model_revision(1);
+    coordinator_->Annotate(&reading);
+    *fleet_.mutable_inventory() = reading;
+  }
+
+  void Name(uint64_t revision) { fleet_.mutable_revisions(0)->set_revision(revision); }
+  bool AllServe(uint64_t revision) const {
+    return std::all_of(revisions_.begin(), revisions_.end(),
+                       [&](const auto& entry) { return entry.second == revision; });
+  }
+
+  TestOrderFormat format_;
+  simulation::SimWorld world_;
+  simulation::SimHost* controller_;
+  control::FleetState fleet_;
+  std::shared_ptr<RolloutCoordinator> coordinator_;
+  std::map<std::string, uint64_t> revisions_;
+  std::map<std::string, uint64_t> loading_;
+  std::vector<std::string> orders_;
+  std::vector<std::string> tokens_;
+  size_t most_loading_ = 0;
+  int order_status_ = 202;
+  bool may_order_ = true;
+};
+
+TEST_F(RolloutCoordinatorTest, BringsAllWorkersOverAFewAtATimeWithOneOrderEach) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  Name(2);
+  world_.RunFor(seconds(9));
+  EXPECT_TRUE(AllServe(2));
+  EXPECT_EQ(orders_.size(), static_cast<size_t>(kWorkers));
+  EXPECT_LE(most_loading_, 4U);
+  for (const std::string& token : tokens_) EXPECT_EQ(token, "7");
+}
+
+TEST_F(RolloutCoordinatorTest, OneWorkerGoesFirstAndTheOthersWaitUntilItServes) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  Name(2);
+  world_.RunFor(milliseconds(900));
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
+TEST_F(RolloutCoordinatorTest, NewLeaderWaitsUntilTheFormerOnesOrdersAreOver) {
+  Name(2);
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(milliseconds(2900));
+  EXPECT_TRUE(orders_.empty());
+  world_.RunFor(seconds(1));
+  EXPECT_FALSE(orders_.empty());
+}
+
+TEST_F(RolloutCoordinatorTest, WithoutAMajorityNothingIsOrdered) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  may_order_ = false;
+  Name(2);
+  world_.RunFor(seconds(3));
+  EXPECT_TRUE(orders_.empty());
+}
+
+TEST_F(RolloutCoordinatorTest, SecondRevisionNamedDuringTheFirstIsReachedToo) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  Name(2);
+  world_.RunFor(milliseconds(1500));
+  Name(3);
+  world_.RunFor(seconds(14));
+  EXPECT_TRUE(AllServe(3));
+}
+
+TEST_F(RolloutCoordinatorTest, FencedLeaderDoesNotFloodTheWorker) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  order_status_ = 412;
+  Name(2);
+  world_.RunFor(seconds(3));
+  EXPECT_LE(orders_.size(), 8U);
+}
+
+TEST_F(RolloutCoordinatorTest, MarksOfTheFormerLeaderStandDuringTheHandover) {
+  fleet_.mutable_inventory()->mutable_backends(2)->set_loading(true);
+  coordinator_->OnLeadership(true, 8);
+  Publish();
+  EXPECT_TRUE(fleet_.inventory().backends(2).loading());
+  world_.RunFor(milliseconds(3500));
+  Publish();
+  EXPECT_FALSE(fleet_.inventory().backends(2).loading());
+}
+
+}  // namespace
+}  // namespace posthatch::orders
