--- a/src/posthatch/asio/beast_http_client-test.cc
+++ b/src/posthatch/asio/beast_http_client-test.cc
@@ -144,6 +144,34 @@
   EXPECT_FALSE(chunked.head->headers.Has("X-Trailer"));
 }
 
+TEST_F(HttpClientTest, AnswerWithoutLengthEndsWithItsConnectionWhereThatIsAllowed) {
+  options_.accept_unframed = true;
+  const Outcome outcome = CallAnswered("HTTP/1.1 200 OK\r\n\r\nuntil the end");
+  EXPECT_TRUE(outcome.ended);
+  EXPECT_EQ(outcome.body, "until the end");
+  ExpectError(CallAnswered("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"),
+              absl::StatusCode::kDataLoss, http::CallProgress::kAnswered);
+}
+
+TEST_F(HttpClientTest, ConnectionIsNotKeptBeyondTheShareOfTheTimeThatItsServerStated) {
+  std::vector<uint64_t> connections;
+  auto server = runtime_->runtime()->http_servers->Listen(
+      "127.0.0.1:0", {},
+      [&](const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
+        connections.push_back(request.connection_id);
+        writer->SendWhole({});
+      });
+  for (const double share : {0.75, 0.75, 0.0}) {
+    options_.kept_connection_share = share;
+    Outcome outcome;
+    const auto call = Start((*server)->endpoint(), &outcome);
+    Finish(outcome);
+  }
+  ASSERT_EQ(connections.size(), 3U);
+  EXPECT_EQ(connections[0], connections[1]);
+  EXPECT_NE(connections[1], connections[2]);
+}
+
 TEST_F(HttpClientTest, AbortedStreamIsDataLoss) {
   auto server = runtime_->runtime()->http_servers->Listen(
       "127.0.0.1:0", {},
--- a/src/posthatch/asio/http_client_connection.cc
+++ b/src/posthatch/asio/http_client_connection.cc
@@ -242,7 +242,7 @@
 // RFC 9112, 6.3: without a length or chunks, the answer ends where the server ends its side. A
 // reset is no such end (OnBroken).
 bool HttpClientConnection::FinishAtEnd() {
-  if (!parser_->need_eof() || !unparsed_.empty()) return false;
+  if (!options_.accept_unframed || !parser_->need_eof() || !unparsed_.empty()) return false;
   boost::beast::error_code error;
   parser_->put_eof(error);
   if (error || !parser_->is_done()) return false;
--- a/src/posthatch/daemon/settings_loader-test.cc
+++ b/src/posthatch/daemon/settings_loader-test.cc
@@ -3,6 +3,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "absl/strings/str_replace.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 
@@ -132,19 +133,21 @@
   for (const SettingDescription& setting : SettingsTable()) {
     if (setting.maximum == 0) continue;
     ++numbers;
-    const auto load = [&setting](int64_t value) {
-      SettingsSource source{"x.toml", kGateway, {{setting.Key(), std::to_string(value)}}};
+    const auto load_text = [&setting](const std::string& value) {
+      SettingsSource source{"x.toml", kGateway, {{setting.Key(), value}}};
       GatewaySettings gateway;
       ControllerSettings controller;
       if (setting.gateway) return LoadGatewaySettings(source, &gateway).empty();
       source.overrides.emplace_back("node.data_folder", "/data");
       return LoadControllerSettings(source, &controller).empty();
     };
+    const auto load = [&load_text](int64_t value) { return load_text(std::to_string(value)); };
     EXPECT_TRUE(load(setting.minimum)) << setting.Key();
     EXPECT_TRUE(load(setting.maximum)) << setting.Key();
     EXPECT_FALSE(load(setting.minimum - 1)) << setting.Key();
     EXPECT_FALSE(load(setting.maximum + 1)) << setting.Key();
-    EXPECT_TRUE(load(std::stoll(DefaultText(setting)))) << setting.Key();
+    const std::string standard = absl::StrReplaceAll(DefaultText(setting), {{"\"", ""}});
+    EXPECT_TRUE(load_text(standard)) << setting.Key();
   }
   EXPECT_GE(numbers, 14);
 }
--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -133,6 +133,9 @@
   // Use a new connection even if a kept one is idle: a kept one may be half dead, and a request
   // that may not be repeated must not be sent on it.
   bool fresh_connection = false;
+  // Take an answer without a length or chunks as whole where the server ends its side (RFC 9112,
+  // 6.3). Off: such an answer is an error, since one that is cut may look the same.
+  bool accept_unframed = false;
   // Use a kept connection only within this share of the time that its server said it keeps idle
   // connections. Lower where a request must not be lost to a connection that has just been closed.
   double kept_connection_share = 0.75;
--- a/src/posthatch/index/index_update_publisher.h
+++ b/src/posthatch/index/index_update_publisher.h
@@ -25,13 +25,13 @@
 BlockSeed SeedOf(const Extent& extent);
 
 struct IndexUpdatePublisherOptions {
-  // Up to `gateways_at_period` gateways; longer in proportion in a larger fleet, since each batch
-  // goes to every gateway.
+  // With up to `gateways_at_period` gateways; longer in proportion in a larger fleet, since each
+  // batch goes to every gateway.
   runtime::Duration batch_period = std::chrono::milliseconds(50);
-  size_t gateways_at_period = 8;
   // Bound of what is published, before it is multiplied by the number of gateways.
   double bytes_per_second = 1024.0 * 1024;
   double burst_bytes = 4.0 * 1024 * 1024;
+  size_t gateways_at_period = 8;
 };
 
 struct IndexUpdatePublisherStats {
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -147,6 +147,7 @@
     if (kept < candidate.kept_tokens + kLeastTokensToFetch) continue;
     for (const WorkerPointer& source : usable) {
       if (source->backend.id() != holder.backend_id || source == candidate.worker) continue;
+      if (!pool_->MayMove(*source) || !pool_->MayMove(worker)) continue;
       const uint64_t moved = kept - candidate.kept_tokens;
       const bool same_zone = source->backend.zone() == worker.backend.zone();
       const double with_fetch = FetchMilliseconds(query.service->engine(), moved, same_zone) +
@@ -171,6 +172,7 @@
   const bool worth_it = query.prompt->shared_tokens >= kLeastTokensToFetch &&
                         placement->missing_tokens >= query.prompt->shared_tokens;
   if (!worth_it || !placement->fetch_endpoint.empty()) return;
+  if (!pool_->MayMove(*placement->worker)) return;
   const WorkerPointer* first = nullptr;
   for (const WorkerPointer& worker : usable) {
     if (worker->revision != placement->worker->revision) continue;
@@ -179,7 +181,7 @@
                                 RankOf(query.prompt->affinity, (*first)->backend.id());
     if (ranks_before) first = &worker;
   }
-  if (first == nullptr || *first == placement->worker) return;
+  if (first == nullptr || *first == placement->worker || !pool_->MayMove(**first)) return;
   placement->fetch_endpoint = (*first)->backend.endpoint();
 }
 
--- a/src/posthatch/traffic/traffic_gateway-test.cc
+++ b/src/posthatch/traffic/traffic_gateway-test.cc
@@ -147,5 +147,34 @@
       Load());
 }
 
+TEST_F(TrafficGatewayTest, SlowMovesOfKeptSegmentsAreNotAskedForAgainForAWhile) {
+  Start();
+  // Load on every worker but one makes calls spill, with the preferred one as the source.
+  Send("stream");
+  const std::string preferred = Last().Field("Instance");
+  TrafficMessage message;
+  message.mutable_load_report()->set_incarnation(5);
+  message.mutable_load_report()->set_report(1);
+  WorkerLoad* load = message.mutable_load_report()->add_loads();
+  load->set_worker_id(preferred);
+  load->set_pending_tokens(200000);
+  runtime::Envelope envelope;
+  envelope.set_from_node("gateway-2");
+  envelope.set_payload(message.SerializeAsString());
+  transport_.receiver(envelope);
+  Send("stream");
+  const std::string target = Last().Field("Instance");
+  ASSERT_FALSE(Last().Field("Source").empty());
+  const size_t slow = client_.calls.size() - 1;
+  timers_.Advance(milliseconds(900));
+  http::Response head;
+  head.headers.Add("Id", client_.calls[slow]->Field("Id"));
+  client_.calls[slow]->observer.on_head(head);
+  client_.calls[slow]->observer.on_piece("id: 1\n\n");
+  Send("stream");
+  if (Last().Field("Instance") != preferred) EXPECT_EQ(Last().Field("Source"), "");
+  EXPECT_NE(target, preferred);
+}
+
 }  // namespace
 }  // namespace posthatch::traffic
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -24,6 +24,9 @@
 constexpr double kConnectionShareOfUnrepeatable = 0.4;
 constexpr double kConnectionShareOfRepeatable = 0.75;
 constexpr uint32_t kLowestPriority = 9;
+// A first event that comes so much later than expected, after a move of kept segments, means that
+// moves are slow there.
+constexpr double kSlowMoveExcessMs = 800;
 constexpr int kFirstServerError = 500;
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusMisdirected = 421;
@@ -163,6 +166,7 @@
   const bool may_move = admitted_.route.kind() == control::STREAMING && admitted_.route.resumable();
   if (may_move) options.piece_timeout = std::min(left, kSilenceBeforeResume);
   options.max_body_bytes = SIZE_MAX;
+  options.accept_unframed = true;
   options.kept_connection_share =
       Repeatable() ? kConnectionShareOfRepeatable : kConnectionShareOfUnrepeatable;
   return options;
@@ -269,7 +273,11 @@
   ReadRate* rate = context_->placer->read_rate();
   context_->pool->OnWaited(worker_.get(),
                            runtime::ToMilliseconds(elapsed) - placement_.expected_ms);
-  if (placement_.fetch_tokens == 0) rate->Record(read, elapsed);
+  const double excess_ms = runtime::ToMilliseconds(elapsed) - placement_.expected_ms;
+  if (!placement_.fetch_endpoint.empty() && excess_ms > kSlowMoveExcessMs) {
+    context_->pool->OnSlowMove(worker_.get(), placement_.fetch_endpoint);
+  }
+  if (placement_.fetch_endpoint.empty()) rate->Record(read, elapsed);
   if (revision_ != seed_.model_revision) return;
   channels::ObjectVersion version;
   const std::string object = index::HolderObject(index::HolderKind::kWorker, worker_->backend.id());
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -17,6 +17,7 @@
 constexpr uint32_t kMaxEjectionDoublings = 3;
 constexpr runtime::Duration kBusyPause = std::chrono::milliseconds(150);
 constexpr uint32_t kMaxBusyDoublings = 2;
+constexpr runtime::Duration kSlowMovePause = std::chrono::seconds(2);
 // Part of the time that a revision may take, after which older workers get nothing more: the rest
 // covers that this gateway heard of the order later than its sender was told.
 constexpr double kRevisionShare = 0.7;
@@ -210,6 +211,18 @@
   worker->wait_measured = runtime_->clock->Now();
 }
 
+void WorkerPool::OnSlowMove(Worker* worker, const std::string& source_endpoint) {
+  const runtime::MonotonicTime until = runtime_->clock->Now() + kSlowMovePause;
+  worker->no_moves_until = until;
+  for (auto& [id, other] : workers_) {
+    if (other->backend.endpoint() == source_endpoint) other->no_moves_until = until;
+  }
+}
+
+bool WorkerPool::MayMove(const Worker& worker) const {
+  return runtime_->clock->Now() >= worker.no_moves_until;
+}
+
 void WorkerPool::OnSuccess(Worker* worker) {
   worker->failure_score *= kFailureFade;
   worker->refusals = 0;
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -31,7 +31,9 @@
   double failure_score = 0;              // rises by one with each failure, fades with each success
   uint32_t ejections = 0;                // in a row
   runtime::MonotonicTime ejected_until;
-  uint32_t refusals = 0;              // in a row
+  uint32_t refusals = 0;  // in a row
+  // Moves of kept segments to or from it were slow: none is asked for until then.
+  runtime::MonotonicTime no_moves_until;
   runtime::MonotonicTime busy_until;  // it refused for want of room, or was misdirected
 };
 
@@ -77,6 +79,10 @@
   void OnPromptRead(Worker* worker, uint64_t pending_tokens);
   void OnEnded(Worker* worker);
   void OnWaited(Worker* worker, double milliseconds);
+  // A move of kept segments to it, from the worker at `source_endpoint`, took much too long.
+  void OnSlowMove(Worker* worker, const std::string& source_endpoint);
+  // Whether kept segments may be moved to or from it now.
+  bool MayMove(const Worker& worker) const;
   void OnSuccess(Worker* worker);
   // A dispatch failed; a worker that can't be connected to is ejected at once.
   void OnFailure(Worker* worker, bool unreachable);
