--- a/src/posthatch/traffic/event_splitter.cc
+++ b/src/posthatch/traffic/event_splitter.cc
@@ -53,7 +53,8 @@
   std::string out;
   size_t used = 0;
   while (true) {
-    const std::string_view rest = std::string_view(pending_).substr(used);
+    std::string_view rest = pending_;
+    rest.remove_prefix(used);
     const size_t length = EventLength(rest);
     if (length == std::string_view::npos) break;
     TakeEvent(rest.substr(0, length), &out);
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace posthatch::traffic {
 namespace {
 
@@ -133,7 +135,7 @@
   absl::StatusOr<InboundCall> call = options_.call_format->ReadCall(request);
   if (!call.ok()) {
     return SendRefusal(writer.get(), RefusalReason::kMalformed,
-                       std::string(call.status().message()));
+                       absl::StrCat(call.status().message()));
   }
   AdmittedCall admitted;
   admitted.priority = route->priority();
