A cluster that restarted as a whole elects a leader at once

Cause: after a restart each replica behaves as if it had just promised a leader to refuse votes (800 ms), and its election timer starts at 800 to 1400 ms. Ruled out: gossip (replicas know each other's endpoints from the log), slow disks (5 ms). Change: a restarted replica stands for pre-vote after 100 to 300 ms while it has heard of no leader, and is no longer bound by the forgotten promise once every other member has asked for votes since: streams are ordered, so nobody who asks after the restart is the leader the promise was made to. With one member unheard the promise stands as before.

--- a/src/posthatch/consensus/raft_core-test.cc
+++ b/src/posthatch/consensus/raft_core-test.cc
@@ -122,6 +122,28 @@
   EXPECT_EQ(cluster.core(voter).vote(), candidate);
 }
 
+TEST(RaftCoreTest, ClusterThatRestartedAsAWholeElectsWithoutWaitingForAFormerLeader) {
+  CoreHarness cluster(3);
+  cluster.RunUntilLeader();
+  for (uint64_t id : {1, 2, 3}) cluster.Boot(id);
+  const runtime::MonotonicTime restarted = cluster.now();
+  EXPECT_NE(cluster.RunUntilLeader(), 0U);
+  EXPECT_LT(cluster.now() - restarted, milliseconds(700));
+}
+
+TEST(RaftCoreTest, RestartedVoterKeepsItsPromiseWhileOneMemberMayStillLead) {
+  CoreHarness cluster(3);
+  const uint64_t leader = cluster.RunUntilLeader();
+  cluster.Isolate(leader);
+  const auto [a, b] = CoreHarness::Others(leader);
+  cluster.Boot(a);
+  cluster.Boot(b);
+  cluster.Run(milliseconds(700));
+  EXPECT_FALSE(cluster.core(a).IsLeader() || cluster.core(b).IsLeader());
+  cluster.Run(seconds(3));
+  EXPECT_TRUE(cluster.core(a).IsLeader() || cluster.core(b).IsLeader());
+}
+
 TEST(RaftCoreTest, LeaderDoesNotCountItsOwnUnsyncedEntry) {
   CoreHarness cluster(3);
   const uint64_t leader = cluster.RunUntilLeader();
--- a/src/posthatch/consensus/raft_core.cc
+++ b/src/posthatch/consensus/raft_core.cc
@@ -31,7 +31,8 @@
   }
   verified_index_ = commit_index_;
   // What was promised to a leader before the restart is forgotten: keep the longest such promise.
-  if (term() > 0) leader_heard_at_ = now;
+  leader_assumed_ = term() > 0;
+  if (leader_assumed_) leader_heard_at_ = now;
   ResetElectionTimer(now);
 }
 
@@ -163,6 +164,7 @@
 void RaftCore::Step(const RaftMessage& message, MonotonicTime now) {
   if (!Accepts(message)) return;
   NoteEndpoint(message);
+  if (leader_assumed_ && message.has_vote_request()) not_leading_.insert(message.from());
   if (PrepareTerm(message, now)) Dispatch(message, now);
 }
 
--- a/src/posthatch/consensus/raft_core.h
+++ b/src/posthatch/consensus/raft_core.h
@@ -135,6 +135,8 @@
   void StartElection(bool transfer, runtime::MonotonicTime now);
   void RequestVotes(bool pre_vote, bool transfer);
   void CountVotes(runtime::MonotonicTime now);
+  // Whether every other member has been heard not to lead since this replica's restart.
+  bool NobodyLeads() const;
   bool MustRefuseVotes(runtime::MonotonicTime now) const;
   void HandleVoteRequest(const RaftMessage& message, runtime::MonotonicTime now);
   void HandleVoteResponse(const RaftMessage& message, runtime::MonotonicTime now);
@@ -217,6 +219,10 @@
   Role role_ = Role::kFollower;
   uint64_t leader_id_ = 0;
   std::optional<runtime::MonotonicTime> leader_heard_at_;
+  // `leader_heard_at_` is the restart: what was promised to a leader before it is forgotten.
+  bool leader_assumed_ = false;
+  // Members that have asked for votes since the restart: none of them leads.
+  std::set<uint64_t> not_leading_;
   int64_t newest_append_sent_at_ns_ = 0;  // of the leader's messages, by its clock
   uint64_t newest_read_round_ = 0;
   runtime::MonotonicTime election_deadline_;
--- a/src/posthatch/consensus/raft_election.cc
+++ b/src/posthatch/consensus/raft_election.cc
@@ -15,8 +15,13 @@
 }  // namespace
 
 void RaftCore::ResetElectionTimer(MonotonicTime now) {
+  const bool just_restarted =
+      leader_assumed_ && now - *leader_heard_at_ < options_.election_timeout_min;
   election_deadline_ =
-      now + random_->Between(options_.election_timeout_min, options_.election_timeout_max);
+      now + (just_restarted ? random_->Between(options_.restart_election_timeout_min,
+                                               options_.restart_election_timeout_max)
+                            : random_->Between(options_.election_timeout_min,
+                                               options_.election_timeout_max));
 }
 
 void RaftCore::BecomeFollower(uint64_t term, uint64_t leader, MonotonicTime now) {
@@ -74,9 +79,22 @@
 // leader counts on that (HasQuorum), and replicas with bad links can't depose it (section 4.2.3).
 bool RaftCore::MustRefuseVotes(MonotonicTime now) const {
   if (IsLeader()) return now - leader_since_ < options_.election_timeout_min || HasQuorum(now);
+  if (leader_assumed_ && NobodyLeads()) return false;
   return leader_heard_at_.has_value() && now - *leader_heard_at_ < options_.election_timeout_min;
 }
 
+// A leader that this replica made a promise to before its restart has its messages delivered in
+// order: a request for votes that comes after the restart was sent when its sender no longer led.
+// Learners count as well: one may have become a voter, and the leader, by an entry that is missing
+// here.
+bool RaftCore::NobodyLeads() const {
+  for (const Member& member : configuration().members()) {
+    const uint64_t id = member.replica_id();
+    if (id != replica_id() && !not_leading_.contains(id)) return false;
+  }
+  return true;
+}
+
 void RaftCore::StartPreVote(MonotonicTime now) {
   ResetElectionTimer(now);
   role_ = Role::kPreCandidate;
--- a/src/posthatch/consensus/raft_replication.cc
+++ b/src/posthatch/consensus/raft_replication.cc
@@ -156,6 +156,7 @@
     newest_read_round_ = 0;
   }
   leader_heard_at_ = now;
+  leader_assumed_ = false;
   ResetElectionTimer(now);
   newest_append_sent_at_ns_ = std::max(newest_append_sent_at_ns_, request.sent_at_ns());
   newest_read_round_ = std::max(newest_read_round_, request.read_round());
--- a/src/posthatch/consensus/raft_snapshot.cc
+++ b/src/posthatch/consensus/raft_snapshot.cc
@@ -98,6 +98,7 @@
   if (role_ != Role::kFollower) BecomeFollower(term(), message.from(), now);
   leader_id_ = message.from();
   leader_heard_at_ = now;
+  leader_assumed_ = false;
   ResetElectionTimer(now);
   const SnapshotChunk& chunk = message.snapshot_chunk();
   const storage::SnapshotMetadata& metadata = chunk.metadata();
