Calls that are given up reset their connections; a request that nobody acknowledges ends at 700 ms

Change: a cancelled or failed call resets its connection; a call of which not a byte is acknowledged 700 ms after it was written ends there, before the kernel gives up the connection by itself. A connection closed behind an injected cut was ended in order by Asio's destructor; it is reset now.

--- a/src/posthatch/asio/beast_http_client-test.cc
+++ b/src/posthatch/asio/beast_http_client-test.cc
@@ -296,6 +296,69 @@
   EXPECT_FALSE(outcome.over());
 }
 
+// Bytes that wait in the kernel behind a cut must not reach the server after the call was given up.
+TEST_F(HttpClientTest, CallThatIsGivenUpResetsItsConnection) {
+  RawListener listener;
+  Outcome outcome;
+  auto call = Start(listener.endpoint(), &outcome);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  call.reset();
+  server.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(server.was_reset());
+}
+
+TEST_F(HttpClientTest, CallThatRunsIntoItsTimeoutResetsItsConnection) {
+  RawListener listener;
+  Outcome outcome;
+  const auto call = Start(listener.endpoint(), &outcome);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  Finish(outcome);
+  server.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(server.was_reset());
+}
+
+// A kept connection whose server is behind a cut now.
+TEST_F(HttpClientTest, CallOfWhichNothingIsDeliveredEndsSoonAndNeverArrives) {
+  AsioRuntimeOptions with_faults;
+  with_faults.enable_fault_injection = true;
+  runtime_ = MakeTestRuntime(with_faults);
+  options_.head_timeout = std::chrono::seconds(20);
+  RawListener listener;
+  Outcome first;
+  const auto answered = Start(listener.endpoint(), &first);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Finish(first);
+  server.ForgetReceived();
+  FaultRules cut;
+  cut.drop_to.insert(listener.endpoint());
+  runtime_->faults()->SetRules(cut);
+  Outcome second;
+  const auto lost = Start(listener.endpoint(), &second);
+  Finish(second);
+  ExpectError(second, absl::StatusCode::kUnavailable, http::CallProgress::kNotSent);
+  runtime_->faults()->SetRules({});
+  EXPECT_EQ(server.ReadToEnd(runtime_.get()), "");
+  EXPECT_TRUE(server.was_reset());
+}
+
+TEST_F(HttpClientTest, SlowServerThatHasTheRequestIsWaitedFor) {
+  options_.head_timeout = std::chrono::seconds(5);
+  RawListener listener;
+  Outcome outcome;
+  const auto call = Start(listener.endpoint(), &outcome);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  runtime_->RunUntil([&] { return outcome.over(); }, milliseconds(1000));
+  EXPECT_FALSE(outcome.over());
+  server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Finish(outcome);
+  EXPECT_TRUE(outcome.ended);
+}
+
 TEST_F(HttpClientTest, HandleMayBeDestroyedInACallback) {
   RawListener listener;
   std::unique_ptr<http::Call> call;
--- a/src/posthatch/asio/http_client_connection.cc
+++ b/src/posthatch/asio/http_client_connection.cc
@@ -1,5 +1,6 @@
 #include "posthatch/asio/http_client_connection.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+// A server that has not acknowledged a single byte of a request by then is cut off: the connection
+// is reset, before the kernel gives it up by itself and leaves the bytes to arrive after all.
+constexpr runtime::Duration kDeliveryTimeout = std::chrono::milliseconds(700);
 // What may wait for the rest of a chunk's or trailer's line.
 constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + 4096;
 // Bodies up to this size are copied behind the head, so that both leave in one buffer.
@@ -91,21 +95,39 @@
 }
 
 void HttpClientConnection::OnConnected() {
-  phase_ = Phase::kAwaitingHead;
-  if (options_.head_timeout > runtime::Duration::zero()) {
-    stream_->SetDeadlineAfter(options_.head_timeout);
-  } else {
-    stream_->ClearDeadline();
-  }
+  AwaitHead();
   stream_->Flush();
   stream_->ResumeReading();
 }
 
+void HttpClientConnection::AwaitHead() {
+  phase_ = Phase::kAwaitingHead;
+  const runtime::MonotonicTime now = BootNow();
+  const bool has_deadline = options_.head_timeout > runtime::Duration::zero();
+  head_deadline_ = has_deadline ? now + options_.head_timeout : runtime::MonotonicTime::max();
+  stream_->SetDeadline(std::min(head_deadline_, now + kDeliveryTimeout));
+}
+
+void HttpClientConnection::CheckDelivery() {
+  if (NothingDelivered()) {
+    return Fail(absl::UnavailableError("the server acknowledges no byte of the request"));
+  }
+  if (head_deadline_ == runtime::MonotonicTime::max()) return stream_->ClearDeadline();
+  stream_->SetDeadline(head_deadline_);
+}
+
+bool HttpClientConnection::NothingDelivered() {
+  const uint64_t written = stream_->written_bytes() - written_before_;
+  if (written == 0) return stream_->queued_bytes() > 0;
+  const std::optional<size_t> unacknowledged = stream_->UnacknowledgedBytes();
+  return unacknowledged.has_value() && *unacknowledged > 0 && *unacknowledged >= written;
+}
+
 void HttpClientConnection::Cancel() {
   phase_ = Phase::kEnded;
   running_call_ = 0;
   observer_.reset();
-  stream_->Close();
+  stream_->Reset();
 }
 
 void HttpClientConnection::FailUnsent(uint64_t call, absl::Status status,
@@ -216,7 +238,7 @@
   http::CallError error{std::move(status), Progress()};
   phase_ = Phase::kEnded;
   running_call_ = 0;
-  stream_->Close();
+  stream_->Reset();
   const auto observer = std::exchange(observer_, nullptr);
   observer->on_error(std::move(error));
 }
@@ -273,6 +295,7 @@
     case Phase::kConnecting:
       return Fail(absl::DeadlineExceededError("connect timeout"));
     case Phase::kAwaitingHead:
+      if (BootNow() < head_deadline_) return CheckDelivery();
       return Fail(absl::DeadlineExceededError("no answer in time"));
     case Phase::kReadingBody:
       return Fail(absl::DeadlineExceededError("answer fell silent"));
--- a/src/posthatch/asio/http_client_connection.h
+++ b/src/posthatch/asio/http_client_connection.h
@@ -73,6 +73,11 @@
   enum class Phase { kIdle, kConnecting, kAwaitingHead, kReadingBody, kEnded };
 
   void Send(const http::Request& request);
+  void AwaitHead();
+  // Ends the call if nothing of it was delivered, and waits for the head otherwise.
+  void CheckDelivery();
+  // Whether the peer has acknowledged nothing of the request, though it had the time to.
+  bool NothingDelivered();
   void StartParser();
   void Parse(std::string_view bytes);
   bool DeliverHead();
@@ -92,6 +97,7 @@
   bool paused_ = false;
   bool head_request_ = false;
   uint64_t written_before_ = 0;  // stream bytes written when this call began
+  runtime::MonotonicTime head_deadline_;  // while the head is awaited; the greatest time: none
   http::CallOptions options_;
   // Shared, since a callback may end the call and with it this reference.
   std::shared_ptr<const http::CallObserver> observer_;
--- a/src/posthatch/asio/raw_socket-test.cc
+++ b/src/posthatch/asio/raw_socket-test.cc
@@ -70,6 +70,7 @@
     const ssize_t size = recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (size < 0 && errno == EAGAIN) return;
     if (size <= 0) ended_ = true;
+    if (size < 0 && errno == ECONNRESET) reset_ = true;
     if (size > 0) received_.append(buffer.data(), static_cast<size_t>(size));
   }
 }
--- a/src/posthatch/asio/raw_socket-test.h
+++ b/src/posthatch/asio/raw_socket-test.h
@@ -33,6 +33,8 @@
   const std::string& ReadToEnd(AsioRuntime* runtime,
                                runtime::Duration limit = std::chrono::seconds(5));
   bool ended() const { return ended_; }
+  // The peer ended the connection with a reset: what it had not delivered by then is lost.
+  bool was_reset() const { return reset_; }
   void ForgetReceived() { received_.clear(); }
 
  private:
@@ -41,6 +43,7 @@
   int descriptor_;
   std::string received_;
   bool ended_ = false;
+  bool reset_ = false;
 };
 
 // A listening socket on loopback that accepts raw sockets.
--- a/src/posthatch/asio/tcp_stream.cc
+++ b/src/posthatch/asio/tcp_stream.cc
@@ -1,7 +1,9 @@
 #include "posthatch/asio/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -43,8 +45,12 @@
 }  // namespace
 
 void ReleaseCutOffSockets(IoEnvironment* environment) {
-  std::erase_if(environment->cut_off_sockets, [environment](const auto& entry) {
-    return !environment->faults->DropsTo(entry.first);
+  std::erase_if(environment->cut_off_sockets, [environment](auto& entry) {
+    if (environment->faults->DropsTo(entry.first)) return false;
+    // Asio's destructor would end a connection in order that was to be reset.
+    boost::system::error_code ignored;
+    entry.second.close(ignored);
+    return true;
   });
 }
 
@@ -252,6 +258,14 @@
                      });
 }
 
+std::optional<size_t> TcpStream::UnacknowledgedBytes() {
+  int bytes = 0;
+  if (!socket_.is_open() || ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(bytes);
+}
+
 void TcpStream::ShutdownSend() {
   shutdown_wanted_ = true;
   Flush();
@@ -291,6 +305,7 @@
 
 void TcpStream::Fail(absl::Status status) {
   broken_ = true;
+  reset_wanted_ = true;  // what the peer has not acknowledged must not reach it any more
   deadline_.Clear();
   if (socket_.is_open()) ReleaseSocket();
   owner_->OnBroken(std::move(status));
--- a/src/posthatch/asio/tcp_stream.h
+++ b/src/posthatch/asio/tcp_stream.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -74,6 +75,8 @@
   // Flushes at the end of this turn of the event loop, together with what is queued until then.
   void FlushSoon();
   size_t queued_bytes() const { return queued_bytes_; }
+  // Bytes handed to the network that the peer has not acknowledged; nothing if that can't be told.
+  std::optional<size_t> UnacknowledgedBytes();
   // Bytes handed to the network since the connection began.
   uint64_t written_bytes() const { return written_bytes_; }
 
@@ -81,7 +84,8 @@
   void ShutdownSend();
   // Ends the connection at once; the owner is forgotten.
   void Close();
-  // As Close, but the peer sees a reset and loses what it has not read yet.
+  // As Close, but the peer sees a reset and loses what it has not read yet. What still waits to be
+  // delivered, as behind a cut, never arrives.
   void Reset();
   bool open() const { return owner_ != nullptr; }
 
