A new leader goes on at once with workers that the former one has not ordered

Change: the inventory's entry of a worker says whether it was ordered within the handover time. A worker is ordered only once that mark is replicated, so the next leader sees all that the former one may have ordered, leaves just these alone, and orders the others without waiting. Gateways leave out older revisions 1.3 s before the deadline in place of 30% of it: one renewal of a session, within which each gateway in touch has heard of the revision. NewLeaderWaitsUntilTheFormerOnesOrdersAreOver asked for no order at all for 3 s; in its place NewLeaderLeavesAloneWhatTheFormerOneMayHaveOrdered asks the same of all workers that carry the mark, NewLeaderGoesOnAtOnceWithWorkersThatNobodyHasOrdered of the others, and NoWorkerIsOrderedBeforeItsMarkIsReplicated guards what the former two rest on.

--- a/src/posthatch/orders/rollout_coordinator-test.cc
+++ b/src/posthatch/orders/rollout_coordinator-test.cc
@@ -119,6 +119,7 @@
 
   // What the control state does with a reading; the platform's list lags and tells old revisions.
   void Publish() {
+    if (!publishing_) return;
     control::Inventory reading = fleet_.inventory();
     for (control::Backend& backend : *reading.mutable_backends()) backend.set_model_revision(1);
     coordinator_->Annotate(&reading);
@@ -143,6 +144,7 @@
   size_t most_loading_ = 0;
   int order_status_ = 202;
   bool may_order_ = true;
+  bool publishing_ = true;
 };
 
 TEST_F(RolloutCoordinatorTest, BringsAllWorkersOverAFewAtATimeWithOneOrderEach) {
@@ -164,15 +166,43 @@
   EXPECT_EQ(orders_.size(), 1U);
 }
 
-TEST_F(RolloutCoordinatorTest, NewLeaderWaitsUntilTheFormerOnesOrdersAreOver) {
+TEST_F(RolloutCoordinatorTest, NewLeaderLeavesAloneWhatTheFormerOneMayHaveOrdered) {
+  for (control::Backend& backend : *fleet_.mutable_inventory()->mutable_backends()) {
+    backend.set_recently_ordered(true);
+  }
   Name(2);
   coordinator_->OnLeadership(true, 7);
+  Publish();
   world_.RunFor(milliseconds(2900));
   EXPECT_TRUE(orders_.empty());
   world_.RunFor(seconds(1));
   EXPECT_FALSE(orders_.empty());
 }
 
+TEST_F(RolloutCoordinatorTest, NewLeaderGoesOnAtOnceWithWorkersThatNobodyHasOrdered) {
+  control::Backend* ordered = fleet_.mutable_inventory()->mutable_backends(0);
+  ordered->set_recently_ordered(true);
+  ordered->set_model_revision(2);
+  revisions_["w0"] = 2;
+  Name(2);
+  coordinator_->OnLeadership(true, 8);
+  world_.RunFor(milliseconds(2000));
+  EXPECT_GE(orders_.size(), 4U);
+  EXPECT_EQ(std::count(orders_.begin(), orders_.end(), "w0"), 0);
+}
+
+TEST_F(RolloutCoordinatorTest, NoWorkerIsOrderedBeforeItsMarkIsReplicated) {
+  publishing_ = false;
+  coordinator_->OnLeadership(true, 7);
+  Name(2);
+  world_.RunFor(seconds(5));
+  EXPECT_TRUE(orders_.empty());
+  publishing_ = true;
+  Publish();
+  world_.RunFor(seconds(1));
+  EXPECT_EQ(orders_.size(), 1U);
+}
+
 TEST_F(RolloutCoordinatorTest, WithoutAMajorityNothingIsOrdered) {
   coordinator_->OnLeadership(true, 7);
   world_.RunFor(seconds(4));
@@ -203,6 +233,7 @@
 
 TEST_F(RolloutCoordinatorTest, MarksOfTheFormerLeaderStandDuringTheHandover) {
   fleet_.mutable_inventory()->mutable_backends(2)->set_loading(true);
+  fleet_.mutable_inventory()->mutable_backends(2)->set_recently_ordered(true);
   coordinator_->OnLeadership(true, 8);
   Publish();
   EXPECT_TRUE(fleet_.inventory().backends(2).loading());
--- a/src/posthatch/orders/rollout_coordinator.cc
+++ b/src/posthatch/orders/rollout_coordinator.cc
@@ -26,11 +26,12 @@
   leading_ = is_leader;
   term_ = term;
   active_.clear();
+  ordered_at_.clear();
   revisions_.clear();
   proven_.clear();
   tick_timer_.Cancel();
   if (!is_leader) return;
-  may_order_from_ = runtime_->clock->Now() + options_.handover;
+  handover_until_ = runtime_->clock->Now() + options_.handover;
   tick_timer_.Start(kIdleTick, [this] { Tick(); });
 }
 
@@ -39,22 +40,39 @@
   for (const control::Backend& backend : parts_.fleet().inventory().backends()) {
     published[backend.id()] = &backend;
   }
-  // What the former leader has ordered goes on: its marks stand until this one may order.
-  const bool in_handover = runtime_->clock->Now() < may_order_from_;
+  // What the former leader has ordered goes on: its marks stand until this one may order there.
+  const bool in_handover = InHandover();
   for (control::Backend& backend : *inventory->mutable_backends()) {
     const auto known = published.find(backend.id());
     uint64_t revision = RevisionOf(backend);
-    bool inherited = false;
+    bool still_loading = false;
+    bool ordered_before = false;
     if (known != published.end()) {
-      inherited =
+      ordered_before = in_handover && known->second->recently_ordered();
+      still_loading =
           in_handover && known->second->loading() && revision <= known->second->model_revision();
       revision = std::max(revision, known->second->model_revision());
     }
     backend.set_model_revision(revision);
-    backend.set_loading(inherited || active_.contains(backend.id()));
+    backend.set_loading(still_loading || active_.contains(backend.id()));
+    backend.set_recently_ordered(ordered_before || RecentlyOrdered(backend.id()));
   }
 }
 
+bool RolloutCoordinator::RecentlyOrdered(const std::string& worker_id) const {
+  if (active_.contains(worker_id)) return true;
+  const auto ordered = ordered_at_.find(worker_id);
+  return ordered != ordered_at_.end() &&
+         runtime_->clock->Now() - ordered->second < options_.handover;
+}
+
+const control::Backend* RolloutCoordinator::Published(const std::string& worker_id) const {
+  for (const control::Backend& backend : parts_.fleet().inventory().backends()) {
+    if (backend.id() == worker_id) return &backend;
+  }
+  return nullptr;
+}
+
 uint64_t RolloutCoordinator::RevisionOf(const control::Backend& worker) const {
   const auto seen = revisions_.find(worker.id());
   const uint64_t reported = seen == revisions_.end() ? 0 : seen->second;
@@ -63,7 +81,7 @@
 
 void RolloutCoordinator::Tick() {
   tick_timer_.Start(active_.empty() ? kIdleTick : options_.tick, [this] { Tick(); });
-  if (!leading_ || runtime_->clock->Now() < may_order_from_ || !parts_.may_order()) return;
+  if (!leading_ || !parts_.may_order()) return;
   std::vector<std::string> ids;
   for (const auto& [worker_id, progress] : active_) ids.push_back(worker_id);
   for (const std::string& worker_id : ids) Advance(worker_id, &active_.at(worker_id));
@@ -93,7 +111,8 @@
   for (const control::Backend& backend : parts_.fleet().inventory().backends()) {
     if (backend.kind() != control::BACKEND_KIND_WORKER || backend.draining()) continue;
     ++workers[backend.model()];
-    if (active_.contains(backend.id())) {
+    const bool ordered_before = InHandover() && backend.recently_ordered();
+    if (active_.contains(backend.id()) || (ordered_before && backend.loading())) {
       ++under_way[backend.model()];
       continue;
     }
@@ -102,7 +121,7 @@
     if (revision >= target) {
       uint64_t& proven = proven_[backend.model()];
       proven = std::max(proven, revision);
-    } else if (revision > 0) {
+    } else if (revision > 0 && !ordered_before) {
       outdated.push_back(&backend);
     }
   }
@@ -121,18 +140,20 @@
 }
 
 void RolloutCoordinator::Advance(const std::string& worker_id, Progress* progress) {
-  const control::Inventory& inventory = parts_.fleet().inventory();
-  const bool listed =
-      std::any_of(inventory.backends().begin(), inventory.backends().end(),
-                  [&](const control::Backend& backend) { return backend.id() == worker_id; });
-  if (!listed) {
+  const control::Backend* published = Published(worker_id);
+  if (published == nullptr) {
     active_.erase(worker_id);
     return;
   }
   const runtime::MonotonicTime now = runtime_->clock->Now();
   switch (progress->stage) {
     case Stage::kNotice:
-      if (now - progress->since >= options_.notice) SendOrder(worker_id, progress);
+      // A new leader must be able to see that this one may have ordered the worker.
+      if (!published->loading() || !published->recently_ordered()) {
+        progress->since = now;
+      } else if (now - progress->since >= options_.notice) {
+        SendOrder(worker_id, progress);
+      }
       return;
     case Stage::kOrdering:
       return;  // the call's own time-out ends it
@@ -179,6 +200,7 @@
   LoadOrder order{worker_id, progress->model, progress->target, options_.holder, term_};
   progress->stage = Stage::kOrdering;
   progress->since = runtime_->clock->Now();
+  ordered_at_[worker_id] = progress->since;
   runtime_->trace->Event(runtime::Severity::kInfo, "LoadOrdered",
                          {{"worker", worker_id},
                           {"model", progress->model},
--- a/src/posthatch/orders/rollout_coordinator.h
+++ b/src/posthatch/orders/rollout_coordinator.h
@@ -14,7 +14,8 @@
 
 struct RolloutOptions {
   std::string holder;  // this machine's name in orders
-  // How long a new leader waits before its first order: the former one's orders are over by then.
+  // How long a new leader leaves alone the workers that the former one may have ordered: its orders
+  // are over by then. The others need no wait.
   runtime::Duration handover = std::chrono::seconds(3);
   // From the mark that keeps new requests away from a worker until it is ordered: the mark has
   // reached the gateways by then.
@@ -31,8 +32,10 @@
 
 // Brings workers to the newest model revisions, a few at a time: one worker first, and the others
 // only once it is seen to serve the new revision. Runs on the leading controller alone, whose term
-// is the fencing token of its orders. Holds nothing that must survive: a new leader sees in the
-// inventory how far the roll-out got. Owned by the controller process; event loop thread only.
+// is the fencing token of its orders. Holds nothing that must survive: a worker is ordered only
+// once its mark stands in the replicated inventory, so a new leader sees there how far the roll-out
+// got and which workers the former one may have ordered. Owned by the controller process; event
+// loop thread only.
 class RolloutCoordinator {
  public:
   struct Parts {
@@ -71,6 +74,10 @@
   void Tick();
   void StartWorkers();
   size_t Limit(const std::string& model, size_t workers) const;
+  bool InHandover() const { return runtime_->clock->Now() < handover_until_; }
+  bool RecentlyOrdered(const std::string& worker_id) const;
+  // The replicated inventory's entry of a worker; null if it has none.
+  const control::Backend* Published(const std::string& worker_id) const;
   void Advance(const std::string& worker_id, Progress* progress);
   void SendOrder(const std::string& worker_id, Progress* progress);
   void AskReport(const std::string& worker_id, Progress* progress);
@@ -86,9 +93,10 @@
   const Parts parts_;
   bool leading_ = false;
   uint64_t term_ = 0;
-  runtime::MonotonicTime may_order_from_;
+  runtime::MonotonicTime handover_until_;
   uint64_t last_call_ = 0;
   std::map<std::string, Progress> active_;
+  std::map<std::string, runtime::MonotonicTime> ordered_at_;  // by worker, its last order
   std::map<std::string, uint64_t> revisions_;  // by worker, as seen in reports
   std::map<std::string, uint64_t> proven_;     // by model: a worker serves this revision
   runtime::Timer tick_timer_;
--- a/src/posthatch/traffic/traffic_gateway-test.cc
+++ b/src/posthatch/traffic/traffic_gateway-test.cc
@@ -118,7 +118,7 @@
   view_.Changed();
   Send("stream");
   EXPECT_EQ(client_.calls.size(), 1U) << "until then workers serve on at the revision they have";
-  timers_.Advance(seconds(8));
+  timers_.Advance(milliseconds(8800));
   EXPECT_EQ(Send("stream")->whole.status, 503);
 }
 
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -18,9 +18,9 @@
 constexpr runtime::Duration kBusyPause = std::chrono::milliseconds(150);
 constexpr uint32_t kMaxBusyDoublings = 2;
 constexpr runtime::Duration kSlowMovePause = std::chrono::seconds(2);
-// Part of the time that a revision may take, after which older workers get nothing more: the rest
-// covers that this gateway heard of the order later than its sender was told.
-constexpr double kRevisionShare = 0.7;
+// So long before a revision must have reached all workers, older ones get nothing more: this
+// gateway heard of it later than its sender was told, by one renewal of its session at the most.
+constexpr runtime::Duration kRevisionMargin = std::chrono::milliseconds(1300);
 
 }  // namespace
 
@@ -162,10 +162,7 @@
   const auto target = targets_.find(worker.backend.model());
   if (target != targets_.end() && worker.revision < target->second.revision) {
     const runtime::Duration age = runtime_->clock->Now() - target->second.seen;
-    if (age > std::chrono::duration_cast<runtime::Duration>(options_.revision_deadline *
-                                                            kRevisionShare)) {
-      return false;
-    }
+    if (age > options_.revision_deadline - kRevisionMargin) return false;
   }
   if (!IsCold(worker)) return true;
   return limiter_->MaySend(worker.backend.id(), ColdStartOf(worker)->requests_per_second);
