Place prompts by what they do to running streams; save shared segments to the store

The read rate was the fading maximum of the measurements, so prompts that were kept though nobody knew raised it without bound. The store of kept KV cache was not used. Change: placing adds to a long read its interference with the streams at the worker, and gathers short prompts where streams run already; the read rate is the running median; prompts whose shared segments no holder is known to keep are fetched from the store and saved to it. A dead store holds up a worker's moves, so the collector of each zone polls the stores (StoreWatch) and tells the others beside the loads (LoadReport); a store that nobody hears from is not used.

--- a/src/posthatch/daemon/traffic_gateway_node.cc
+++ b/src/posthatch/daemon/traffic_gateway_node.cc
@@ -70,6 +70,7 @@
   options.inventory_endpoint = settings_.node.inventory_endpoint;
   options.inventory_format = formats.inventory;
   options.call_format = formats.calls;
+  options.cache_event_format = formats.cache_events;
   options.retry_budget_ratio = settings_.retry_budget_ratio;
   options.retry_budget_slack = settings_.retry_budget_slack;
   options.inventory_reads_per_second = settings_.inventory_reads_per_second;
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -45,6 +45,25 @@
   Schedule();
 }
 
+void LoadExchange::SetStore(const std::string& endpoint, bool alive) {
+  if (on_store_) on_store_(endpoint, alive);
+  const auto [known, is_new] = stores_.try_emplace(endpoint, alive);
+  if (!is_new && known->second == alive) return;
+  known->second = alive;
+  stores_changed_ = true;
+  Schedule();
+}
+
+void LoadExchange::AddStores(bool whole, LoadReport* report) {
+  if (!whole && !stores_changed_) return;
+  stores_changed_ = false;
+  for (const auto& [endpoint, alive] : stores_) {
+    StoreHealth* health = report->add_stores();
+    health->set_endpoint(endpoint);
+    health->set_alive(alive);
+  }
+}
+
 bool LoadExchange::IsRecent(const Source& source) const {
   return runtime_->clock->Now() - source.heard_at <= options_.forget_after;
 }
@@ -114,7 +133,8 @@
   LoadReport report;
   const bool whole = std::exchange(refresh_due_, false);
   AddChanges(own_, whole, &told_, &report);
-  if (whole || report.loads_size() > 0) SendTo(endpoints, report);
+  if (!UsesCollectors(peers)) AddStores(whole, &report);
+  if (whole || report.loads_size() + report.stores_size() > 0) SendTo(endpoints, report);
 }
 
 void LoadExchange::SendTo(const std::vector<std::string>& endpoints, const LoadReport& report) {
@@ -179,7 +199,8 @@
     LoadReport report;
     report.set_zone(zone);
     AddChanges(loads, whole, &told_zones_[zone], &report);
-    if (whole || report.loads_size() > 0) SendTo(endpoints, report);
+    if (zone == options_.zone) AddStores(whole, &report);
+    if (whole || report.loads_size() + report.stores_size() > 0) SendTo(endpoints, report);
   };
   tell(options_.zone, SumOfZone(), all);
   for (const auto& [zone, source] : zones_) {
@@ -208,6 +229,9 @@
   TrafficMessage message;
   if (!message.ParseFromString(envelope.payload()) || !message.has_load_report()) return;
   const LoadReport& report = message.load_report();
+  if (on_store_) {
+    for (const StoreHealth& store : report.stores()) on_store_(store.endpoint(), store.alive());
+  }
   Take(report, report.zone().empty() ? &gateways_[envelope.from_node()] : &zones_[report.zone()]);
 }
 
--- a/src/posthatch/traffic/load_exchange.h
+++ b/src/posthatch/traffic/load_exchange.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -65,6 +67,14 @@
   // What the other gateways have under way there.
   Load OfOthers(const std::string& worker_id) const;
 
+  // Whether this gateway is its zone's collector, in fleets of any size.
+  bool IsCollector() const { return CollectorOf(options_.zone, peers_()).empty(); }
+  // As a collector: a store was found to answer or not. Told at once when that changes.
+  void SetStore(const std::string& endpoint, bool alive);
+  // Called with what collectors tell of stores, this one included.
+  using StoreObserver = std::function<void(const std::string& endpoint, bool alive)>;
+  void OnStore(StoreObserver observer) { on_store_ = std::move(observer); }
+
  private:
   using Loads = absl::flat_hash_map<std::string, Load>;  // by worker
 
@@ -92,6 +102,8 @@
   // Endpoint of a zone's collector; empty if it is this gateway, or there is none.
   std::string CollectorOf(const std::string& zone, const std::vector<LoadPeer>& peers) const;
   void Collect();
+  // Adds what is known of stores, if that has changed or all is told.
+  void AddStores(bool whole, LoadReport* report);
   Loads SumOfZone() const;
 
   runtime::Runtime* const runtime_;
@@ -102,6 +114,9 @@
   absl::flat_hash_map<std::string, Source> zones_;      // by zone, as collectors told
   Loads told_;                                          // of own_
   absl::flat_hash_map<std::string, Loads> told_zones_;  // as a collector, by zone
+  std::map<std::string, bool> stores_;  // watched by this collector: whether they answer
+  bool stores_changed_ = false;
+  StoreObserver on_store_;
   bool refresh_due_ = false;
   bool collector_refresh_due_ = false;
   uint64_t last_report_ = 0;
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -18,17 +18,30 @@
 constexpr std::array<double, kRankedCandidates> kKeptLikelihood = {0.6, 0.2, 0.05};
 // A worker in another zone must be this much sooner: bytes between zones cost.
 constexpr double kOtherZonePenaltyMs = 8;
-// Each request in flight there slows the others' tokens a little.
-constexpr double kInFlightPenaltyMs = 1.5;
+// Reading a prompt holds up the streams that run at the same worker: each of them gets one token in
+// the time of a whole read step. Weighed as this share of the reading time per stream; a prompt of
+// a step or two is not felt.
+constexpr double kInterferenceShare = 0.35;
+constexpr uint64_t kTokensNotFelt = 4096;
+// Short prompts are gathered where streams run already, which costs those next to nothing and
+// leaves other workers free for long reads. The saving per stream there, and for how many.
+constexpr double kGatheringMs = 4;
+constexpr uint32_t kMostGathered = 12;
 constexpr double kFetchOverheadMs = 4;
+// How likely the store keeps shared segments that the index knows no holder of.
+constexpr double kStoreLikelihood = 0.6;
 constexpr uint64_t kLeastTokensToFetch = 512;
+constexpr uint64_t kLeastTokensToSave = 1024;
 constexpr double kBitsPerByte = 8;
 constexpr double kKilobitsPerMegabit = 1000;
-// Reading rates: a measurement below the known rate contains waiting.
+// Bounds of reading rates.
 constexpr double kLeastRate = 5;
 constexpr double kMostRate = 400;
-constexpr double kRateFade = 0.998;
-constexpr uint64_t kLeastTokensToMeasure = 1500;
+constexpr uint64_t kLeastTokensToMeasure = 3000;
+// Steps of the running median: large ones at first.
+constexpr double kFirstRateStep = 1.1;
+constexpr double kRateStep = 1.02;
+constexpr uint32_t kFirstMeasurements = 20;
 
 uint64_t RankOf(uint64_t affinity, const std::string& worker_id) {
   return XXH3_64bits_withSeed(worker_id.data(), worker_id.size(), affinity);
@@ -49,7 +62,9 @@
   const double milliseconds = runtime::ToMilliseconds(elapsed);
   if (tokens < kLeastTokensToMeasure || milliseconds <= 0) return;
   const double measured = static_cast<double>(tokens) / milliseconds;
-  rate_ = std::clamp(std::max(measured, rate_ * kRateFade), kLeastRate, kMostRate);
+  const double step = measurements_ < kFirstMeasurements ? kFirstRateStep : kRateStep;
+  ++measurements_;
+  rate_ = std::clamp(measured > rate_ ? rate_ * step : rate_ / step, kLeastRate, kMostRate);
 }
 
 Placement Placer::Choose(const PlacementQuery& query) {
@@ -158,13 +173,47 @@
       placement->fetch_endpoint = source->backend.endpoint();
     }
   }
+  const bool store_may_help = query.store != nullptr && pool_->MayMove(worker) &&
+                              query.prompt->shared_tokens >= kLeastTokensToFetch &&
+                              candidate.kept_tokens == 0 && !SharedIsKept(query);
+  if (store_may_help) {
+    const double with_store = MillisecondsWithStore(query, worker);
+    if (with_store < reading) {
+      reading = with_store;
+      placement->fetch_tokens = 0;
+      placement->fetch_endpoint = query.store->endpoint;
+    }
+  }
   const double zone = worker.backend.zone() == zone_ ? 0 : kOtherZonePenaltyMs;
   const double likely_saving = read_rate_.MillisecondsFor(
       candidate.expected_tokens - std::min(candidate.expected_tokens, candidate.kept_tokens));
   const Load load = pool_->TotalLoad(worker);
-  placement->expected_ms = read_rate_.MillisecondsFor(load.pending_tokens) + reading +
-                           kInFlightPenaltyMs * load.in_flight;
-  return placement->expected_ms + pool_->ExpectedWait(worker) + zone - likely_saving;
+  placement->expected_ms = read_rate_.MillisecondsFor(load.pending_tokens) + reading;
+  return placement->expected_ms + pool_->ExpectedWait(worker) + zone - likely_saving +
+         InterferenceMs(load, placement->missing_tokens - placement->fetch_tokens);
+}
+
+bool Placer::SharedIsKept(const PlacementQuery& query) {
+  return std::any_of(query.holders.begin(), query.holders.end(), [&](const auto& holder) {
+    return query.prompt->TokensOf(holder.blocks) >= query.prompt->shared_tokens;
+  });
+}
+
+double Placer::MillisecondsWithStore(const PlacementQuery& query, const Worker& worker) const {
+  const uint64_t total = query.prompt->total_tokens();
+  const uint64_t shared = query.prompt->shared_tokens;
+  const bool same_zone = query.store->zone == worker.backend.zone();
+  const double found = FetchMilliseconds(query.service->engine(), shared, same_zone) +
+                       read_rate_.MillisecondsFor(total - shared);
+  return kStoreLikelihood * found +
+         (1 - kStoreLikelihood) * (kFetchOverheadMs + read_rate_.MillisecondsFor(total));
+}
+
+double Placer::InterferenceMs(const Load& load, uint64_t read_tokens) const {
+  if (read_tokens <= kTokensNotFelt) {
+    return -kGatheringMs * std::min(load.in_flight, kMostGathered);
+  }
+  return kInterferenceShare * read_rate_.MillisecondsFor(read_tokens) * load.in_flight;
 }
 
 void Placer::GuessSource(const PlacementQuery& query, const std::vector<WorkerPointer>& usable,
@@ -197,6 +246,10 @@
     best_cost = cost;
   }
   GuessSource(query, usable, &best);
+  const bool worth_saving = query.prompt->shared_tokens >= kLeastTokensToSave;
+  if (query.store != nullptr && worth_saving && !SharedIsKept(query)) {
+    best.save_endpoint = query.store->endpoint;
+  }
   return best;
 }
 
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -7,6 +7,7 @@
 #include "posthatch/control/control.pb.h"
 #include "posthatch/index/prefix_locator.h"
 #include "posthatch/runtime/runtime.h"
+#include "posthatch/traffic/prompt_stores.h"
 #include "posthatch/traffic/worker_pool.h"
 
 namespace posthatch::traffic {
@@ -29,6 +30,8 @@
   std::vector<index::PrefixHolder> holders;
   // Workers that this call has failed at; chosen again only when nothing else is left.
   const std::vector<std::string>* tried = nullptr;
+  // Where its segments are saved and may be fetched from; null: nowhere.
+  const StoreEntry* store = nullptr;
 };
 
 struct Placement {
@@ -36,10 +39,12 @@
   uint64_t missing_tokens = 0;  // of the prompt, believed not to be kept there
   uint64_t fetch_tokens = 0;    // of those, kept at `fetch_endpoint`
   std::string fetch_endpoint;   // empty: nothing is fetched
+  std::string save_endpoint;    // of the store that is to keep it too; empty: none
   double expected_ms = 0;       // to the first event, by load and reading alone
 };
 
-// Measures how fast workers read prompts, in tokens a millisecond.
+// Measures how fast workers read prompts, in tokens a millisecond: the running median, since some
+// measurements contain waiting, and others prompts that were kept though nobody knew.
 class ReadRate {
  public:
   double tokens_per_ms() const { return rate_; }
@@ -49,6 +54,7 @@
 
  private:
   double rate_ = 30;
+  uint32_t measurements_ = 0;
 };
 
 // Chooses the worker for a call by the expected time to its first event: measured wait, tokens that
@@ -80,12 +86,19 @@
   // gateways rank first among those of the same revision. A miss there costs next to nothing.
   void GuessSource(const PlacementQuery& query, const std::vector<WorkerPointer>& usable,
                    Placement* placement) const;
+  // Milliseconds until the prompt is read if the store is asked for its shared segments, which it
+  // may or may not keep.
+  double MillisecondsWithStore(const PlacementQuery& query, const Worker& worker) const;
   // Fills in what is missing at the candidate and where to fetch from; returns the expected
   // milliseconds to the first event.
   double Estimate(const PlacementQuery& query, const Candidate& candidate,
                   const std::vector<WorkerPointer>& usable, Placement* placement) const;
+  // What reading `read_tokens` costs the streams that run there, or what gathering saves.
+  double InterferenceMs(const Load& load, uint64_t read_tokens) const;
   double FetchMilliseconds(const control::WorkerEngine& engine, uint64_t tokens,
                            bool same_zone) const;
+  // Whether some holder keeps all shared segments, as far as the index knows.
+  static bool SharedIsKept(const PlacementQuery& query);
 
   runtime::Runtime* const runtime_;
   const std::string zone_;
--- /dev/null
+++ b/src/posthatch/traffic/store_watch.cc
@@ -0,0 +1,70 @@
+#include "posthatch/traffic/store_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace posthatch::traffic {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr size_t kMaxBodyBytes = size_t{4} << 20;
+// While this gateway watches nothing.
+constexpr runtime::Duration kIdleTick = std::chrono::milliseconds(500);
+
+}  // namespace
+
+StoreWatch::StoreWatch(runtime::Runtime* runtime, StoreWatchOptions options, Parts parts)
+    : runtime_(runtime), options_(options), parts_(std::move(parts)), timer_(runtime->timers) {}
+
+void StoreWatch::Tick() {
+  const std::vector<std::string> stores = parts_.stores();
+  const bool watches = !stores.empty() && parts_.is_responsible();
+  timer_.Start(watches ? options_.interval : kIdleTick, [this] { Tick(); });
+  std::erase_if(polls_, [&](const auto& entry) {
+    return !watches || std::find(stores.begin(), stores.end(), entry.first) == stores.end();
+  });
+  if (!watches) return;
+  for (const std::string& endpoint : stores) {
+    Poll& poll = polls_[endpoint];
+    if (!poll.running) Ask(endpoint, &poll);
+  }
+}
+
+void StoreWatch::Ask(const std::string& endpoint, Poll* poll) {
+  poll->running = true;
+  poll->status = 0;
+  poll->body.clear();
+  http::CallOptions options;
+  options.connect_timeout = options_.answer_timeout;
+  options.head_timeout = options_.wait + options_.answer_timeout;
+  options.piece_timeout = options_.answer_timeout;
+  options.max_body_bytes = kMaxBodyBytes;
+  http::CallObserver observer;
+  observer.on_head = [poll](const http::Response& head) { poll->status = head.status; };
+  observer.on_piece = [poll](const std::string& piece) { poll->body.append(piece); };
+  observer.on_end = [this, endpoint] { OnAnswer(endpoint); };
+  observer.on_error = [this, endpoint](const http::CallError&) { OnFailure(endpoint); };
+  poll->call = runtime_->http_client->Start(
+      endpoint, options_.format->PollRequest(poll->epoch, poll->after, options_.wait), options,
+      std::move(observer));
+}
+
+void StoreWatch::OnAnswer(const std::string& endpoint) {
+  Poll& poll = polls_.at(endpoint);
+  poll.running = false;
+  if (poll.status == kStatusOk) {
+    const absl::StatusOr<index::KvEventBatch> batch = options_.format->ReadBatch(poll.body);
+    if (batch.ok()) {
+      poll.epoch = batch->epoch;
+      poll.after = batch->next;
+    }
+  }
+  parts_.report(endpoint, true);
+}
+
+void StoreWatch::OnFailure(const std::string& endpoint) {
+  polls_.at(endpoint).running = false;
+  parts_.report(endpoint, false);
+}
+
+}  // namespace posthatch::traffic
--- a/src/posthatch/traffic/traffic_context.h
+++ b/src/posthatch/traffic/traffic_context.h
@@ -10,6 +10,7 @@
 #include "posthatch/runtime/runtime.h"
 #include "posthatch/traffic/call_format.h"
 #include "posthatch/traffic/placement.h"
+#include "posthatch/traffic/prompt_stores.h"
 #include "posthatch/traffic/retry_budget.h"
 #include "posthatch/traffic/traffic_metrics.h"
 #include "posthatch/traffic/worker_pool.h"
@@ -24,6 +25,7 @@
   const CallFormat* format = nullptr;
   WorkerPool* pool = nullptr;
   Placer* placer = nullptr;
+  PromptStores* stores = nullptr;
   RetryBudget* retry_budget = nullptr;
   TrafficMetrics* metrics = nullptr;
   const gateway::FleetLookup* lookup = nullptr;
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -31,6 +31,8 @@
       loads_(runtime, {.zone = options_.zone}, options_.peers),
       pool_(runtime, {.revision_deadline = options_.revision_deadline}, &cold_starts_, &loads_),
       placer_(runtime, options_.zone, &pool_),
+      stores_(runtime),
+      store_watch_(runtime, {.format = options_.cache_event_format}, StoreWatchParts()),
       retry_budget_(runtime->clock, BudgetOptions()),
       inventory_(runtime, WatchOptions(), view),
       sweep_timer_(runtime->timers),
@@ -39,6 +41,7 @@
   context_.format = options_.call_format;
   context_.pool = &pool_;
   context_.placer = &placer_;
+  context_.stores = &stores_;
   context_.retry_budget = &retry_budget_;
   context_.metrics = &metrics_;
   context_.lookup = &lookup_;
@@ -67,6 +70,16 @@
   return options;
 }
 
+StoreWatch::Parts TrafficGateway::StoreWatchParts() {
+  StoreWatch::Parts parts;
+  parts.stores = [this] { return stores_.Endpoints(); };
+  parts.is_responsible = [this] { return loads_.IsCollector(); };
+  parts.report = [this](const std::string& endpoint, bool alive) {
+    loads_.SetStore(endpoint, alive);
+  };
+  return parts;
+}
+
 RetryBudgetOptions TrafficGateway::BudgetOptions() {
   RetryBudgetOptions options;
   options.ratio = options_.retry_budget_ratio;
@@ -83,6 +96,10 @@
   OnStateChanged();
   UpdatePool();
   inventory_.Start();
+  loads_.OnStore([this](const std::string& endpoint, bool alive) {
+    stores_.OnHealth(endpoint, alive);
+  });
+  store_watch_.Start();
 }
 
 void TrafficGateway::OnStateChanged() {
@@ -101,6 +118,7 @@
     traffic_index_ = state.traffic_index();
     configuration_ = std::make_shared<const control::TrafficConfiguration>(state.traffic());
     routes_.Rebuild(*configuration_);
+    stores_.Rebuild(*configuration_);
     runtime_->trace->Event(runtime::Severity::kInfo, "TrafficInForce",
                            {{"version", configuration_->version()}, {"index", traffic_index_}});
   }
--- a/src/posthatch/traffic/traffic_gateway.h
+++ b/src/posthatch/traffic/traffic_gateway.h
@@ -11,6 +11,7 @@
 #include "posthatch/control/inventory_watch.h"
 #include "posthatch/gateway/live_gateway_count.h"
 #include "posthatch/traffic/route_table.h"
+#include "posthatch/traffic/store_watch.h"
 #include "posthatch/traffic/traffic_context.h"
 #include "posthatch/traffic/traffic_request.h"
 
@@ -27,6 +28,7 @@
   double inventory_reads_per_second = 4;
   runtime::Duration revision_deadline = std::chrono::seconds(12);
   // Requests in flight; further ones are refused at once.
+  const index::KvEventFormat* cache_event_format = index::NativeKvEventFormat();
   size_t max_concurrent_requests = 4096;
   // Ids of the live gateways of the fleet, with this one; asked often.
   std::function<std::vector<std::string>()> gateways;
@@ -55,6 +57,7 @@
 
  private:
   control::InventoryWatchOptions WatchOptions();
+  StoreWatch::Parts StoreWatchParts();
   RetryBudgetOptions BudgetOptions();
   void OnStateChanged();
   // Whether a section has changed since the last time, as `indices_` knows it.
@@ -77,6 +80,8 @@
   LoadExchange loads_;
   WorkerPool pool_;
   Placer placer_;
+  PromptStores stores_;
+  StoreWatch store_watch_;
   RetryBudget retry_budget_;
   gateway::FleetLookup lookup_;
   control::InventoryWatch inventory_;
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -27,6 +27,8 @@
 // A first event that comes so much later than expected, after a move of kept segments, means that
 // moves are slow there.
 constexpr double kSlowMoveExcessMs = 800;
+// A first event that comes so much later, after a fetch from a store, counts against the store.
+constexpr double kLateFetchMs = 250;
 constexpr int kFirstServerError = 500;
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusMisdirected = 421;
@@ -123,6 +125,7 @@
   query.tried = &tried_;
   if (IsPrompt()) {
     query.prompt = &shape_;
+    query.store = context_->stores->For(shape_.affinity);
     query.holders = LocatePrefix();
   }
   Placement placement = context_->placer->Choose(query);
@@ -154,6 +157,7 @@
   fields.cache_salt = index::CacheSalt(
       context_->lookup->SeedFor(admitted_.call.model, revision_, admitted_.tenant));
   fields.fetch_endpoint = placement.fetch_endpoint;
+  fields.save_endpoint = placement.save_endpoint;
   return fields;
 }
 
@@ -217,6 +221,7 @@
 }
 
 void TrafficRequest::TraceDispatch(const DispatchFields& fields) {
+  const Load load = context_->pool->TotalLoad(*worker_);
   context_->runtime->trace->Event(runtime::Severity::kDebug, "CallDispatched",
                                   {{"request_id", admitted_.call.request_id},
                                    {"route", admitted_.route.name()},
@@ -225,7 +230,12 @@
                                    {"revision", revision_},
                                    {"tokens", shape_.total_tokens()},
                                    {"missing_tokens", placement_.missing_tokens},
-                                   {"fetch_tokens", placement_.fetch_tokens}});
+                                   {"fetch_tokens", placement_.fetch_tokens},
+                                   {"fetch_endpoint", fields.fetch_endpoint},
+                                   {"expected_ms", placement_.expected_ms},
+                                   {"in_flight", load.in_flight},
+                                   {"pending_tokens", load.pending_tokens},
+                                   {"read_rate", context_->placer->read_rate()->tokens_per_ms()}});
 }
 
 void TrafficRequest::OnHead(const http::Response& head) {
@@ -277,6 +287,12 @@
   if (!placement_.fetch_endpoint.empty() && excess_ms > kSlowMoveExcessMs) {
     context_->pool->OnSlowMove(worker_.get(), placement_.fetch_endpoint);
   }
+  context_->stores->OnFetched(placement_.fetch_endpoint, excess_ms > kLateFetchMs);
+  context_->runtime->trace->Event(runtime::Severity::kDebug, "FirstEvent",
+                                  {{"request_id", admitted_.call.request_id},
+                                   {"worker", worker_->backend.id()},
+                                   {"elapsed_ms", runtime::ToMilliseconds(elapsed)},
+                                   {"expected_ms", placement_.expected_ms}});
   if (placement_.fetch_endpoint.empty()) rate->Record(read, elapsed);
   if (revision_ != seed_.model_revision) return;
   channels::ObjectVersion version;
