Removals of the index travel in batches as stored blocks do

Cause: each removed block was told to every other gateway at once, in a message of its own. Change: removals wait for the batch (50 ms at 8 gateways, longer in proportion); a block that is stored again meanwhile leaves the removed ones, since receivers apply what is stored first. A stale entry costs a worse placing for that time, never a wrong answer: salts fence it. Tests: IndexUpdateTest.RemovalsTravelTogether, BlockThatIsStoredAgainAfterItsRemovalStays, BlockThatIsRemovedRightAfterItWasStoredIsGone. Tests that took a removal from the wire at once now let the batch period pass first; what they check is as before.

--- a/src/posthatch/index/index_update-test.cc
+++ b/src/posthatch/index/index_update-test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <numeric>
+
 #include "posthatch/index/fake_parts-test.h"
 #include "posthatch/index/index_update_publisher.h"
 #include "posthatch/index/index_update_receiver.h"
@@ -26,6 +28,10 @@
     publisher_.Stored("w", extent);
     fakes_.timers.Advance(milliseconds(60));
   }
+  void Remove(const std::vector<BlockHash>& blocks) {
+    publisher_.Removed("w", blocks);
+    fakes_.timers.Advance(milliseconds(60));
+  }
   std::vector<IndexUpdate> TakeSent() {
     std::vector<IndexUpdate> updates;
     for (const auto& sent : fakes_.transport.sent) {
@@ -58,11 +64,37 @@
   Store({1, 2, 3});
   for (const IndexUpdate& update : TakeSent()) Receive(update);
   EXPECT_EQ(locator_.Locate(seed_, {1, 2, 3}).at(0).blocks, 3u);
-  publisher_.Removed("w", {3});
+  Remove({3});
   for (const IndexUpdate& update : TakeSent()) Receive(update);
   EXPECT_EQ(locator_.Locate(seed_, {1, 2, 3}).at(0).blocks, 2u);
 }
 
+TEST_F(IndexUpdateTest, BlockThatIsStoredAgainAfterItsRemovalStays) {
+  Store({1, 2});
+  publisher_.Removed("w", {1, 2});
+  Store({1});
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  EXPECT_EQ(blocks(), 1u);
+}
+
+TEST_F(IndexUpdateTest, BlockThatIsRemovedRightAfterItWasStoredIsGone) {
+  Extent extent = MakeExtent("w", MakeVersion(100, 0), seed_);
+  extent.set_block_hashes(PackBlocks({1, 2}));
+  publisher_.Stored("w", extent);
+  Remove({2});
+  const auto updates = TakeSent();
+  EXPECT_EQ(updates.size(), 1u);
+  for (const IndexUpdate& update : updates) Receive(update);
+  EXPECT_EQ(blocks(), 1u);
+}
+
+// One message to each gateway for each removal was most of what a gateway of 77 spent.
+TEST_F(IndexUpdateTest, RemovalsTravelTogether) {
+  for (BlockHash block = 1; block <= 30; ++block) publisher_.Removed("w", {block});
+  fakes_.timers.Advance(milliseconds(60));
+  EXPECT_EQ(TakeSent().size(), 1u);
+}
+
 TEST_F(IndexUpdateTest, MissingUpdateDropsWhatIsKnownOfTheHolder) {
   locator_.RecordDispatch(seed_, {7, 8}, "w", 100);  // its own dispatch may be removed as well
   Store({1});
@@ -81,7 +113,7 @@
 TEST_F(IndexUpdateTest, DoubledUpdateIsAppliedOnce) {
   Store({1});
   const auto stored = TakeSent();
-  publisher_.Removed("w", {1});
+  Remove({1});
   const auto removed = TakeSent();
   Receive(stored[0]);
   Receive(removed[0]);
@@ -120,10 +152,12 @@
   Store(std::vector<BlockHash>(200, 6));
   EXPECT_EQ(TakeSent().size(), 1u);
   EXPECT_GT(publisher_.stats().stored_blocks_dropped, 0u);
-  publisher_.Removed("w", std::vector<BlockHash>(200, 5));
+  std::vector<BlockHash> many(200);
+  std::iota(many.begin(), many.end(), 1);
+  Remove(many);
   EXPECT_EQ(publisher_.stats().updates_skipped, 1u);
   fakes_.timers.Advance(std::chrono::seconds(3));
-  publisher_.Removed("w", {9});
+  Remove({9});
   const auto next = TakeSent();
   ASSERT_EQ(next.size(), 1u);
   EXPECT_EQ(next[0].update(), 3u) << "2 is missing: the receivers see a gap";
--- a/src/posthatch/index/index_update_publisher.cc
+++ b/src/posthatch/index/index_update_publisher.cc
@@ -62,16 +62,20 @@
 void IndexUpdatePublisher::Stored(const std::string& holder, const Extent& extent) {
   const auto found = holders_.find(holder);
   if (found == holders_.end()) return;
-  *found->second.waiting.add_stored() = extent;
+  Holder& waiting = found->second;
+  std::vector<BlockHash> blocks;
+  if (!waiting.removed.empty() && UnpackBlocks(extent.block_hashes(), &blocks)) {
+    for (const BlockHash block : blocks) waiting.removed.erase(block);
+  }
+  *waiting.waiting.add_stored() = extent;
   StartBatch();
 }
 
 void IndexUpdatePublisher::Removed(const std::string& holder, absl::Span<const BlockHash> blocks) {
   const auto found = holders_.find(holder);
   if (found == holders_.end()) return;
-  found->second.waiting.mutable_removed()->append(PackBlocks(blocks));
-  // Stored before removed in one update; what is stored again later goes into the next one.
-  Flush();
+  found->second.removed.insert(blocks.begin(), blocks.end());
+  StartBatch();
 }
 
 void IndexUpdatePublisher::StartBatch() {
@@ -94,14 +98,14 @@
   Refill();
   const std::vector<std::string> endpoints = gateways_();
   for (auto& [name, holder] : holders_) {
-    if (holder.waiting.stored_size() > 0 || !holder.waiting.removed().empty()) {
-      FlushHolder(&holder, endpoints);
-    }
+    if (holder.HasNews()) FlushHolder(&holder, endpoints);
   }
 }
 
 void IndexUpdatePublisher::FlushHolder(Holder* holder, const std::vector<std::string>& endpoints) {
   IndexUpdate& update = holder->waiting;
+  update.set_removed(PackBlocks(std::vector(holder->removed.begin(), holder->removed.end())));
+  holder->removed.clear();
   if (static_cast<double>(update.ByteSizeLong()) > allowance_) {
     for (const Extent& extent : update.stored()) {
       stats_.stored_blocks_dropped += extent.block_hashes().size() / sizeof(BlockHash);
--- a/src/posthatch/index/index_update_publisher.h
+++ b/src/posthatch/index/index_update_publisher.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "absl/types/span.h"
 #include "posthatch/channels/channels.pb.h"
 #include "posthatch/index/block_hash.h"
@@ -62,7 +63,12 @@
  private:
   struct Holder {
     uint64_t last_update = 0;
-    IndexUpdate waiting;
+    IndexUpdate waiting;  // without the removed blocks
+    // Receivers apply what is stored before what is removed: a block that is stored again after its
+    // removal leaves this set. Ordered, so that messages don't depend on hashing.
+    absl::btree_set<BlockHash> removed;
+
+    bool HasNews() const { return waiting.stored_size() > 0 || !removed.empty(); }
   };
 
   void StartBatch();
