Waiting prompts are told within milliseconds; gateways of a zone tell each other directly

Reports took a hop to the collector of the zone and up to 100 ms there, and told every change alike. Change: a change of 2,500 waiting tokens or more is told within 10 ms, others within 150 ms; gateways of a zone of up to 32 tell each other directly, other zones hear of it by way of collectors as before, and placing prefers workers of its own zone the more where that is so. Larger zones keep the collector. Also: a worker that may not get new work may still be a source of kept segments; a source is guessed only if shared segments are missing, not if the prompt's own part is long; the store is asked for what a worker lacks also if it keeps the first segments. Tests: LoadExchangeTest, which asked that any change be known within 60 ms, asks it of waiting prompts (50 ms) and 250 ms of the others; new ones for zones, large zones and stores' health.

--- a/src/posthatch/traffic/load_exchange-test.cc
+++ b/src/posthatch/traffic/load_exchange-test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,33 +58,84 @@
     }
   }
 
+  void ExpectOthersSee(uint32_t load, size_t except) {
+    for (size_t i = 0; i < exchanges_.size(); ++i) {
+      if (i == except) continue;
+      EXPECT_EQ(OthersAt(i), load) << hosts_[i]->name();
+    }
+  }
+
   simulation::SimWorld world_{11};
   std::vector<simulation::SimHost*> hosts_;
   std::vector<std::weak_ptr<LoadExchange>> exchanges_;
 };
 
-TEST_F(LoadExchangeTest, InASmallFleetEachKnowsTheOthersWithinTensOfMilliseconds) {
+TEST_F(LoadExchangeTest, InASmallFleetEachKnowsOfWaitingPromptsWithinTensOfMilliseconds) {
   StartFleet(8);
   world_.RunFor(seconds(1));
-  for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {2, 100});
-  world_.RunFor(milliseconds(60));
+  for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {2, 5000});
+  world_.RunFor(milliseconds(50));
   ExpectEachSees(16, 2);
   for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {});
-  world_.RunFor(milliseconds(60));
+  world_.RunFor(milliseconds(50));
   ExpectEachSees(0, 0);
 }
 
-TEST_F(LoadExchangeTest, InALargeFleetTheSumsComeByWayOfTheZones) {
+TEST_F(LoadExchangeTest, WhatHoldsNobodyUpIsToldLater) {
+  StartFleet(8);
+  world_.RunFor(milliseconds(1500));
+  for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {2, 100});
+  world_.RunFor(milliseconds(50));
+  ExpectEachSees(2, 2);
+  world_.RunFor(milliseconds(200));
+  ExpectEachSees(16, 2);
+}
+
+TEST_F(LoadExchangeTest, InALargeFleetTheZoneKnowsAtOnceAndTheOthersByWayOfTheCollectors) {
   StartFleet(40);
   world_.RunFor(seconds(3));
-  for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {2, 100});
+  exchanges_[3].lock()->Set("w", {2, 5000});  // zone a
+  world_.RunFor(milliseconds(50));
+  EXPECT_EQ(OthersAt(6), 2U);
+  EXPECT_FALSE(exchanges_[6].lock()->IsCollector());
+  world_.RunFor(milliseconds(400));
+  ExpectOthersSee(2, 3);
+  exchanges_[3].lock()->Set("w", {});
   world_.RunFor(milliseconds(500));
-  ExpectEachSees(80, 2);
+  ExpectOthersSee(0, 3);
+}
+
+TEST_F(LoadExchangeTest, InALargeZoneTheSumsComeByWayOfItsCollector) {
+  StartFleet(120);
+  world_.RunFor(seconds(3));
+  for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {2, 5000});
+  world_.RunFor(milliseconds(600));
+  ExpectEachSees(240, 2);
   for (const auto& exchange : exchanges_) exchange.lock()->Set("w", {});
-  world_.RunFor(milliseconds(500));
+  world_.RunFor(milliseconds(600));
   ExpectEachSees(0, 0);
 }
 
+TEST_F(LoadExchangeTest, CollectorsFindingsOfAStoreReachEveryGatewayAndEndWithIt) {
+  StartFleet(40);
+  std::vector<int> alive(40, -1);
+  for (size_t i = 0; i < exchanges_.size(); ++i) {
+    exchanges_[i].lock()->OnStore(
+        [&alive, i](const std::string&, bool answers) { alive[i] = answers ? 1 : 0; });
+  }
+  world_.RunFor(seconds(3));
+  for (const auto& exchange : exchanges_) {
+    if (exchange.lock()->IsCollector()) exchange.lock()->SetStore("store:1", true);
+  }
+  world_.RunFor(milliseconds(300));
+  EXPECT_EQ(alive, std::vector<int>(40, 1));
+  std::fill(alive.begin(), alive.end(), -1);
+  world_.RunFor(seconds(4));  // nobody watches it any more
+  std::fill(alive.begin(), alive.end(), -1);
+  world_.RunFor(seconds(3));
+  EXPECT_EQ(alive, std::vector<int>(40, -1));
+}
+
 TEST_F(LoadExchangeTest, KilledCollectorIsReplacedAndTheDeadAreForgotten) {
   StartFleet(30);
   world_.RunFor(seconds(3));
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -9,6 +9,8 @@
 
 // Room for the envelope beside the payload of a datagram.
 constexpr size_t kEnvelopeBytes = 200;
+// What was found of a store is told for so long.
+constexpr runtime::Duration kStoreSeenWithin = std::chrono::milliseconds(1200);
 
 void Add(const Load& load, Load* sum) {
   sum->in_flight += load.in_flight;
@@ -42,25 +44,33 @@
   Load& known = own_[worker_id];
   if (known == load) return;
   known = load;
-  Schedule();
+  const auto told = told_.find(worker_id);
+  const uint64_t told_tokens = told == told_.end() ? 0 : told->second.pending_tokens;
+  const uint64_t difference = load.pending_tokens > told_tokens
+                                  ? load.pending_tokens - told_tokens
+                                  : told_tokens - load.pending_tokens;
+  Schedule(difference >= options_.urgent_tokens);
 }
 
 void LoadExchange::SetStore(const std::string& endpoint, bool alive) {
   if (on_store_) on_store_(endpoint, alive);
-  const auto [known, is_new] = stores_.try_emplace(endpoint, alive);
-  if (!is_new && known->second == alive) return;
-  known->second = alive;
+  const auto [known, is_new] = stores_.try_emplace(endpoint);
+  known->second.seen = runtime_->clock->Now();
+  if (!is_new && known->second.alive == alive) return;
+  known->second.alive = alive;
   stores_changed_ = true;
-  Schedule();
+  Schedule(/*urgent=*/true);
 }
 
 void LoadExchange::AddStores(bool whole, LoadReport* report) {
   if (!whole && !stores_changed_) return;
   stores_changed_ = false;
-  for (const auto& [endpoint, alive] : stores_) {
+  for (const auto& [endpoint, store] : stores_) {
+    // It may not be this gateway's to watch any more.
+    if (runtime_->clock->Now() - store.seen > kStoreSeenWithin) continue;
     StoreHealth* health = report->add_stores();
     health->set_endpoint(endpoint);
-    health->set_alive(alive);
+    health->set_alive(store.alive);
   }
 }
 
@@ -87,8 +97,10 @@
   return sum;
 }
 
-void LoadExchange::Schedule() {
-  if (!send_timer_.running()) send_timer_.Start(options_.period, [this] { Send(); });
+void LoadExchange::Schedule(bool urgent) {
+  if (send_timer_.running() && (send_is_urgent_ || !urgent)) return;
+  send_is_urgent_ = urgent;
+  send_timer_.Start(urgent ? options_.period : options_.slow_period, [this] { Send(); });
 }
 
 void LoadExchange::Refresh() {
@@ -98,7 +110,7 @@
   const auto forget = [this](const auto& entry) { return !IsRecent(entry.second); };
   absl::erase_if(gateways_, forget);
   absl::erase_if(zones_, forget);
-  Schedule();
+  Schedule(/*urgent=*/false);
 }
 
 void LoadExchange::AddChanges(const Loads& now, bool whole, Loads* told, LoadReport* report) {
@@ -121,12 +133,9 @@
 
 void LoadExchange::Send() {
   const std::vector<LoadPeer> peers = peers_();
-  std::vector<std::string> endpoints;
-  if (!UsesCollectors(peers)) {
-    for (const LoadPeer& peer : peers) endpoints.push_back(peer.endpoint);
-  } else if (const std::string collector = CollectorOf(options_.zone, peers); !collector.empty()) {
-    endpoints.push_back(collector);
-  } else if (!collect_timer_.running()) {
+  other_zones_are_far_ = UsesCollectors(peers);
+  const bool collects = UsesCollectors(peers) && CollectorOf(options_.zone, peers).empty();
+  if (collects && !collect_timer_.running()) {
     collect_timer_.Start(options_.collector_period, [this] { Collect(); });
   }
   absl::erase_if(own_, [](const auto& entry) { return entry.second == Load(); });
@@ -134,7 +143,27 @@
   const bool whole = std::exchange(refresh_due_, false);
   AddChanges(own_, whole, &told_, &report);
   if (!UsesCollectors(peers)) AddStores(whole, &report);
-  if (whole || report.loads_size() + report.stores_size() > 0) SendTo(endpoints, report);
+  if (whole || report.loads_size() + report.stores_size() > 0) SendTo(Recipients(peers), report);
+}
+
+bool LoadExchange::ZoneIsDirect(const std::vector<LoadPeer>& peers) const {
+  const auto in_zone = std::count_if(peers.begin(), peers.end(), [this](const LoadPeer& peer) {
+    return peer.zone == options_.zone;
+  });
+  return static_cast<size_t>(in_zone) + 1 <= options_.direct_gateways_of_zone;
+}
+
+std::vector<std::string> LoadExchange::Recipients(const std::vector<LoadPeer>& peers) const {
+  std::vector<std::string> endpoints;
+  if (UsesCollectors(peers) && !ZoneIsDirect(peers)) {
+    const std::string collector = CollectorOf(options_.zone, peers);
+    if (!collector.empty()) endpoints.push_back(collector);
+    return endpoints;
+  }
+  for (const LoadPeer& peer : peers) {
+    if (!UsesCollectors(peers) || peer.zone == options_.zone) endpoints.push_back(peer.endpoint);
+  }
+  return endpoints;
 }
 
 void LoadExchange::SendTo(const std::vector<std::string>& endpoints, const LoadReport& report) {
@@ -191,21 +220,24 @@
       zones.insert(peer.zone);
     }
   }
-  std::vector<std::string> all = members;
-  for (const std::string& zone : zones) all.push_back(CollectorOf(zone, peers));
+  std::vector<std::string> to_tell_of_own_zone;
+  if (!ZoneIsDirect(peers)) to_tell_of_own_zone = members;
+  for (const std::string& zone : zones) to_tell_of_own_zone.push_back(CollectorOf(zone, peers));
   const bool whole = std::exchange(collector_refresh_due_, false);
   const auto tell = [&](const std::string& zone, const Loads& loads,
                         const std::vector<std::string>& endpoints) {
     LoadReport report;
     report.set_zone(zone);
     AddChanges(loads, whole, &told_zones_[zone], &report);
-    if (zone == options_.zone) AddStores(whole, &report);
     if (whole || report.loads_size() + report.stores_size() > 0) SendTo(endpoints, report);
   };
-  tell(options_.zone, SumOfZone(), all);
+  tell(options_.zone, SumOfZone(), to_tell_of_own_zone);
   for (const auto& [zone, source] : zones_) {
     if (zone != options_.zone) tell(zone, source.loads, members);
   }
+  LoadReport stores;
+  AddStores(whole, &stores);
+  if (stores.stores_size() > 0) SendTo(members, stores);
 }
 
 void LoadExchange::Take(const LoadReport& report, Source* source) const {
--- a/src/posthatch/traffic/load_exchange.h
+++ b/src/posthatch/traffic/load_exchange.h
@@ -16,11 +16,19 @@
 
 struct LoadExchangeOptions {
   std::string zone;
-  // Between reports of a gateway, and between those of a collector.
-  runtime::Duration period = std::chrono::milliseconds(20);
+  // From a change that other gateways must know to place well until it is told ...
+  runtime::Duration period = std::chrono::milliseconds(10);
+  // ... and from any other change.
+  runtime::Duration slow_period = std::chrono::milliseconds(150);
+  // Waiting prompt tokens at one worker, more or fewer than were told, that others must know of.
+  uint64_t urgent_tokens = 2500;
+  // Between the reports of a collector.
   runtime::Duration collector_period = std::chrono::milliseconds(100);
-  // In a larger fleet reports go by way of the zones' collectors.
+  // In a larger fleet gateways tell only their own zone directly, and other zones hear of it by way
+  // of the zones' collectors.
   size_t direct_gateways = 16;
+  // In a larger zone gateways tell only its collector, which tells the others of the zone.
+  size_t direct_gateways_of_zone = 32;
   // Everything is told again this often.
   runtime::Duration refresh = std::chrono::milliseconds(1000);
   // What was told is forgotten when nothing was heard of its sender for so long.
@@ -45,11 +53,14 @@
 // without it, each gateway sees only its own small part of a worker's queue.
 //
 // In a small fleet each gateway tells every other one. In a large one that would be most of what
-// gateways send: there the gateway with the lowest name of each zone is its collector. Gateways
-// tell their collector; collectors tell each other and their zone's gateways the sums of whole
-// zones. A gateway then sends and receives as much in a fleet of 1,000 as in one of 100, except for
-// the collectors, whose part grows with their zone. Nobody is elected: gateways that see the fleet
-// differently cost a few more messages.
+// gateways send: there it tells the others of its zone, and the gateway with the lowest name of each
+// zone is the zone's collector. Collectors tell each other the sums of their zones and pass the
+// other zones' on to their own; what is known of other zones is older, and placing prefers the own
+// zone the more. In a large zone the members tell just the collector, which tells them the zone's
+// sum. Nobody is elected: gateways that see the fleet differently cost a few more messages.
+//
+// A prompt that waits to be read holds up others for a long time: that is told within milliseconds.
+// Everything else is told now and then.
 //
 // Takes SERVICE_TRAFFIC of the runtime's transport. Owned by TrafficGateway; event loop thread
 // only.
@@ -66,6 +77,8 @@
   void Set(const std::string& worker_id, const Load& load);
   // What the other gateways have under way there.
   Load OfOthers(const std::string& worker_id) const;
+  // Whether what is known of other zones comes by way of collectors, and so later.
+  bool OtherZonesAreFar() const { return other_zones_are_far_; }
 
   // Whether this gateway is its zone's collector, in fleets of any size.
   bool IsCollector() const { return CollectorOf(options_.zone, peers_()).empty(); }
@@ -89,8 +102,11 @@
   void Receive(const runtime::Envelope& envelope);
   void Take(const LoadReport& report, Source* source) const;
   bool IsRecent(const Source& source) const;
-  void Schedule();
+  void Schedule(bool urgent);
   void Send();
+  std::vector<std::string> Recipients(const std::vector<LoadPeer>& peers) const;
+  // Whether the gateways of this zone tell each other directly.
+  bool ZoneIsDirect(const std::vector<LoadPeer>& peers) const;
   void Refresh();
   void SendTo(const std::vector<std::string>& endpoints, const LoadReport& report);
   // The lines of `now` that differ from `told`, which becomes `now`; all of them with `whole`.
@@ -114,12 +130,18 @@
   absl::flat_hash_map<std::string, Source> zones_;      // by zone, as collectors told
   Loads told_;                                          // of own_
   absl::flat_hash_map<std::string, Loads> told_zones_;  // as a collector, by zone
-  std::map<std::string, bool> stores_;  // watched by this collector: whether they answer
+  struct WatchedStore {
+    bool alive = false;
+    runtime::MonotonicTime seen;
+  };
+  std::map<std::string, WatchedStore> stores_;  // by endpoint, as this collector found them
   bool stores_changed_ = false;
+  bool other_zones_are_far_ = false;
   StoreObserver on_store_;
   bool refresh_due_ = false;
   bool collector_refresh_due_ = false;
   uint64_t last_report_ = 0;
+  bool send_is_urgent_ = false;
   runtime::Timer send_timer_;
   runtime::Timer refresh_timer_;
   runtime::Timer collect_timer_;
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -18,6 +18,8 @@
 constexpr std::array<double, kRankedCandidates> kKeptLikelihood = {0.6, 0.2, 0.05};
 // A worker in another zone must be this much sooner: bytes between zones cost.
 constexpr double kOtherZonePenaltyMs = 8;
+// In a large fleet the load in other zones is known late: a worker there may be taken already.
+constexpr double kFarZonePenaltyMs = 60;
 // Reading a prompt holds up the streams that run at the same worker: each of them gets one token in
 // the time of a whole read step. Weighed as this share of the reading time per stream; a prompt of
 // a step or two is not felt.
@@ -151,7 +153,7 @@
 }
 
 double Placer::Estimate(const PlacementQuery& query, const Candidate& candidate,
-                        const std::vector<WorkerPointer>& usable, Placement* placement) const {
+                        Placement* placement) const {
   const Worker& worker = *candidate.worker;
   const uint64_t total = query.prompt->total_tokens();
   placement->worker = candidate.worker;
@@ -160,7 +162,8 @@
   for (const index::PrefixHolder& holder : query.holders) {
     const uint64_t kept = query.prompt->TokensOf(holder.blocks);
     if (kept < candidate.kept_tokens + kLeastTokensToFetch) continue;
-    for (const WorkerPointer& source : usable) {
+    // A source needn't be fit for new work.
+    for (const WorkerPointer& source : pool_->Of(query.service->name())) {
       if (source->backend.id() != holder.backend_id || source == candidate.worker) continue;
       if (!pool_->MayMove(*source) || !pool_->MayMove(worker)) continue;
       const uint64_t moved = kept - candidate.kept_tokens;
@@ -173,18 +176,21 @@
       placement->fetch_endpoint = source->backend.endpoint();
     }
   }
-  const bool store_may_help = query.store != nullptr && pool_->MayMove(worker) &&
-                              query.prompt->shared_tokens >= kLeastTokensToFetch &&
-                              candidate.kept_tokens == 0 && !SharedIsKept(query);
+  const bool store_may_help =
+      query.store != nullptr && pool_->MayMove(worker) &&
+      query.prompt->shared_tokens >= candidate.kept_tokens + kLeastTokensToFetch &&
+      !SharedIsKept(query);
   if (store_may_help) {
-    const double with_store = MillisecondsWithStore(query, worker);
+    const double with_store = MillisecondsWithStore(query, candidate);
     if (with_store < reading) {
       reading = with_store;
       placement->fetch_tokens = 0;
       placement->fetch_endpoint = query.store->endpoint;
     }
   }
-  const double zone = worker.backend.zone() == zone_ ? 0 : kOtherZonePenaltyMs;
+  const double zone = worker.backend.zone() == zone_ ? 0
+                      : pool_->OtherZonesAreFar()    ? kFarZonePenaltyMs
+                                                     : kOtherZonePenaltyMs;
   const double likely_saving = read_rate_.MillisecondsFor(
       candidate.expected_tokens - std::min(candidate.expected_tokens, candidate.kept_tokens));
   const Load load = pool_->TotalLoad(worker);
@@ -199,14 +205,16 @@
   });
 }
 
-double Placer::MillisecondsWithStore(const PlacementQuery& query, const Worker& worker) const {
+double Placer::MillisecondsWithStore(const PlacementQuery& query,
+                                     const Candidate& candidate) const {
   const uint64_t total = query.prompt->total_tokens();
   const uint64_t shared = query.prompt->shared_tokens;
-  const bool same_zone = query.store->zone == worker.backend.zone();
-  const double found = FetchMilliseconds(query.service->engine(), shared, same_zone) +
+  const uint64_t kept = candidate.kept_tokens;
+  const bool same_zone = query.store->zone == candidate.worker->backend.zone();
+  const double found = FetchMilliseconds(query.service->engine(), shared - kept, same_zone) +
                        read_rate_.MillisecondsFor(total - shared);
   return kStoreLikelihood * found +
-         (1 - kStoreLikelihood) * (kFetchOverheadMs + read_rate_.MillisecondsFor(total));
+         (1 - kStoreLikelihood) * (kFetchOverheadMs + read_rate_.MillisecondsFor(total - kept));
 }
 
 double Placer::InterferenceMs(const Load& load, uint64_t read_tokens) const {
@@ -218,8 +226,8 @@
 
 void Placer::GuessSource(const PlacementQuery& query, const std::vector<WorkerPointer>& usable,
                          Placement* placement) const {
-  const bool worth_it = query.prompt->shared_tokens >= kLeastTokensToFetch &&
-                        placement->missing_tokens >= query.prompt->shared_tokens;
+  const uint64_t own_tokens = query.prompt->total_tokens() - query.prompt->shared_tokens;
+  const bool worth_it = placement->missing_tokens >= own_tokens + kLeastTokensToFetch;
   if (!worth_it || !placement->fetch_endpoint.empty()) return;
   if (!pool_->MayMove(*placement->worker)) return;
   const WorkerPointer* first = nullptr;
@@ -240,7 +248,7 @@
   double best_cost = 0;
   for (const Candidate& candidate : Candidates(query, usable)) {
     Placement placement;
-    const double cost = Estimate(query, candidate, usable, &placement);
+    const double cost = Estimate(query, candidate, &placement);
     if (best.worker != nullptr && cost >= best_cost) continue;
     best = std::move(placement);
     best_cost = cost;
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -88,11 +88,11 @@
                    Placement* placement) const;
   // Milliseconds until the prompt is read if the store is asked for its shared segments, which it
   // may or may not keep.
-  double MillisecondsWithStore(const PlacementQuery& query, const Worker& worker) const;
+  double MillisecondsWithStore(const PlacementQuery& query, const Candidate& candidate) const;
   // Fills in what is missing at the candidate and where to fetch from; returns the expected
   // milliseconds to the first event.
   double Estimate(const PlacementQuery& query, const Candidate& candidate,
-                  const std::vector<WorkerPointer>& usable, Placement* placement) const;
+                  Placement* placement) const;
   // What reading `read_tokens` costs the streams that run there, or what gathering saves.
   double InterferenceMs(const Load& load, uint64_t read_tokens) const;
   double FetchMilliseconds(const control::WorkerEngine& engine, uint64_t tokens,
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -69,6 +69,8 @@
   bool IsCold(const Worker& worker) const;
   // Milliseconds by which first events came later than expected there, as measured; fades.
   double ExpectedWait(const Worker& worker) const;
+  // Whether what is known of the load in other zones is old.
+  bool OtherZonesAreFar() const { return loads_->OtherZonesAreFar(); }
   // What all gateways have under way there.
   Load TotalLoad(const Worker& worker) const;
   // The newest revision that was ordered for `model`; 0 if none is known.
