Index: attribute events by the cache salt they name; list what a worker keeps after a loss

By the debug logs most of these prompts had no known holder though the worker still kept the segments: after a told loss (events_gap, half of the workers) all entries of a worker were dropped for good, and after a restart of the gateways events could not be attributed, since that needs dispatches. Change: events of the platform name the salt, and salts of the seeds in force are known from the fleet's state, so no dispatch needs to be reported to the reader any more.

--- a/src/posthatch/daemon/traffic_gateway_node.cc
+++ b/src/posthatch/daemon/traffic_gateway_node.cc
@@ -33,6 +33,7 @@
   options.events.wait = kEventWait;
   options.events.tolerated_missing_share = kToleratedMissingEvents;
   options.dispatches.workers_put_to_store = false;
+  options.dispatches.events_name_salts = true;
   return options;
 }
 
--- a/src/posthatch/index/attribution_table.cc
+++ b/src/posthatch/index/attribution_table.cc
@@ -35,6 +35,11 @@
   return found == blocks_.end() ? nullptr : &seeds_[found->second];
 }
 
+const BlockSeed* AttributionTable::FindSalt(const std::string& salt) const {
+  const auto found = seed_ids_.find(salt);
+  return found == seed_ids_.end() ? nullptr : &seeds_[found->second];
+}
+
 const BlockSeed* AttributionTable::FindAttempt(const std::string& attempt) const {
   const auto found = attempts_.find(attempt);
   return found == attempts_.end() ? nullptr : &seeds_[found->second];
--- a/src/posthatch/index/dispatch_recorder.cc
+++ b/src/posthatch/index/dispatch_recorder.cc
@@ -22,7 +22,7 @@
   parts_.locator->RecordDispatch(seed, chain, worker_id, worker_epoch);
   if (chain.empty()) return;
   parts_.attributions->RecordBlocks(seed, chain);
-  Report(seed, chain, worker_id);
+  if (!options_.events_name_salts) Report(seed, chain, worker_id);
   if (options_.workers_put_to_store) AddToStores(seed, chain);
 }
 
--- a/src/posthatch/index/dispatch_recorder.h
+++ b/src/posthatch/index/dispatch_recorder.h
@@ -24,6 +24,8 @@
   struct Options {
     runtime::Duration report_period = std::chrono::milliseconds(20);
     bool workers_put_to_store = true;
+    // Workers' events name cache salts: their readers need no reports of dispatches.
+    bool events_name_salts = false;
   };
   struct Parts {
     const control::FleetView* fleet = nullptr;
--- a/src/posthatch/index/index_node.cc
+++ b/src/posthatch/index/index_node.cc
@@ -67,8 +67,11 @@
 void IndexNode::Start() {
   fleet_->AddListener(
       [this, alive = std::weak_ptr<bool>(alive_)](const control::FleetState& state) {
-        if (!alive.expired()) reader_.FollowFleet(state);
+        if (alive.expired()) return;
+        RecordSeeds(state);
+        reader_.FollowFleet(state);
       });
+  RecordSeeds(fleet_->state());
   reader_.FollowFleet(fleet_->state());
   subscriptions_.Start();
   store_poller_.Start();
@@ -76,6 +79,17 @@
   ExportMetrics();
 }
 
+void IndexNode::RecordSeeds(const control::FleetState& state) {
+  if (!options_.dispatches.events_name_salts) return;
+  for (const control::ModelRevision& revision : state.revisions()) {
+    for (const control::TenantIsolation& domain : state.isolation()) {
+      attributions_.RecordSeed({revision.model(), revision.revision(),
+                                domain.isolated() ? domain.tenant() : std::string(),
+                                domain.generation()});
+    }
+  }
+}
+
 void IndexNode::ExportMetrics() {
   const auto add = [this](const char* name, const char* help, auto read) {
     metrics_.Add(name, help, [read] { return static_cast<double>(read()); });
--- a/src/posthatch/index/index_node.h
+++ b/src/posthatch/index/index_node.h
@@ -83,6 +83,8 @@
   void Receive(const runtime::Envelope& envelope);
   bool IsFirstGateway() const;
   std::vector<std::string> OtherGateways() const;
+  // Makes the seeds in force known, for events that name their cache salts.
+  void RecordSeeds(const control::FleetState& state);
   void Sweep();
   void ExportMetrics();
 
--- a/src/posthatch/index/kv_event_format.h
+++ b/src/posthatch/index/kv_event_format.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "absl/status/statusor.h"
@@ -20,6 +21,12 @@
                                     runtime::Duration wait) const = 0;
   // InvalidArgument if `body` is not a batch of events.
   virtual absl::StatusOr<KvEventBatch> ReadBatch(std::string_view body) const = 0;
+  // Asks for everything that the worker keeps; nothing if it can't be asked.
+  virtual std::optional<http::Request> ListRequest() const { return std::nullopt; }
+  // The answer as stored events, `next` as in ReadBatch. InvalidArgument if `body` is no such list.
+  virtual absl::StatusOr<KvEventBatch> ReadList(std::string_view /*body*/) const {
+    return absl::UnimplementedError("no lists");
+  }
 };
 
 // The events of docs/BACKENDS.md.
--- a/src/posthatch/index/kv_events.h
+++ b/src/posthatch/index/kv_events.h
@@ -22,6 +22,7 @@
   std::vector<BlockHash> blocks;
   uint32_t first = 0;   // position of the first block in its chain; of stored ones
   std::string attempt;  // nonce of the attempt that made them; may be empty
+  std::string salt;     // cache salt that they were made under; may be empty
 };
 
 struct KvEventBatch {
--- a/src/posthatch/index/worker_event_feed.cc
+++ b/src/posthatch/index/worker_event_feed.cc
@@ -17,6 +17,8 @@
 // On top of the time that the worker may hold a poll.
 constexpr runtime::Duration kAnswerMargin = std::chrono::milliseconds(1500);
 constexpr int kStatusOk = 200;
+// A list holds up the worker's work: no more often than this.
+constexpr runtime::Duration kListInterval = std::chrono::seconds(2);
 // Recent events count with a weight that fades by this with each further one.
 constexpr double kRecentFade = 0.995;
 constexpr double kRecentLeast = 50;
@@ -52,9 +54,19 @@
   const bool version_known =
       trust_->CurrentVersion(HolderObject(HolderKind::kWorker, worker_id_), &version_at_poll_);
   const bool usable = version_known && version_at_poll_.epoch() == epoch_;
-  const runtime::Duration wait =
-      usable ? options_.wait : std::min(options_.wait, kWaitWithoutVersion);
-  http::Request request = options_.format->PollRequest(epoch_, read_up_to_, wait);
+  listing_ = usable && ListIsDue();
+  if (listing_) return Ask(*options_.format->ListRequest(), runtime::Duration::zero());
+  const bool soon = !usable || list_wanted_;
+  const runtime::Duration wait = soon ? std::min(options_.wait, kWaitWithoutVersion) : options_.wait;
+  Ask(options_.format->PollRequest(epoch_, read_up_to_, wait), wait);
+}
+
+bool WorkerEventFeed::ListIsDue() const {
+  return list_wanted_ && version_at_poll_.sequence() > sequence_at_loss_ &&
+         runtime_->clock->Now() - listed_at_ >= kListInterval;
+}
+
+void WorkerEventFeed::Ask(http::Request request, runtime::Duration wait) {
   http::CallOptions call_options;
   call_options.head_timeout = wait + kAnswerMargin;
   call_options.piece_timeout = kAnswerMargin;
@@ -81,6 +93,7 @@
     OnFailure();
     return;
   }
+  if (listing_) return TakeList();
   absl::StatusOr<KvEventBatch> batch = options_.format->ReadBatch(body_);
   if (!batch.ok()) {
     runtime_->trace->Event(runtime::Severity::kWarning, "KvEventsMalformed",
@@ -95,11 +108,27 @@
   poll_timer_.Start(runtime::Duration::zero(), [this] { Poll(); });
 }
 
+void WorkerEventFeed::TakeList() {
+  list_wanted_ = false;
+  listed_at_ = runtime_->clock->Now();
+  absl::StatusOr<KvEventBatch> list = options_.format->ReadList(body_);
+  if (!list.ok()) {
+    runtime_->trace->Event(runtime::Severity::kWarning, "KvListMalformed", {{"worker", worker_id_}});
+  } else if (list->epoch == epoch_) {
+    last_answer_ = listed_at_;
+    for (KvEvent& event : list->events) observer_.on_event(version_at_poll_, std::move(event));
+    read_up_to_ = std::max(read_up_to_, list->next);
+    missing_.erase(missing_.begin(), missing_.upper_bound(list->next));
+  }
+  poll_timer_.Start(runtime::Duration::zero(), [this] { Poll(); });
+}
+
 void WorkerEventFeed::TakeBatch(KvEventBatch batch) {
   if (batch.epoch != epoch_) {
     epoch_ = batch.epoch;
     read_up_to_ = 0;
     missing_.clear();
+    list_wanted_ = false;
     observer_.on_epoch(epoch_);
   }
   std::stable_sort(batch.events.begin(), batch.events.end(),
@@ -174,6 +203,8 @@
   // comes back to this feed, the loss is still said.
   if (may_read_()) {
     unsaid_loss_.clear();
+    list_wanted_ = options_.format->ListRequest().has_value();
+    sequence_at_loss_ = version_at_poll_.sequence();
     observer_.on_lost(epoch_, reason);
   } else {
     unsaid_loss_ = reason;
--- a/src/posthatch/index/worker_event_feed.h
+++ b/src/posthatch/index/worker_event_feed.h
@@ -15,7 +15,8 @@
 namespace posthatch::index {
 
 // Long-polls one worker's events, puts them in order of `seq`, and finds out when some are missing:
-// the change detection that WCIP 4.2 leaves to the origin. Owned by WorkerEventReader; event loop
+// the change detection that WCIP 4.2 leaves to the origin. After a loss it asks the worker for a
+// list of all it keeps, where the worker has one: entries are revalidated, not made anew. Owned by WorkerEventReader; event loop
 // thread only.
 class WorkerEventFeed {
  public:
@@ -57,6 +58,11 @@
 
  private:
   void Poll();
+  void Ask(http::Request request, runtime::Duration wait);
+  // Whether what the worker keeps is to be listed now: events were lost, and the loss has come into
+  // force, so that what is read from now on is trusted again.
+  bool ListIsDue() const;
+  void TakeList();
   void OnEnd();
   void OnFailure();
   void TakeBatch(KvEventBatch batch);
@@ -87,6 +93,11 @@
   bool silence_reported_ = false;
   double recent_events_ = 0;  // of the last some hundred, and how many of them are missing
   double recent_missing_ = 0;
+  // A loss is to be made good by a list, once the version is newer than this sequence.
+  bool list_wanted_ = false;
+  uint64_t sequence_at_loss_ = 0;
+  runtime::MonotonicTime listed_at_;  // the last time
+  bool listing_ = false;              // the running call asks for a list
   std::string unsaid_loss_;  // its reason; found while the lease was not held
   runtime::Timer poll_timer_;
   runtime::Timer missing_timer_;
--- a/src/posthatch/index/worker_event_reader-test.cc
+++ b/src/posthatch/index/worker_event_reader-test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <optional>
+#include <sstream>
+
 #include "absl/strings/str_cat.h"
 #include "posthatch/index/fake_parts-test.h"
 
@@ -15,6 +19,36 @@
 constexpr char kWorker[] = "worker/w";
 constexpr uint64_t kToken = 31;
 
+// The native events, and a list of what is kept: "next block block ...".
+class ListingFormat : public KvEventFormat {
+ public:
+  http::Request PollRequest(uint64_t epoch, uint64_t after, runtime::Duration wait) const override {
+    return NativeKvEventFormat()->PollRequest(epoch, after, wait);
+  }
+  absl::StatusOr<KvEventBatch> ReadBatch(std::string_view body) const override {
+    return NativeKvEventFormat()->ReadBatch(body);
+  }
+  std::optional<http::Request> ListRequest() const override {
+    http::Request request;
+    request.target = "/list";
+    return request;
+  }
+  absl::StatusOr<KvEventBatch> ReadList(std::string_view body) const override {
+    if (body.empty()) return absl::InvalidArgumentError("empty");
+    std::istringstream words{std::string(body)};
+    KvEventBatch batch;
+    batch.epoch = 100;
+    words >> batch.next;
+    for (BlockHash block = 0; words >> std::hex >> block;) {
+      KvEvent event;
+      event.type = KvEvent::Type::kStored;
+      event.blocks = {block};
+      batch.events.push_back(std::move(event));
+    }
+    return batch;
+  }
+};
+
 class WorkerEventReaderTest : public testing::Test {
  protected:
   WorkerEventReaderTest() {
@@ -85,6 +119,78 @@
   EXPECT_EQ(TakeLosses(), 0);
 }
 
+class WorkerListTest : public WorkerEventReaderTest {
+ protected:
+  WorkerListTest() {
+    WorkerEventFeed::Options options;
+    options.format = &format_;
+    reader_with_lists_ = std::make_unique<WorkerEventReader>(
+        &fakes_.runtime, options,
+        WorkerEventReader::Parts{&fleet_, &trust_, &reporter_, &publisher_, &attributions_,
+                                 &locator_});
+    reader_with_lists_->FollowFleet(fleet_.fleet);
+    Answer(0, "");
+    Answer(2, Stored(1, R"("a","b")") + "," + Stored(2, R"("c")"));
+  }
+  void Lose() { Answer(9, R"({"seq":9,"type":"lost"})"); }
+  bool AsksForAList() const { return fakes_.http.calls.back().target == "/list"; }
+
+  const ListingFormat format_;
+  std::unique_ptr<WorkerEventReader> reader_with_lists_;
+};
+
+TEST_F(WorkerListTest, WhatIsStillKeptIsTrustedAgainAfterALoss) {
+  EXPECT_EQ(Located(), 3u);
+  Lose();
+  EXPECT_EQ(TakeLosses(), 1);
+  EXPECT_EQ(Located(), 0u);
+  EXPECT_FALSE(AsksForAList()) << "the loss is not in force yet: what is read now won't be trusted";
+  trust_.versions[kWorker] = MakeVersion(100, 1);
+  Answer(9, "");
+  ASSERT_TRUE(AsksForAList());
+  fakes_.http.Answer("9 a b");
+  fakes_.timers.Advance(milliseconds(1));
+  EXPECT_EQ(Located(), 2u);
+  EXPECT_NE(fakes_.http.calls.back().target.find("after=9"), std::string::npos);
+}
+
+TEST_F(WorkerListTest, MalformedListIsNotUsedAndEventsGoOn) {
+  Lose();
+  trust_.versions[kWorker] = MakeVersion(100, 1);
+  Answer(9, "");
+  ASSERT_TRUE(AsksForAList());
+  fakes_.http.Answer("");
+  fakes_.timers.Advance(milliseconds(1));
+  EXPECT_EQ(Located(), 0u);
+  EXPECT_FALSE(AsksForAList());
+  Answer(10, Stored(10, R"("a")"));
+  EXPECT_EQ(Located(), 1u);
+}
+
+TEST_F(WorkerListTest, ListsAreAskedForAtIntervals) {
+  Lose();
+  trust_.versions[kWorker] = MakeVersion(100, 1);
+  Answer(9, "");
+  fakes_.http.Answer("9 a");
+  fakes_.timers.Advance(milliseconds(1));
+  Answer(19, R"({"seq":19,"type":"lost"})");
+  trust_.versions[kWorker] = MakeVersion(100, 2);
+  Answer(19, "");
+  EXPECT_FALSE(AsksForAList());
+  fakes_.timers.Advance(seconds(2));
+  Answer(19, "");
+  EXPECT_TRUE(AsksForAList());
+}
+
+TEST_F(WorkerEventReaderTest, EventThatNamesItsSaltNeedsNoDispatch) {
+  KvEvent event;
+  event.salt = CacheSalt({"m", 2, "", 1});
+  EXPECT_EQ(attributions_.FindSalt(event.salt), nullptr);
+  attributions_.RecordSeed({"m", 2, "", 1});
+  ASSERT_NE(attributions_.FindSalt(event.salt), nullptr);
+  EXPECT_EQ(attributions_.FindSalt(event.salt)->model_revision, 2u);
+}
+
 TEST_F(WorkerEventReaderTest, UnattributedBlocksAreNeverAdded) {
   attributions_.RecordAttempt("n1", seed_);
   Answer(2, Stored(1, R"("a","dead")") + "," + Stored(2, R"("beef")"));
--- a/src/posthatch/index/worker_event_reader.cc
+++ b/src/posthatch/index/worker_event_reader.cc
@@ -144,6 +144,11 @@
       return event.blocks;
     }
   }
+  const BlockSeed* of_salt = event.salt.empty() ? nullptr : parts_.attributions->FindSalt(event.salt);
+  if (of_salt != nullptr) {
+    *seed = *of_salt;
+    return event.blocks;
+  }
   std::vector<BlockHash> attributed;
   const BlockSeed* first = nullptr;
   for (const BlockHash block : event.blocks) {
