Gateways find their first configuration sooner and read the inventory themselves later; tests of placing

Cause: after a start of the whole fleet a gateway asked for its first lease every 250 ms and met a controller that did not lead yet: a configuration 0.5 s after its start. Change: before the first lease a gateway asks every 80 ms; a restarted replica stands for pre-vote after 60 to 200 ms; a gateway reads the list itself 1.5 s before the bound for draining (new setting drain_bound_ms, from the deployment's own bound). Calls of key probes and callers are kept in order of their numbers, not of a hash.

--- a/src/posthatch/consensus/raft_core-test.cc
+++ b/src/posthatch/consensus/raft_core-test.cc
@@ -128,7 +128,7 @@
   for (uint64_t id : {1, 2, 3}) cluster.Boot(id);
   const runtime::MonotonicTime restarted = cluster.now();
   EXPECT_NE(cluster.RunUntilLeader(), 0U);
-  EXPECT_LT(cluster.now() - restarted, milliseconds(700));
+  EXPECT_LT(cluster.now() - restarted, milliseconds(600));
 }
 
 TEST(RaftCoreTest, RestartedVoterKeepsItsPromiseWhileOneMemberMayStillLead) {
--- a/src/posthatch/consensus/raft_types.h
+++ b/src/posthatch/consensus/raft_types.h
@@ -23,8 +23,8 @@
   runtime::Duration election_timeout_max = std::chrono::milliseconds(1400);
   // The same for a replica that has restarted and has heard of no leader since: after a crash of
   // the whole cluster nobody needs to be waited for.
-  runtime::Duration restart_election_timeout_min = std::chrono::milliseconds(100);
-  runtime::Duration restart_election_timeout_max = std::chrono::milliseconds(300);
+  runtime::Duration restart_election_timeout_min = std::chrono::milliseconds(60);
+  runtime::Duration restart_election_timeout_max = std::chrono::milliseconds(200);
 
   size_t max_command_bytes = 8u << 20;    // a longer one is refused: no message could carry it
   size_t max_append_bytes = 256u << 10;   // entries in one message, but for the last of them
--- a/src/posthatch/control/gateway_session.cc
+++ b/src/posthatch/control/gateway_session.cc
@@ -124,7 +124,8 @@
 
 void GatewaySession::ScheduleRenewal() {
   // Until the answer comes (OnGrant starts the timer anew), it is asked for again sooner.
-  renew_timer_.Start(options_.retry_interval, [this] { Renew(); });
+  renew_timer_.Start(has_lease_ ? options_.retry_interval : options_.first_retry_interval,
+                     [this] { Renew(); });
 }
 
 SessionRenewal GatewaySession::MakeRenewal(bool leaving) const {
--- a/src/posthatch/control/gateway_session.h
+++ b/src/posthatch/control/gateway_session.h
@@ -22,6 +22,8 @@
   runtime::Duration renew_interval = std::chrono::seconds(1);
   // While a renewal is unanswered or there is no lease.
   runtime::Duration retry_interval = std::chrono::milliseconds(250);
+  // The same before the first lease: without a configuration nothing can be served.
+  runtime::Duration first_retry_interval = std::chrono::milliseconds(80);
   // Taken off a granted lease, for clocks that run at different rates.
   double clock_rate_margin = 0.02;
   LeaderClientOptions client;
--- a/src/posthatch/daemon/node_settings.h
+++ b/src/posthatch/daemon/node_settings.h
@@ -46,6 +46,7 @@
   double retry_budget_slack = 20;
   double inventory_reads_per_second = 4;
   runtime::Duration revision_deadline = std::chrono::seconds(12);
+  runtime::Duration drain_bound = std::chrono::seconds(3);
 };
 
 struct ControllerSettings {
--- a/src/posthatch/daemon/settings_table.cc
+++ b/src/posthatch/daemon/settings_table.cc
@@ -258,6 +258,16 @@
        },
        .help = "Routed traffic: from the order of a model revision until no request may start on "
                "an older one."},
+      {.table = "gateway",
+       .name = "drain_bound_ms",
+       .kind = SettingKind::kMilliseconds,
+       .controller = false,
+       .minimum = 2000,
+       .maximum = 10 * kMinuteMs,
+       .target = [](SettingsDraft* draft) -> SettingTarget { return &draft->gateway.drain_bound; },
+       .help = "Routed traffic: from when the inventory shows a worker as draining until it gets "
+               "nothing more. A gateway reads the inventory itself 1500 ms before, if no "
+               "controller has."},
   };
 }
 
--- a/src/posthatch/standins/caller_load.cc
+++ b/src/posthatch/standins/caller_load.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <random>
 #include <utility>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "posthatch/standins/json_body.h"
 #include "posthatch/standins/json_client.h"
@@ -93,7 +93,7 @@
   uint64_t resends_waiting_ = 0;
   CallerLoadCounts counts_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  absl::flat_hash_map<uint64_t, std::unique_ptr<RecordedCall>> calls_;
+  std::map<uint64_t, std::unique_ptr<RecordedCall>> calls_;
 };
 
 CallerLoad::Impl::Impl(runtime::Runtime* runtime, CallerLoadOptions options,
--- a/src/posthatch/standins/key_probe.cc
+++ b/src/posthatch/standins/key_probe.cc
@@ -1,9 +1,9 @@
 #include "posthatch/standins/key_probe.h"
 
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <utility>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "posthatch/standins/json_body.h"
 #include "posthatch/standins/json_client.h"
@@ -40,7 +40,7 @@
   uint64_t start_nonce_ = 0;
   uint64_t next_call_ = 1;
   runtime::Timer round_timer_;
-  absl::flat_hash_map<uint64_t, std::unique_ptr<RecordedCall>> calls_;
+  std::map<uint64_t, std::unique_ptr<RecordedCall>> calls_;
 };
 
 void KeyProbe::Impl::Stop() {
--- /dev/null
+++ b/src/posthatch/traffic/placement-test.cc
@@ -0,0 +1,119 @@
+#include "posthatch/traffic/placement.h"
+
+#include "posthatch/traffic/traffic_fixture-test.h"
+
+namespace posthatch::traffic {
+namespace {
+
+// Workers w1 and w2 in this gateway's zone, w3 in another one, all warm and of one revision.
+class PlacerTest : public TrafficTest {
+ protected:
+  PlacerTest() {
+    pool_.Update(view_.fleet, nullptr, seconds(0), RouteTable());
+    query_.service = &view_.fleet.traffic().services(0);
+    query_.prompt = &prompt_;
+    store_.endpoint = "store:1";
+    store_.zone = "a";
+  }
+
+  void SetPrompt(uint64_t shared, uint64_t own) {
+    prompt_.tokens_up_to = {shared, shared + own};
+    prompt_.shared_tokens = shared;
+  }
+  WorkerPointer Find(const std::string& id) {
+    for (const WorkerPointer& worker : pool_.Of("llm")) {
+      if (worker->backend.id() == id) return worker;
+    }
+    return nullptr;
+  }
+  void RunStreams(const std::string& id, int count) {
+    for (int i = 0; i < count; ++i) pool_.OnDispatched(Find(id).get(), 0);
+  }
+  void Keeps(const std::string& id, uint32_t segments) {
+    index::PrefixHolder holder;
+    holder.backend_id = id;
+    holder.blocks = segments;
+    query_.holders.push_back(holder);
+  }
+  std::string Choose() {
+    placement_ = placer_.Choose(query_);
+    return placement_.worker == nullptr ? "" : placement_.worker->backend.id();
+  }
+
+  ColdStartLimiter limiter_{&clock_, "gateway-1", [] { return std::vector<std::string>(); }};
+  LoadExchange loads_{&runtime_, {.zone = "a"}, [] { return std::vector<LoadPeer>(); }};
+  WorkerPool pool_{&runtime_, {}, &limiter_, &loads_};
+  Placer placer_{&runtime_, "a", &pool_};
+  PromptShape prompt_;
+  PlacementQuery query_;
+  StoreEntry store_;
+  Placement placement_;
+};
+
+TEST_F(PlacerTest, LongPromptIsReadWhereNoStreamsAreHeldUp) {
+  SetPrompt(20000, 1000);
+  RunStreams("w1", 6);
+  RunStreams("w2", 6);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(Choose(), "w3");
+}
+
+TEST_F(PlacerTest, ShortPromptsAreGatheredWhereStreamsRun) {
+  SetPrompt(200, 300);
+  RunStreams("w2", 6);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(Choose(), "w2");
+}
+
+TEST_F(PlacerTest, PromptWaitingToBeReadTurnsOthersAway) {
+  SetPrompt(200, 300);
+  RunStreams("w2", 6);
+  pool_.OnDispatched(Find("w2").get(), 30000);
+  for (int i = 0; i < 10; ++i) EXPECT_NE(Choose(), "w2");
+}
+
+TEST_F(PlacerTest, HolderOfThePrefixIsPreferredAndNothingIsSaved) {
+  SetPrompt(20000, 500);
+  Keeps("w2", 1);
+  query_.store = &store_;
+  EXPECT_EQ(Choose(), "w2");
+  EXPECT_EQ(placement_.missing_tokens, 500U);
+  EXPECT_EQ(placement_.fetch_endpoint, "");
+  EXPECT_EQ(placement_.save_endpoint, "");
+}
+
+TEST_F(PlacerTest, PrefixIsFetchedFromABusyHolder) {
+  SetPrompt(20000, 500);
+  Keeps("w2", 1);
+  pool_.OnDispatched(Find("w2").get(), 100000);
+  EXPECT_NE(Choose(), "w2");
+  EXPECT_EQ(placement_.fetch_endpoint, "w2:80");
+  EXPECT_EQ(placement_.fetch_tokens, 20000U);
+}
+
+TEST_F(PlacerTest, PrefixThatNobodyIsKnownToKeepIsAskedOfTheStoreAndSavedThere) {
+  SetPrompt(20000, 500);
+  query_.store = &store_;
+  Choose();
+  EXPECT_EQ(placement_.fetch_endpoint, "store:1");
+  EXPECT_EQ(placement_.save_endpoint, "store:1");
+}
+
+TEST_F(PlacerTest, ShortPrefixIsNotWorthSaving) {
+  SetPrompt(300, 20000);
+  query_.store = &store_;
+  Choose();
+  EXPECT_EQ(placement_.save_endpoint, "");
+  EXPECT_EQ(placement_.fetch_endpoint, "");
+}
+
+TEST(ReadRateTest, IsTheMedianWhateverSinglePromptsTook) {
+  ReadRate rate;
+  for (int i = 0; i < 200; ++i) {
+    rate.Record(10000, milliseconds(200));                   // 50 tokens a millisecond
+    if (i % 4 == 0) rate.Record(10000, milliseconds(20));    // was kept though nobody knew
+    if (i % 4 == 1) rate.Record(10000, milliseconds(2000));  // waited
+  }
+  EXPECT_NEAR(rate.tokens_per_ms(), 50, 4);
+}
+
+}  // namespace
+}  // namespace posthatch::traffic
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -7,9 +7,9 @@
 namespace posthatch::traffic {
 namespace {
 
-// A list read by the leader that is older than this is read again by the gateway itself: early
-// enough that a draining mark is known well inside 3 s.
-constexpr runtime::Duration kStaleList = std::chrono::milliseconds(1300);
+// A list read by the leader that is older than the bound for draining less this is read again by the
+// gateway itself: time for the spread of the gateways' reads, a refusal over the rate, and the read.
+constexpr runtime::Duration kTimeToReadList = std::chrono::milliseconds(1500);
 // Marks that fade with time are looked at this often.
 constexpr runtime::Duration kRefreshInterval = std::chrono::milliseconds(500);
 constexpr runtime::Duration kRetryAfter = std::chrono::milliseconds(300);
@@ -60,7 +60,7 @@
   control::InventoryWatchOptions options;
   options.endpoint = options_.inventory_endpoint;
   options.format = options_.inventory_format;
-  options.stale_age = kStaleList;
+  options.stale_age = options_.drain_bound - kTimeToReadList;
   options.reads_per_second = options_.inventory_reads_per_second;
   options.live_gateways = [this] { return live_gateways_.Get(); };
   options.on_change = [this] { UpdatePool(); };
--- a/src/posthatch/traffic/traffic_gateway.h
+++ b/src/posthatch/traffic/traffic_gateway.h
@@ -27,8 +27,10 @@
   double retry_budget_slack = 20;
   double inventory_reads_per_second = 4;
   runtime::Duration revision_deadline = std::chrono::seconds(12);
-  // Requests in flight; further ones are refused at once.
+  // From when the inventory shows a worker as draining until it gets nothing more; above 1.5 s.
+  runtime::Duration drain_bound = std::chrono::seconds(3);
   const index::KvEventFormat* cache_event_format = index::NativeKvEventFormat();
+  // Requests in flight; further ones are refused at once.
   size_t max_concurrent_requests = 4096;
   // Ids of the live gateways of the fleet, with this one; asked often.
   std::function<std::vector<std::string>()> gateways;
