--- /dev/null
+++ b/scripts/check-determinism.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Simulates one scenario and seed in several processes, whose address spaces differ, and fails if
+# their traces do: a failing seed must fail again.
+# Usage: scripts/check-determinism.sh [PROCESSES] [SCENARIO:SEED...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+processes=${1:-4}
+shift || true
+runs=("$@")
+[ ${#runs[@]} -gt 0 ] || runs=(nilestone:9002 key_revocation:3 chaos:1)
+program=build/release/src/posthatch/rehearse/posthatch-rehearse
+failed=0
+for run in "${runs[@]}"; do
+  scenario=${run%%:*}
+  seed=${run##*:}
+  traces=$(for _ in $(seq "$processes"); do
+    "$program" simulate "scenarios/$scenario.toml" --seeds "$seed-$seed" 2>&1 |
+      grep -oE 'trace [0-9a-f]+' | head -1
+  done | sort | uniq -c)
+  echo "$scenario, seed $seed: $(echo "$traces" | tr -s ' \n' ' ')"
+  [ "$(echo "$traces" | wc -l)" -eq 1 ] || failed=1
+  echo "$traces" | grep -q trace || failed=1
+done
+[ "$failed" -eq 0 ] || { echo "The simulator's traces differ between processes." >&2; exit 1; }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,6 +28,9 @@
 echo "== every scenario, one seed (after ${SECONDS} s)"
 scripts/simulate-all.sh 1 1
 
+echo "== the same seed in several processes (after ${SECONDS} s)"
+scripts/check-determinism.sh 3
+
 echo "== short suite under ASan + UBSan (after ${SECONDS} s)"
 cmake --preset asan-ubsan >/dev/null
 scripts/sanitizer-suite.sh
