Packing no blocks copies nothing: memcpy was given null pointers

Found by UBSan over index-test (traffic, asio, orders and index tests under ASan and UBSan): since removals are batched, an update may carry none.

--- a/src/posthatch/asio/http_client_connection.h
+++ b/src/posthatch/asio/http_client_connection.h
@@ -96,7 +96,7 @@
   bool fresh_ = true;
   bool paused_ = false;
   bool head_request_ = false;
-  uint64_t written_before_ = 0;  // stream bytes written when this call began
+  uint64_t written_before_ = 0;           // stream bytes written when this call began
   runtime::MonotonicTime head_deadline_;  // while the head is awaited; the greatest time: none
   http::CallOptions options_;
   // Shared, since a callback may end the call and with it this reference.
--- a/src/posthatch/consensus/raft_election.cc
+++ b/src/posthatch/consensus/raft_election.cc
@@ -18,10 +18,10 @@
   const bool just_restarted =
       leader_assumed_ && now - *leader_heard_at_ < options_.election_timeout_min;
   election_deadline_ =
-      now + (just_restarted ? random_->Between(options_.restart_election_timeout_min,
-                                               options_.restart_election_timeout_max)
-                            : random_->Between(options_.election_timeout_min,
-                                               options_.election_timeout_max));
+      now + (just_restarted
+                 ? random_->Between(options_.restart_election_timeout_min,
+                                    options_.restart_election_timeout_max)
+                 : random_->Between(options_.election_timeout_min, options_.election_timeout_max));
 }
 
 void RaftCore::BecomeFollower(uint64_t term, uint64_t leader, MonotonicTime now) {
--- a/src/posthatch/index/index_update_publisher.cc
+++ b/src/posthatch/index/index_update_publisher.cc
@@ -11,14 +11,14 @@
 
 std::string PackBlocks(absl::Span<const BlockHash> blocks) {
   std::string packed(blocks.size() * sizeof(BlockHash), '\0');
-  std::memcpy(packed.data(), blocks.data(), packed.size());
+  if (!blocks.empty()) std::memcpy(packed.data(), blocks.data(), packed.size());
   return packed;
 }
 
 bool UnpackBlocks(const std::string& packed, std::vector<BlockHash>* blocks) {
   if (packed.size() % sizeof(BlockHash) != 0) return false;
   blocks->resize(packed.size() / sizeof(BlockHash));
-  std::memcpy(blocks->data(), packed.data(), packed.size());
+  if (!packed.empty()) std::memcpy(blocks->data(), packed.data(), packed.size());
   return true;
 }
 
--- a/src/posthatch/index/worker_event_feed.cc
+++ b/src/posthatch/index/worker_event_feed.cc
@@ -57,7 +57,8 @@
   listing_ = usable && ListIsDue();
   if (listing_) return Ask(*options_.format->ListRequest(), runtime::Duration::zero());
   const bool soon = !usable || list_wanted_;
-  const runtime::Duration wait = soon ? std::min(options_.wait, kWaitWithoutVersion) : options_.wait;
+  const runtime::Duration wait =
+      soon ? std::min(options_.wait, kWaitWithoutVersion) : options_.wait;
   Ask(options_.format->PollRequest(epoch_, read_up_to_, wait), wait);
 }
 
@@ -113,7 +114,8 @@
   listed_at_ = runtime_->clock->Now();
   absl::StatusOr<KvEventBatch> list = options_.format->ReadList(body_);
   if (!list.ok()) {
-    runtime_->trace->Event(runtime::Severity::kWarning, "KvListMalformed", {{"worker", worker_id_}});
+    runtime_->trace->Event(runtime::Severity::kWarning, "KvListMalformed",
+                           {{"worker", worker_id_}});
   } else if (list->epoch == epoch_) {
     last_answer_ = listed_at_;
     for (KvEvent& event : list->events) observer_.on_event(version_at_poll_, std::move(event));
--- a/src/posthatch/index/worker_event_feed.h
+++ b/src/posthatch/index/worker_event_feed.h
@@ -16,8 +16,8 @@
 
 // Long-polls one worker's events, puts them in order of `seq`, and finds out when some are missing:
 // the change detection that WCIP 4.2 leaves to the origin. After a loss it asks the worker for a
-// list of all it keeps, where the worker has one: entries are revalidated, not made anew. Owned by WorkerEventReader; event loop
-// thread only.
+// list of all it keeps, where the worker has one: entries are revalidated, not made anew. Owned by
+// WorkerEventReader; event loop thread only.
 class WorkerEventFeed {
  public:
   struct Observer {
@@ -98,7 +98,7 @@
   uint64_t sequence_at_loss_ = 0;
   runtime::MonotonicTime listed_at_;  // the last time
   bool listing_ = false;              // the running call asks for a list
-  std::string unsaid_loss_;  // its reason; found while the lease was not held
+  std::string unsaid_loss_;           // its reason; found while the lease was not held
   runtime::Timer poll_timer_;
   runtime::Timer missing_timer_;
 };
--- a/src/posthatch/index/worker_event_reader.cc
+++ b/src/posthatch/index/worker_event_reader.cc
@@ -144,7 +144,8 @@
       return event.blocks;
     }
   }
-  const BlockSeed* of_salt = event.salt.empty() ? nullptr : parts_.attributions->FindSalt(event.salt);
+  const BlockSeed* of_salt =
+      event.salt.empty() ? nullptr : parts_.attributions->FindSalt(event.salt);
   if (of_salt != nullptr) {
     *seed = *of_salt;
     return event.blocks;
--- a/src/posthatch/orders/rollout_coordinator.h
+++ b/src/posthatch/orders/rollout_coordinator.h
@@ -97,8 +97,8 @@
   uint64_t last_call_ = 0;
   std::map<std::string, Progress> active_;
   std::map<std::string, runtime::MonotonicTime> ordered_at_;  // by worker, its last order
-  std::map<std::string, uint64_t> revisions_;  // by worker, as seen in reports
-  std::map<std::string, uint64_t> proven_;     // by model: a worker serves this revision
+  std::map<std::string, uint64_t> revisions_;                 // by worker, as seen in reports
+  std::map<std::string, uint64_t> proven_;  // by model: a worker serves this revision
   runtime::Timer tick_timer_;
 };
 
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -46,9 +46,8 @@
   known = load;
   const auto told = told_.find(worker_id);
   const uint64_t told_tokens = told == told_.end() ? 0 : told->second.pending_tokens;
-  const uint64_t difference = load.pending_tokens > told_tokens
-                                  ? load.pending_tokens - told_tokens
-                                  : told_tokens - load.pending_tokens;
+  const uint64_t difference = load.pending_tokens > told_tokens ? load.pending_tokens - told_tokens
+                                                                : told_tokens - load.pending_tokens;
   Schedule(difference >= options_.urgent_tokens);
 }
 
--- a/src/posthatch/traffic/load_exchange.h
+++ b/src/posthatch/traffic/load_exchange.h
@@ -53,11 +53,11 @@
 // without it, each gateway sees only its own small part of a worker's queue.
 //
 // In a small fleet each gateway tells every other one. In a large one that would be most of what
-// gateways send: there it tells the others of its zone, and the gateway with the lowest name of each
-// zone is the zone's collector. Collectors tell each other the sums of their zones and pass the
-// other zones' on to their own; what is known of other zones is older, and placing prefers the own
-// zone the more. In a large zone the members tell just the collector, which tells them the zone's
-// sum. Nobody is elected: gateways that see the fleet differently cost a few more messages.
+// gateways send: there it tells the others of its zone, and the gateway with the lowest name of
+// each zone is the zone's collector. Collectors tell each other the sums of their zones and pass
+// the other zones' on to their own; what is known of other zones is older, and placing prefers the
+// own zone the more. In a large zone the members tell just the collector, which tells them the
+// zone's sum. Nobody is elected: gateways that see the fleet differently cost a few more messages.
 //
 // A prompt that waits to be read holds up others for a long time: that is told within milliseconds.
 // Everything else is told now and then.
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -7,8 +7,9 @@
 namespace posthatch::traffic {
 namespace {
 
-// A list read by the leader that is older than the bound for draining less this is read again by the
-// gateway itself: time for the spread of the gateways' reads, a refusal over the rate, and the read.
+// A list read by the leader that is older than the bound for draining less this is read again by
+// the gateway itself: time for the spread of the gateways' reads, a refusal over the rate, and the
+// read.
 constexpr runtime::Duration kTimeToReadList = std::chrono::milliseconds(1500);
 // Marks that fade with time are looked at this often.
 constexpr runtime::Duration kRefreshInterval = std::chrono::milliseconds(500);
@@ -96,9 +97,8 @@
   OnStateChanged();
   UpdatePool();
   inventory_.Start();
-  loads_.OnStore([this](const std::string& endpoint, bool alive) {
-    stores_.OnHealth(endpoint, alive);
-  });
+  loads_.OnStore(
+      [this](const std::string& endpoint, bool alive) { stores_.OnHealth(endpoint, alive); });
   store_watch_.Start();
 }
 
