clang-tidy's clean results are kept by the hash of what a file is compiled from

Change: scripts/lint.sh keeps the key of each file that was found clean (linter, its settings, the compile command, contents of the source and of every header the build recorded) and looks only at files whose key is new. --no-cache looks at all. Findings are never kept. Left: a run without any cache is as long as before.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,12 +1,79 @@
 #!/usr/bin/env bash
 # clang-tidy over the project's own sources, in parallel; warnings are errors (.clang-tidy).
+# A file that was found clean is not looked at again while nothing that it is compiled from has
+# changed: its key is the hash of the linter, its settings, the compile command and the contents of
+# the source and of every header it includes, as the build recorded them (`ninja -t deps`).
+# Only clean results are kept. Usage: scripts/lint.sh [--no-cache] [FILE...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
+build=build/release
+cache=${POSTHATCH_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/posthatch-lint}
+if [ "${1:-}" = --no-cache ]; then
+  cache=$(mktemp -d)
+  shift
+fi
+mkdir -p "$cache"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
 if [ $# -gt 0 ]; then
-  files=("$@")
+  printf '%s\n' "$@" >"$work/files"
 else
-  mapfile -t files < <(git ls-files 'src/*.cc' 'platform/*.cc' | grep -v -- '-fuzz\.cc$')
+  git ls-files 'src/*.cc' 'platform/*.cc' | grep -v -- '-fuzz\.cc$' >"$work/files"
 fi
-printf '%s\n' "${files[@]}" |
-  xargs -P "$(nproc)" -n 4 clang-tidy -p build/release --quiet 2>/dev/null
-echo "clang-tidy: ${#files[@]} files clean"
+
+# One line a dependency: SOURCE DEPENDENCY, for every object of the build.
+ninja -C "$build" -t deps | awk -v root="$PWD/" '
+  /^[^ ].*: #deps/ { source = "" ; next }
+  /^    / {
+    file = substr($0, 5)
+    if (source == "") source = file
+    name = source
+    if (index(name, root) == 1) name = substr(name, length(root) + 1)
+    sub(/^(\.\.\/)+/, "", name)
+    print name "\t" file
+  }' >"$work/dependencies"
+(cd "$build" && cut -f2 "$work/dependencies" | sort -u | xargs -d '\n' sha256sum) >"$work/hashes"
+sha256sum .clang-tidy | cut -d' ' -f1 >"$work/common"
+clang-tidy --version >>"$work/common"
+# The compile commands without this checkout's path, which the result does not depend on.
+sed "s|$PWD||g" "$build/compile_commands.json" | tr -d '\n' | sed 's/},/},\n/g' >"$work/commands"
+
+# For each source one file that lists all its key is made of.
+mkdir "$work/keys"
+awk -v keys="$work/keys" -v root="$PWD/" -F'\t' '
+  FILENAME ~ /hashes$/ { hash[substr($0, 67)] = substr($0, 1, 64); next }
+  FILENAME ~ /files$/ { wanted[$0] = 1; next }
+  wanted[$1] { path = $1; gsub("/", "%", path); out = keys "/" path
+               print hash[$2] >> out; if (out != last) { if (last != "") close(last); last = out } }
+' "$work/hashes" "$work/files" "$work/dependencies"
+
+: >"$work/todo"
+: >"$work/known"
+while read -r file; do
+  list="$work/keys/${file//\//%}"
+  if [ ! -s "$list" ]; then
+    echo "$file is not compiled by the release build: build it first" >&2
+    exit 1
+  fi
+  { cat "$work/common" "$list"; grep -F "$file" "$work/commands"; } >"$list.all"
+done <"$work/files"
+(cd "$work/keys" && sha256sum -- *.all) | sed 's/\.all$//; s/%/\//g' |
+  while read -r key file; do
+    if [ -e "$cache/$key" ]; then echo "$file" >>"$work/known"; else echo "$key $file" >>"$work/todo"; fi
+  done
+
+lint_one() {
+  local key=$1 file=$2
+  clang-tidy -p "$build" --quiet "$file" 2>/dev/null || return 1
+  touch "$cache/$key"
+}
+export -f lint_one
+export build cache
+# The largest first, so that none is left over at the end.
+while read -r key file; do
+  echo "$(wc -l <"$work/keys/${file//\//%}") $key $file"
+done <"$work/todo" | sort -rn | cut -d' ' -f2- |
+  xargs -r -P "${POSTHATCH_LINT_JOBS:-$(nproc)}" -L 1 bash -c 'lint_one "$@"' lint
+# Results that nothing has asked for in a month go.
+find "$cache" -type f -mtime +30 -delete
+echo "clang-tidy: $(wc -l <"$work/files") files clean ($(wc -l <"$work/known") of them known from before)"
