Only the seeds found a cluster: nine controllers whose number nobody tells formed several

Ruled out: a slow disk or a late process (all nine start within 0.2 s). Change: founders. Where all processes get the same seeds ([controller] founded_by_seeds), only the replicas at the seed addresses form a cluster, all of them together, the lowest id alone.

--- a/src/posthatch/consensus/bootstrap-test.cc
+++ b/src/posthatch/consensus/bootstrap-test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <optional>
+#include <utility>
 
 #include "posthatch/consensus/core_harness-test.h"
 
@@ -15,9 +17,21 @@
 class BootstrapTest : public testing::Test {
  protected:
   BootstrapTest()
-      : random_(3), core_({}, &random_, Fresh(), now_), bootstrap_(&core_, &random_, 3, 3, [] {
-          return std::vector<std::string>{"host10", "host20", "host30"};
-        }) {}
+      : random_(3),
+        core_({}, &random_, Fresh(), now_),
+        bootstrap_(std::in_place, &core_, &random_,
+                   BootstrapOptions{.expect = 3, .founders = {}, .target_voters = 3, .peers = [] {
+                                      return std::vector<std::string>{"host10", "host20", "host30"};
+                                    }}) {}
+
+  // From now on only these may form a cluster.
+  void SetFounders(const std::vector<std::string>& founders) {
+    bootstrap_.emplace(
+        &core_, &random_,
+        BootstrapOptions{.expect = 3, .founders = founders, .target_voters = 9, .peers = [] {
+                           return std::vector<std::string>{};
+                         }});
+  }
 
   static RecoveredState Fresh() {
     RecoveredState state;
@@ -42,15 +56,15 @@
   void Run(const std::vector<RaftMessage>& messages) {
     for (int i = 0; i < 20; ++i) {
       now_ += milliseconds(100);
-      for (const RaftMessage& message : messages) bootstrap_.OnHello(message, now_);
-      bootstrap_.Tick(now_);
+      for (const RaftMessage& message : messages) bootstrap_->OnHello(message, now_);
+      bootstrap_->Tick(now_);
     }
   }
 
   runtime::MonotonicTime now_{std::chrono::hours(1)};
   runtime::Random random_;
   RaftCore core_;
-  Bootstrap bootstrap_;
+  std::optional<Bootstrap> bootstrap_;
 };
 
 TEST_F(BootstrapTest, LowestIdFormsAClusterOfAllThatSeeEachOther) {
@@ -75,6 +89,25 @@
   EXPECT_TRUE(core_.IsFresh());
 }
 
+TEST_F(BootstrapTest, OnlyAFounderFormsAClusterThoughItSeesNoLowerId) {
+  SetFounders({"host20", "host30", "host40"});
+  Run({HelloFrom(20, {10, 30, 40}), HelloFrom(30, {10, 20, 40}), HelloFrom(40, {10, 20, 30})});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, AFounderWaitsForAllOthers) {
+  SetFounders({"host10", "host20", "host30"});
+  Run({HelloFrom(20, {10, 40, 50}), HelloFrom(40, {10, 20, 50}), HelloFrom(50, {10, 20, 40})});
+  EXPECT_TRUE(core_.IsFresh());
+}
+
+TEST_F(BootstrapTest, TheLowestFounderTakesInAllThatItSees) {
+  SetFounders({"host10", "host20", "host30"});
+  Run({HelloFrom(20, {10, 30}), HelloFrom(30, {10, 20}), HelloFrom(5, {10}), HelloFrom(40, {})});
+  EXPECT_FALSE(core_.IsFresh());
+  EXPECT_EQ(VoterCount(core_.configuration()), 5U);
+}
+
 TEST_F(BootstrapTest, FormsNoClusterWithAMemberOfOneInSight) {
   RaftMessage member = HelloFrom(40, {});
   member.set_cluster_id(77);
@@ -98,7 +131,7 @@
   member.mutable_hello()->set_leader_endpoint("host50");
   Run({member});
   size_t asked = 0;
-  for (const OutgoingMessage& out : bootstrap_.TakeMessages()) {
+  for (const OutgoingMessage& out : bootstrap_->TakeMessages()) {
     if (!out.message.has_join_request()) continue;
     ++asked;
     EXPECT_EQ(out.endpoint, "host50");
--- a/src/posthatch/consensus/bootstrap.cc
+++ b/src/posthatch/consensus/bootstrap.cc
@@ -18,13 +18,8 @@
 
 }  // namespace
 
-Bootstrap::Bootstrap(RaftCore* core, runtime::Random* random, size_t expect, size_t target_voters,
-                     Peers peers)
-    : core_(core),
-      random_(random),
-      expect_(expect),
-      target_voters_(target_voters),
-      peers_(std::move(peers)) {}
+Bootstrap::Bootstrap(RaftCore* core, runtime::Random* random, BootstrapOptions options)
+    : core_(core), random_(random), options_(std::move(options)) {}
 
 std::vector<OutgoingMessage> Bootstrap::TakeMessages() {
   return std::exchange(outbox_, std::vector<OutgoingMessage>());
@@ -40,7 +35,7 @@
   next_hello_ = now + kHelloInterval;
   SendHellos(now);
   ++rounds_;
-  if (expect_ > 0 && core_->IsFresh() && rounds_ > kRoundsBeforeForming) TryToForm(now);
+  if (options_.expect > 0 && core_->IsFresh() && rounds_ > kRoundsBeforeForming) TryToForm(now);
 }
 
 std::set<uint64_t> Bootstrap::FreshSeen(MonotonicTime now) const {
@@ -70,8 +65,8 @@
 
 void Bootstrap::SendHellos(MonotonicTime now) {
   std::set<std::string> endpoints;
-  if (peers_) {
-    for (std::string& endpoint : peers_()) endpoints.insert(std::move(endpoint));
+  if (options_.peers) {
+    for (std::string& endpoint : options_.peers()) endpoints.insert(std::move(endpoint));
   }
   for (const Member& member : core_->configuration().members()) {
     endpoints.insert(core_->EndpointOf(member.replica_id()));
@@ -120,20 +115,47 @@
   outbox_.push_back({hello.leader_endpoint(), std::move(message)});
 }
 
+std::set<uint64_t> Bootstrap::FormersOf(const std::set<uint64_t>& together) const {
+  if (options_.founders.empty()) return together;
+  std::set<uint64_t> formers;
+  for (const uint64_t id : together) {
+    const auto known = known_.find(id);
+    const std::string& endpoint =
+        known == known_.end() ? core_->EndpointOf(id) : known->second.endpoint;
+    const auto founder = std::find(options_.founders.begin(), options_.founders.end(), endpoint);
+    if (founder != options_.founders.end()) formers.insert(id);
+  }
+  return formers;
+}
+
+bool Bootstrap::IsFormer(const std::set<uint64_t>& together) const {
+  const std::set<uint64_t> formers = FormersOf(together);
+  if (formers.empty() || *formers.begin() != core_->replica_id()) return false;
+  if (options_.founders.empty()) return together.size() >= options_.expect;
+  return formers.size() == options_.founders.size();
+}
+
 // Forms a cluster if this replica has the lowest id of enough fresh replicas that all see each
-// other, and no member of a cluster is in sight.
+// other, and no member of a cluster is in sight. Where founders are named, only they count: all of
+// them must see each other, and as their number is known, no two replicas can both be the lowest.
 void Bootstrap::TryToForm(MonotonicTime now) {
   std::set<uint64_t> together = FreshSeen(now);
   together.insert(core_->replica_id());
-  if (together.size() < expect_ || *together.begin() != core_->replica_id()) return;
-  ClusterConfiguration configuration;
+  if (!IsFormer(together)) return;
+  const std::set<uint64_t> formers = FormersOf(together);
   for (const auto& [id, peer] : known_) {
     if (now - peer.heard_at >= kSeenFor) continue;
     if (!peer.fresh) return;
+    if (!formers.contains(id)) continue;
     std::set<uint64_t> seen = peer.fresh_seen;
     seen.insert(id);
-    if (!std::includes(seen.begin(), seen.end(), together.begin(), together.end())) return;
+    if (!std::includes(seen.begin(), seen.end(), formers.begin(), formers.end())) return;
   }
+  Form(together, now);
+}
+
+void Bootstrap::Form(const std::set<uint64_t>& together, MonotonicTime now) {
+  ClusterConfiguration configuration;
   while (configuration.cluster_id() == 0) configuration.set_cluster_id((*random_)());
   for (uint64_t id : together) {
     Member* member = configuration.add_members();
@@ -141,7 +163,7 @@
     member->set_endpoint(core_->EndpointOf(id));
     member->set_boot_count(id == core_->replica_id() ? core_->boot_count()
                                                      : known_.at(id).boot_count);
-    member->set_voter(static_cast<size_t>(configuration.members_size()) <= target_voters_);
+    member->set_voter(static_cast<size_t>(configuration.members_size()) <= options_.target_voters);
   }
   core_->Bootstrap(configuration, now);
 }
--- a/src/posthatch/consensus/bootstrap.h
+++ b/src/posthatch/consensus/bootstrap.h
@@ -12,18 +12,26 @@
 
 namespace posthatch::consensus {
 
+struct BootstrapOptions {
+  // Fresh replicas that form a cluster together; 0: this one never forms any.
+  size_t expect = 3;
+  // Internal endpoints of the only replicas that may form one, the same on all; every one of them
+  // must take part. Empty: any replica may, and `expect` must be the number of all.
+  std::vector<std::string> founders;
+  // The first so many by id become voters.
+  size_t target_voters = 3;
+  // Internal endpoints of replicas that discovery knows; asked while there is no leader.
+  std::function<std::vector<std::string>()> peers;
+};
+
 // How a replica that knows no leader finds its cluster, or forms one with other fresh replicas:
 // Hello messages to the endpoints that discovery and the last configuration name. Rules and the
 // argument that two clusters can't both commit anything: docs/design-docs/consensus.md.
 // Owned by RaftReplica; not thread-safe.
 class Bootstrap {
  public:
-  using Peers = std::function<std::vector<std::string>()>;
-
-  // A cluster is formed by `expect` or more replicas, of which the first `target_voters` by id
-  // become voters; with `expect` 0 this one never forms any. All pointers must outlive this object.
-  Bootstrap(RaftCore* core, runtime::Random* random, size_t expect, size_t target_voters,
-            Peers peers);
+  // The pointers must outlive this object.
+  Bootstrap(RaftCore* core, runtime::Random* random, BootstrapOptions options);
 
   void Tick(runtime::MonotonicTime now);
   void OnHello(const RaftMessage& message, runtime::MonotonicTime now);
@@ -43,13 +51,16 @@
   void NotePeer(const RaftMessage& message, runtime::MonotonicTime now);
   void AskToJoin(const Hello& hello, runtime::MonotonicTime now);
   void TryToForm(runtime::MonotonicTime now);
+  // Whether it falls to this replica to form a cluster of `together`.
+  bool IsFormer(const std::set<uint64_t>& together) const;
+  // Those of `together` that may form one: all, or the founders.
+  std::set<uint64_t> FormersOf(const std::set<uint64_t>& together) const;
+  void Form(const std::set<uint64_t>& together, runtime::MonotonicTime now);
   std::set<uint64_t> FreshSeen(runtime::MonotonicTime now) const;
 
   RaftCore* const core_;
   runtime::Random* const random_;
-  const size_t expect_;
-  const size_t target_voters_;
-  const Peers peers_;
+  const BootstrapOptions options_;
   std::map<uint64_t, Peer> known_;
   std::vector<OutgoingMessage> outbox_;
   runtime::MonotonicTime next_hello_;
--- a/src/posthatch/consensus/raft_replica.cc
+++ b/src/posthatch/consensus/raft_replica.cc
@@ -20,6 +20,15 @@
 constexpr runtime::Duration kSnapshotRetry = std::chrono::seconds(5);
 constexpr runtime::Duration kDiskTransferInterval = std::chrono::seconds(10);
 
+BootstrapOptions BootstrapOptionsOf(const ReplicaOptions& options) {
+  BootstrapOptions bootstrap;
+  bootstrap.expect = options.bootstrap_expect;
+  bootstrap.founders = options.founders;
+  bootstrap.target_voters = options.raft.target_voters;
+  bootstrap.peers = options.peers;
+  return bootstrap;
+}
+
 }  // namespace
 
 RaftReplica::RaftReplica(runtime::Runtime* runtime, ReplicaOptions options,
@@ -67,8 +76,8 @@
   }
   const storage::HardState hard_state = recovered.hard_state;
   core_ = std::make_unique<RaftCore>(options_.raft, runtime_->random, std::move(recovered), Now());
-  bootstrap_ = std::make_unique<Bootstrap>(core_.get(), runtime_->random, options_.bootstrap_expect,
-                                           options_.raft.target_voters, options_.peers);
+  bootstrap_ =
+      std::make_unique<Bootstrap>(core_.get(), runtime_->random, BootstrapOptionsOf(options_));
   RegisterMetrics();
   log_writer_->SetSyncObserver([this](runtime::Duration took) {
     disk_health_.OnSync(took, Now());
--- a/src/posthatch/consensus/raft_replica.h
+++ b/src/posthatch/consensus/raft_replica.h
@@ -30,6 +30,10 @@
   // How many fresh replicas form a new cluster. Must be the number of controllers that are started
   // for the first time; see docs/operations/controllers.md.
   size_t bootstrap_expect = 3;
+  // Internal endpoints of the only replicas that may form a new cluster, the same on all; each of
+  // them must take part in it. Empty: any replica may. Needed where the number of controllers is
+  // not known.
+  std::vector<std::string> founders;
   // Internal endpoints of the controllers known now; asked while there is no leader.
   std::function<std::vector<std::string>()> peers;
 
--- a/src/posthatch/consensus/raft_simulation-test.cc
+++ b/src/posthatch/consensus/raft_simulation-test.cc
@@ -58,6 +58,128 @@
             << lost_disks << " lost disks\n";
 }
 
+// What the core must bear at the end of a day: in the moment after an acknowledgement as many disks
+// are lost as a majority can do without, and all other machines lose power, whoever they are.
+TEST_P(RaftSimulationTest, DisksLostWhileAllOthersLosePowerLoseNothingAcknowledged) {
+  const uint64_t first = EnvironmentNumber("POSTHATCH_FIRST_SEED", 1);
+  const uint64_t seeds = EnvironmentNumber("POSTHATCH_SEEDS", 30);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    RaftWorld cluster(seed, GetParam());
+    ASSERT_TRUE(cluster.RunUntilLeader()) << "seed " << seed;
+    cluster.RunClients();
+    cluster.world().RunFor(seconds(2));
+    bool struck = false;
+    cluster.SetOnAcknowledged([&cluster, &struck] {
+      cluster.world().At(runtime::Duration::zero(), [&cluster, &struck] {
+        const size_t size = cluster.nodes().size();
+        const size_t lost = (size - 1) / 2;
+        const size_t from = cluster.random().Uniform(size);
+        for (size_t i = 0; i < size; ++i) {
+          const size_t node = (from + i) % size;
+          if (i < lost) {
+            cluster.LoseDisk(node);
+          } else {
+            cluster.nodes()[node].host->PowerLoss();
+          }
+          cluster.world().At(cluster.random().Between(std::chrono::milliseconds(100), seconds(2)),
+                             [&cluster, node] { cluster.nodes()[node].host->Start(); });
+        }
+        struck = true;
+      });
+    });
+    ASSERT_TRUE(cluster.world().RunUntil([&struck] { return struck; }, seconds(20)));
+    cluster.world().RunFor(seconds(5));
+    const std::string trouble = cluster.Settle();
+    ASSERT_EQ(trouble, "") << "seed " << seed;
+    const std::vector<std::string> violations = cluster.history().Check(cluster.Length(0));
+    ASSERT_TRUE(violations.empty()) << "seed " << seed << ": " << absl::StrJoin(violations, "; ");
+  }
+}
+
+// Cut into two halves neither may acknowledge anything, whichever the leader stands in; healed, it
+// goes on and nothing is lost.
+TEST(HalvesTest, NeitherHalfAcknowledgesAndNothingIsLost) {
+  constexpr size_t kReplicas = 4;
+  const uint64_t first = EnvironmentNumber("POSTHATCH_FIRST_SEED", 1);
+  const uint64_t seeds = EnvironmentNumber("POSTHATCH_SEEDS", 30);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    RaftWorld cluster(seed, kReplicas);
+    ASSERT_TRUE(cluster.RunUntilLeader()) << "seed " << seed;
+    cluster.RunClients();
+    cluster.world().RunFor(seconds(2));
+    for (size_t left = 0; left < kReplicas / 2; ++left) {
+      for (size_t right = kReplicas / 2; right < kReplicas; ++right) {
+        const std::string& one = cluster.nodes()[left].host->name();
+        const std::string& other = cluster.nodes()[right].host->name();
+        cluster.world().Cut(one, other);
+        cluster.world().Cut(other, one);
+      }
+    }
+    cluster.world().RunFor(seconds(1));  // answers to what was committed before
+    const size_t before = cluster.history().acknowledged();
+    cluster.world().RunFor(seconds(6));
+    EXPECT_EQ(cluster.history().acknowledged(), before) << "seed " << seed;
+    EXPECT_EQ(cluster.Leader(), -1) << "seed " << seed;
+    cluster.world().HealAll();
+    cluster.world().RunFor(seconds(4));
+    EXPECT_GT(cluster.history().acknowledged(), before) << "seed " << seed;
+    ASSERT_EQ(cluster.Settle(), "") << "seed " << seed;
+    const std::vector<std::string> violations = cluster.history().Check(cluster.Length(0));
+    ASSERT_TRUE(violations.empty()) << "seed " << seed << ": " << absl::StrJoin(violations, "; ");
+  }
+}
+
+// Nine controllers whose number nobody tells, all with the same three seeds, that start at slightly
+// different times and hear of each other one by one, as from gossip.
+class FirstStartTest : public testing::Test {
+ protected:
+  static constexpr size_t kControllers = 9;
+  static constexpr size_t kSeeds = 3;
+
+  // Whether one cluster holds all of them soon, and leads.
+  static bool FormsOneCluster(uint64_t seed) {
+    RaftWorld* world = nullptr;
+    runtime::Random random(seed);
+    std::vector<std::vector<runtime::MonotonicTime>> known_from(kControllers);
+    const auto adjust = [&](size_t node, ReplicaOptions* options) {
+      std::vector<std::string> seeds;
+      for (size_t i = 0; i < kSeeds; ++i) {
+        seeds.push_back(world->nodes()[i].host->internal_endpoint());
+      }
+      options->bootstrap_expect = kSeeds;
+      options->founders = seeds;
+      for (size_t i = 0; i < kControllers; ++i) {
+        const auto delay = i < kSeeds ? runtime::Duration::zero()
+                                      : random.Between(std::chrono::milliseconds(50),
+                                                       std::chrono::milliseconds(1600));
+        known_from[node].push_back(world->world().Now() + delay);
+      }
+      options->peers = [&known_from, &world, node] {
+        std::vector<std::string> endpoints;
+        for (size_t i = 0; i < kControllers; ++i) {
+          if (world->world().Now() < known_from[node][i]) continue;
+          endpoints.push_back(world->nodes()[i].host->internal_endpoint());
+        }
+        return endpoints;
+      };
+    };
+    RaftWorld cluster(seed, kControllers, adjust, std::chrono::milliseconds(300));
+    world = &cluster;
+    return cluster.world().RunUntil([&cluster] { return cluster.IsWhole(); }, seconds(6));
+  }
+};
+
+TEST_F(FirstStartTest, ControllersThatMeetOneByOneFormOneCluster) {
+  const uint64_t first = EnvironmentNumber("POSTHATCH_FIRST_SEED", 1);
+  const uint64_t seeds = 5 * EnvironmentNumber("POSTHATCH_SEEDS", 30);
+  std::vector<uint64_t> failed;
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    if (!FormsOneCluster(seed)) failed.push_back(seed);
+  }
+  EXPECT_TRUE(failed.empty()) << failed.size() << " of " << seeds
+                              << " seeds: " << absl::StrJoin(failed, ", ");
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, RaftSimulationTest, testing::Values(3, 5));
 
 }  // namespace
--- a/src/posthatch/consensus/raft_world-test.h
+++ b/src/posthatch/consensus/raft_world-test.h
@@ -66,7 +66,12 @@
     uint64_t id_on_disk = 0;  // of the newest start; 0 once the disk is lost
   };
 
-  RaftWorld(uint64_t seed, size_t size) : world_(seed), random_(seed * 31 + size), nodes_(size) {
+  // Changes the options of a replica that is about to start.
+  using AdjustOptions = std::function<void(size_t node, ReplicaOptions* options)>;
+
+  RaftWorld(uint64_t seed, size_t size, AdjustOptions adjust = {},
+            runtime::Duration start_spread = {})
+      : adjust_(std::move(adjust)), world_(seed), random_(seed * 31 + size), nodes_(size) {
     for (size_t i = 0; i < size; ++i) {
       const std::string name = absl::StrCat("controller", i);
       nodes_[i].host =
@@ -74,7 +79,12 @@
     }
     for (size_t i = 0; i < size; ++i) {
       nodes_[i].host->SetBoot([this, i](runtime::Runtime* runtime) { return Boot(i, runtime); });
-      nodes_[i].host->Start();
+      if (start_spread <= runtime::Duration::zero()) {
+        nodes_[i].host->Start();
+        continue;
+      }
+      world_.At(random_.Between(runtime::Duration::zero(), start_spread),
+                [this, i] { nodes_[i].host->Start(); });
     }
   }
   ~RaftWorld() {
@@ -250,6 +260,7 @@
       for (const Node& node : nodes_) endpoints.push_back(node.host->internal_endpoint());
       return endpoints;
     };
+    if (adjust_) adjust_(i, &options);
     const std::string name = nodes_[i].host->name();
     auto process = std::make_shared<Process>(runtime, options, name, &history_);
     process->replica.SetLeadershipListener([this, name](bool is_leader, uint64_t term) {
@@ -269,6 +280,7 @@
 
   LogHistory history_;
   ReplicaOptions options_;
+  const AdjustOptions adjust_;
   simulation::SimWorld world_;
   runtime::Random random_;
   std::vector<Node> nodes_;
--- a/src/posthatch/control/control_plane-test.cc
+++ b/src/posthatch/control/control_plane-test.cc
@@ -146,7 +146,29 @@
     }
   }
 
+  // Each controller, in touch with the others or not, is asked for the configuration all the time.
+  void ScheduleReads() {
+    fleet_.world.At(milliseconds(60), [this] {
+      if (fleet_.world.Now() > end_) return;
+      ScheduleReads();
+      ControllerProcess* controller = fleet_.Controller(AnyController());
+      if (controller == nullptr) return;
+      const uint64_t acknowledged = fleet_.operator_process->newest_version();
+      controller->service.client()->Query(
+          "configuration", "", milliseconds(1500),
+          [this, acknowledged](const absl::StatusOr<QueryResponse>& response) {
+            if (!response.ok()) return;
+            const boost::json::value body = boost::json::parse(response->json());
+            const uint64_t version = body.at("version").to_number<uint64_t>();
+            ++answered_reads_;
+            if (version < acknowledged) ++stale_reads_;
+          });
+    });
+  }
+
   const size_t controllers_;
+  int answered_reads_ = 0;
+  int stale_reads_ = 0;
   FleetHarness fleet_;
   runtime::MonotonicTime end_;
   std::set<SimHost*> frozen_;
@@ -197,5 +219,34 @@
                                   << " violations, the first: " << violations.front();
 }
 
+// A read that was sent after an acknowledgement never tells an older version, at whatever
+// controller and behind whatever cut; a controller that can't be sure refuses.
+TEST_P(ControlPlaneTest, ReadsAtAnyControllerAreNeverOlderThanWhatWasAcknowledged) {
+  fleet_.operator_process->Change(0);
+  ASSERT_TRUE(
+      fleet_.world.RunUntil([this] { return fleet_.operator_process->open() == 0; }, seconds(40)));
+  end_ = fleet_.world.Now() + seconds(60);
+  ScheduleChanges();
+  ScheduleFaults();
+  ScheduleReads();
+  fleet_.world.RunFor(seconds(65));
+  EXPECT_EQ(stale_reads_, 0);
+  EXPECT_GT(answered_reads_, 100);
+  // One that is cut off from the others can't be sure. Earlier cuts heal by then.
+  fleet_.world.RunFor(seconds(15));
+  fleet_.world.HealAll();
+  SimHost* leader = nullptr;
+  ASSERT_TRUE(
+      fleet_.world.RunUntil([&] { return (leader = fleet_.Leader()) != nullptr; }, seconds(40)));
+  CutFor(leader, fleet_.controller_hosts, /*both=*/true);
+  fleet_.world.RunFor(seconds(2));
+  absl::Status answer;
+  fleet_.Controller(leader)->service.client()->Query(
+      "configuration", "", milliseconds(1500),
+      [&answer](const absl::StatusOr<QueryResponse>& response) { answer = response.status(); });
+  fleet_.world.RunFor(seconds(3));
+  EXPECT_FALSE(answer.ok());
+}
+
 }  // namespace
 }  // namespace posthatch::control
--- a/src/posthatch/daemon/controller_node.cc
+++ b/src/posthatch/daemon/controller_node.cc
@@ -17,6 +17,7 @@
                                              const membership::Membership* membership) {
   consensus::ReplicaOptions options;
   options.bootstrap_expect = settings.bootstrap_expect;
+  if (settings.founded_by_seeds) options.founders = settings.node.seeds;
   options.raft.target_voters = settings.target_voters;
   options.peers = [membership, settings = &settings] {
     return EndpointsOf(*membership, membership::MemberRole::kController, settings->node.seeds);
--- a/src/posthatch/daemon/node_settings.h
+++ b/src/posthatch/daemon/node_settings.h
@@ -54,6 +54,9 @@
   http::ServerLimits limits;
   // How many fresh controllers must see each other before they form the first cluster.
   uint32_t bootstrap_expect = 3;
+  // Only the controllers at the seed addresses form the first cluster, all of them together; for
+  // fleets whose processes all get the same seeds and aren't told how many controllers there are.
+  bool founded_by_seeds = false;
   // Voters that automatic repair keeps up.
   uint32_t target_voters = 3;
   runtime::Duration session_lease = std::chrono::seconds(4);
--- a/src/posthatch/daemon/setting_value.cc
+++ b/src/posthatch/daemon/setting_value.cc
@@ -78,6 +78,14 @@
   return absl::OkStatus();
 }
 
+absl::Status StoreSwitch(const SettingDescription& setting, const RawSetting& value,
+                         SettingTarget target) {
+  const auto* text = std::get_if<std::string>(&value);
+  if (text == nullptr || (*text != "on" && *text != "off")) return Refuse(setting, value);
+  *std::get<bool*>(target) = *text == "on";
+  return absl::OkStatus();
+}
+
 absl::Status StoreLevel(const SettingDescription& setting, const RawSetting& value,
                         SettingTarget target) {
   const auto* text = std::get_if<std::string>(&value);
@@ -158,6 +166,8 @@
     case SettingKind::kSha256:
     case SettingKind::kRoutingMode:
       return StoreText(setting, value, target);
+    case SettingKind::kSwitch:
+      return StoreSwitch(setting, value, target);
     case SettingKind::kLogLevel:
       return StoreLevel(setting, value, target);
     case SettingKind::kDecimal:
--- a/src/posthatch/daemon/settings_table.cc
+++ b/src/posthatch/daemon/settings_table.cc
@@ -284,6 +284,16 @@
        },
        .help = "Fresh controllers that must see each other before they form the first cluster; the "
                "same on all. 0: this one only joins a cluster that exists."},
+      {.table = "controller",
+       .name = "founded_by_seeds",
+       .kind = SettingKind::kSwitch,
+       .gateway = false,
+       .target = [](SettingsDraft* draft) -> SettingTarget {
+         return &draft->controller.founded_by_seeds;
+       },
+       .help = "The first cluster is formed by the controllers at the seed addresses, all of them "
+               "together, whatever bootstrap_expect above 0 says; the seeds must be the same on "
+               "all. For fleets that aren't told how many controllers there are."},
       {.table = "controller",
        .name = "target_voters",
        .kind = SettingKind::kCount,
@@ -353,6 +363,7 @@
   std::string operator()(const std::vector<std::string>*) const { return "[]"; }
   std::string operator()(const uint32_t* number) const { return absl::StrCat(*number); }
   std::string operator()(const uint64_t* number) const { return absl::StrCat(*number); }
+  std::string operator()(const bool* flag) const { return *flag ? "\"on\"" : "\"off\""; }
   std::string operator()(const double* number) const { return absl::StrCat("\"", *number, "\""); }
   std::string operator()(const runtime::Duration* duration) const {
     return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count());
@@ -398,6 +409,8 @@
       return "debug, info, warning or error";
     case SettingKind::kRoutingMode:
       return "prefix_aware or round_robin";
+    case SettingKind::kSwitch:
+      return "on or off";
     case SettingKind::kDecimal:
       return absl::StrCat("a decimal number in quotes, ", setting.minimum, " to ", setting.maximum);
     case SettingKind::kCount:
--- a/src/posthatch/daemon/settings_table.h
+++ b/src/posthatch/daemon/settings_table.h
@@ -29,6 +29,7 @@
   kSha256,        // empty, or 64 hexadecimal digits
   kLogLevel,      // debug, info, warning, error
   kRoutingMode,   // prefix_aware, round_robin
+  kSwitch,        // on, off
   kCount,         // whole number
   kDecimal,       // decimal number, 0 or more, written as text
   kBytes,         // whole number of bytes
@@ -36,7 +37,7 @@
 };
 
 using SettingTarget = std::variant<std::string*, std::vector<std::string>*, uint32_t*, uint64_t*,
-                                   double*, runtime::Duration*, runtime::Severity*>;
+                                   double*, bool*, runtime::Duration*, runtime::Severity*>;
 
 // One setting. Its key in the file is `table`.`name`; its flag is --name with '-' for '_'. Its
 // default is that of the field it fills.
