Index kept for every revision that workers serve; prompts that are being read are announced

(2) Prompts of one subject that came within a second were each read at a worker of their own: the index hears of a read through the worker's events, 0.6 s and more later. Change: (1) TrustedPrefixLocator keeps three revisions where dispatches name salt and revision (a product's gateway keeps one, as before); holders name theirs, and the placer uses an entry only at a worker of that revision. (2) A dispatch that has to read shared segments is announced with the load reports; others go there, or fetch from there once it is read. Debug events tell how calls end. Tests: entries of another revision are of no use (found that a source must serve it too), bounded announcements, collectors pass them on.

--- a/src/posthatch/daemon/traffic_gateway_node.cc
+++ b/src/posthatch/daemon/traffic_gateway_node.cc
@@ -16,6 +16,9 @@
 constexpr runtime::Duration kEventWait = std::chrono::milliseconds(900);
 // Events that the platform loses one by one, beyond which a worker's entries are dropped.
 constexpr double kToleratedMissingEvents = 0.2;
+// Revisions whose entries are of use at one time: the newest, the one that a roll-out replaces, and
+// the one before, where a further revision was named in the middle of a roll-out.
+constexpr size_t kRevisionsKept = 3;
 
 control::GatewaySessionOptions SessionOptions(const GatewaySettings& settings) {
   control::GatewaySessionOptions options;
@@ -29,6 +32,7 @@
   index::IndexOptions options;
   options.index_budget_bytes = settings.index_budget_bytes;
   options.zone = settings.node.zone;
+  options.revisions_kept = kRevisionsKept;
   options.events.format = formats.cache_events;
   options.events.wait = kEventWait;
   options.events.tolerated_missing_share = kToleratedMissingEvents;
--- a/src/posthatch/index/index_node.cc
+++ b/src/posthatch/index/index_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <set>
 #include <utility>
 
 namespace posthatch::index {
@@ -31,7 +32,9 @@
       gateways_(std::move(gateways)),
       listener_(this),
       subscriptions_(runtime, SubscriptionOptionsOf(options_), controllers),
-      locator_({options_.index_budget_bytes, [fleet] { return fleet->LeaseValid(); }},
+      locator_({.budget_bytes = options_.index_budget_bytes,
+                .may_decide = [fleet] { return fleet->LeaseValid(); },
+                .revisions_kept = options_.revisions_kept},
                &subscriptions_),
       attributions_(options_.max_attributions),
       reporter_(runtime, client),
@@ -81,9 +84,19 @@
 
 void IndexNode::RecordSeeds(const control::FleetState& state) {
   if (!options_.dispatches.events_name_salts) return;
+  std::set<std::pair<std::string, uint64_t>> served;
   for (const control::ModelRevision& revision : state.revisions()) {
+    served.emplace(revision.model(), revision.revision());
+  }
+  if (options_.revisions_kept > 1) {
+    for (const control::Backend& backend : state.inventory().backends()) {
+      if (backend.model_revision() == 0) continue;
+      served.emplace(backend.model(), backend.model_revision());
+    }
+  }
+  for (const auto& [model, revision] : served) {
     for (const control::TenantIsolation& domain : state.isolation()) {
-      attributions_.RecordSeed({revision.model(), revision.revision(),
+      attributions_.RecordSeed({model, revision,
                                 domain.isolated() ? domain.tenant() : std::string(),
                                 domain.generation()});
     }
--- a/src/posthatch/index/index_node.h
+++ b/src/posthatch/index/index_node.h
@@ -34,6 +34,8 @@
   IndexUpdatePublisherOptions updates;
   DispatchRecorder::Options dispatches;
   runtime::Duration store_poll_interval = std::chrono::seconds(1);
+  // See TrustedPrefixLocator::Options.
+  size_t revisions_kept = 1;
   // Blocks whose seed is remembered, to attribute workers' events.
   size_t max_attributions = size_t{256} * 1024;
 };
--- a/src/posthatch/index/prefix_locator.h
+++ b/src/posthatch/index/prefix_locator.h
@@ -13,6 +13,8 @@
   std::string backend_id;
   uint64_t epoch = 0;
   uint32_t blocks = 0;
+  // Under which they were made; a worker that serves another one does not find them.
+  uint64_t model_revision = 0;
 };
 
 // What routing asks of the prefix cache index. Event loop thread only; never blocks.
--- a/src/posthatch/index/trusted_prefix_locator-test.cc
+++ b/src/posthatch/index/trusted_prefix_locator-test.cc
@@ -68,6 +68,53 @@
   EXPECT_EQ(Found(shared_), 0u);
 }
 
+// Where dispatches name revision and salt, workers that a roll-out has not reached keep their use.
+class SeveralRevisionsTest : public TrustedPrefixLocatorTest {
+ protected:
+  SeveralRevisionsTest() { locator_.RecordDispatch(shared_, chain_, "w", 100); }
+  void NewRevision(uint64_t revision) {
+    trust_.versions["model/m"] = MakeVersion(revision, 0);
+    locator_.ObjectChanged("model/m");
+  }
+  size_t Found(const BlockSeed& seed) { return locator_.Locate(seed, chain_).size(); }
+
+  TrustedPrefixLocator locator_{{.budget_bytes = 1 << 20, .may_decide = {}, .revisions_kept = 2},
+                                &trust_};
+};
+
+TEST_F(SeveralRevisionsTest, OlderEntriesStayTrustedAndNameTheirRevision) {
+  NewRevision(4);
+  ASSERT_EQ(Found(shared_), 1u);
+  EXPECT_EQ(locator_.Locate(shared_, chain_)[0].model_revision, 3u);
+  EXPECT_EQ(Found({"m", 4, "", 8}), 0u);
+  locator_.RecordDispatch(shared_, {21, 22}, "w", 100);  // a worker that still serves 3
+  EXPECT_EQ(locator_.Locate(shared_, {21, 22}).size(), 1u);
+}
+
+TEST_F(SeveralRevisionsTest, EntriesBeyondTheNumberKeptAreDropped) {
+  NewRevision(4);
+  locator_.RecordDispatch({"m", 4, "", 8}, chain_, "w", 100);
+  NewRevision(7);
+  EXPECT_EQ(Found(shared_), 0u);
+  EXPECT_EQ(Found({"m", 4, "", 8}), 1u);
+  locator_.RecordDispatch(shared_, chain_, "w", 100);
+  EXPECT_EQ(Found(shared_), 0u);
+}
+
+TEST_F(SeveralRevisionsTest, OlderEntriesRestOnTheModelsChannelToo) {
+  NewRevision(4);
+  trust_.silent = true;
+  EXPECT_EQ(Found(shared_), 0u);
+  trust_.silent = false;
+  EXPECT_EQ(Found(shared_), 1u);
+}
+
+TEST_F(SeveralRevisionsTest, ARevisionThatIsNotAnnouncedIsNeverTrusted) {
+  EXPECT_EQ(Found({"m", 5, "", 8}), 0u);
+  locator_.RecordDispatch({"m", 5, "", 8}, chain_, "w", 100);
+  EXPECT_EQ(Found({"m", 5, "", 8}), 0u);
+}
+
 // The hash alone keeps seeds apart already; this is the fence behind it.
 TEST_F(TrustedPrefixLocatorTest, AnotherSeedNeverMatchesEvenWithEqualHashes) {
   EXPECT_EQ(Found({"m", 3, "t", 9}), 0u);
--- a/src/posthatch/index/trusted_prefix_locator.cc
+++ b/src/posthatch/index/trusted_prefix_locator.cc
@@ -32,10 +32,35 @@
     : options_(std::move(options)), trust_(trust), index_(options_.budget_bytes) {}
 
 bool TrustedPrefixLocator::IsSeedFresh(const BlockSeed& seed) const {
-  return trust_->IsFresh(ModelObject(seed), channels::MakeVersion(seed.model_revision, 0)) &&
+  return IsRevisionTrusted(seed) &&
          trust_->IsFresh(TenantObject(seed), channels::MakeVersion(seed.isolation_generation, 0));
 }
 
+bool TrustedPrefixLocator::IsRevisionTrusted(const BlockSeed& seed) const {
+  const std::string object = ModelObject(seed);
+  if (trust_->IsFresh(object, channels::MakeVersion(seed.model_revision, 0))) return true;
+  if (options_.revisions_kept <= 1) return false;
+  // An older revision rests on the same channel: a gateway that hears nothing trusts neither.
+  channels::ObjectVersion newest;
+  if (!trust_->CurrentVersion(object, &newest) || seed.model_revision >= newest.epoch()) {
+    return false;
+  }
+  return seed.model_revision >= OldestKeptRevision(object);
+}
+
+void TrustedPrefixLocator::NoteRevision(const std::string& model_object, uint64_t revision) {
+  std::set<uint64_t>& revisions = revisions_[model_object];
+  revisions.insert(revision);
+  while (revisions.size() > options_.revisions_kept) revisions.erase(revisions.begin());
+}
+
+uint64_t TrustedPrefixLocator::OldestKeptRevision(const std::string& model_object) const {
+  const auto found = revisions_.find(model_object);
+  // While fewer are known than are kept, any older one may still be added.
+  if (found == revisions_.end() || found->second.size() < options_.revisions_kept) return 0;
+  return *found->second.begin();
+}
+
 std::vector<PrefixHolder> TrustedPrefixLocator::Locate(const BlockSeed& seed,
                                                        const std::vector<BlockHash>& chain) {
   ++stats_.lookups;
@@ -52,7 +77,8 @@
   holders.reserve(matches.size());
   for (const PrefixIndex::Match& match : matches) {
     const Generation& generation = generations_.find(match.generation)->second;
-    holders.push_back({generation.holder, generation.version.epoch(), match.blocks});
+    holders.push_back({generation.holder, generation.version.epoch(), match.blocks,
+                       generation.seed.model_revision});
   }
   if (!holders.empty()) ++stats_.lookups_matched;
   return holders;
@@ -108,6 +134,7 @@
   by_object_[generation.holder_object].push_back(id);
   by_object_[ModelObject(seed)].push_back(id);
   by_object_[TenantObject(seed)].push_back(id);
+  NoteRevision(ModelObject(seed), seed.model_revision);
   generations_[id] = std::move(generation);
   return id;
 }
@@ -149,13 +176,17 @@
   channels::ObjectVersion newest;
   const auto resting = by_object_.find(object);
   if (resting == by_object_.end() || !trust_->CurrentVersion(object, &newest)) return;
+  if (revisions_.contains(object)) NoteRevision(object, newest.epoch());
   const std::vector<GenerationId> ids = resting->second;
+  const uint64_t oldest_kept = OldestKeptRevision(object);
   for (const GenerationId id : ids) {
     const Generation& generation = generations_.find(id)->second;
     channels::ObjectVersion rested_on = generation.version;
     if (object == ModelObject(generation.seed)) {
-      rested_on = channels::MakeVersion(generation.seed.model_revision, 0);
-    } else if (object == TenantObject(generation.seed)) {
+      if (generation.seed.model_revision < oldest_kept) Drop(id);
+      continue;
+    }
+    if (object == TenantObject(generation.seed)) {
       rested_on = channels::MakeVersion(generation.seed.isolation_generation, 0);
     }
     if (channels::CompareVersions(rested_on, newest) < 0) Drop(id);
--- a/src/posthatch/index/trusted_prefix_locator.h
+++ b/src/posthatch/index/trusted_prefix_locator.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -40,6 +41,11 @@
     uint64_t budget_bytes = 64ull * 1024 * 1024;
     // Whether this gateway may decide at all (its session lease); asked at each look-up.
     std::function<bool()> may_decide;
+    // Revisions of a model whose entries are kept, the newest one included. More than one only
+    // where each dispatch names its worker's revision and a salt of that revision, so that a worker
+    // can't use what was made under another one: then entries of workers that a roll-out has not
+    // reached yet go on being of use.
+    size_t revisions_kept = 1;
   };
 
   TrustedPrefixLocator(Options options, const channels::ObjectTrust* trust);
@@ -54,7 +60,8 @@
   void SetEpochObserver(EpochObserver observer) { epoch_observer_ = std::move(observer); }
 
   // Adds blocks that `holder` kept at `version` of its object. False, and nothing is added, unless
-  // that is the newest version and `seed` names the newest revision and isolation generation.
+  // that is the newest version and `seed` names a revision that is kept and the newest isolation
+  // generation.
   bool Add(HolderKind kind, const std::string& holder, const channels::ObjectVersion& version,
            const BlockSeed& seed, absl::Span<const BlockHash> blocks);
   // `holder` keeps these blocks no more, whatever their seed.
@@ -85,8 +92,12 @@
       std::tuple<std::string, uint64_t, uint64_t, std::string, uint64_t, std::string, uint64_t>;
 
   bool MayDecide() const { return !options_.may_decide || options_.may_decide(); }
-  // The seed's revision and isolation generation are the newest, and known to be so now.
+  // The seed's isolation generation is the newest and its revision is one that is kept, and both
+  // are known to be so now.
   bool IsSeedFresh(const BlockSeed& seed) const;
+  bool IsRevisionTrusted(const BlockSeed& seed) const;
+  void NoteRevision(const std::string& model_object, uint64_t revision);
+  uint64_t OldestKeptRevision(const std::string& model_object) const;
   GenerationId OpenGeneration(HolderKind kind, const std::string& holder,
                               const channels::ObjectVersion& version, const BlockSeed& seed);
   void Drop(GenerationId id);
@@ -100,6 +111,8 @@
   absl::flat_hash_map<Key, GenerationId> by_key_;
   // Generations that rest on an object.
   absl::flat_hash_map<std::string, std::vector<GenerationId>> by_object_;
+  // By model object, the newest revisions that entries were made under or that were announced.
+  absl::flat_hash_map<std::string, std::set<uint64_t>> revisions_;
   LocatorStats stats_;
 };
 
--- a/src/posthatch/traffic/load_exchange-test.cc
+++ b/src/posthatch/traffic/load_exchange-test.cc
@@ -65,6 +65,26 @@
     }
   }
 
+  // How many gateways heard of a prompt that `sender` announced, within `time`.
+  size_t HeardOfAPrompt(size_t sender, std::chrono::milliseconds time) {
+    std::vector<int> heard(exchanges_.size(), 0);
+    for (size_t i = 0; i < exchanges_.size(); ++i) {
+      exchanges_[i].lock()->OnPromptStart([&heard, i](const PromptStart& start) {
+        EXPECT_EQ(start.worker_id, "w");
+        EXPECT_EQ(start.affinity, 7U);
+        EXPECT_EQ(start.revision, 3U);
+        EXPECT_EQ(start.ready_in, milliseconds(250));
+        ++heard[i];
+      });
+    }
+    exchanges_[sender].lock()->Announce({7, 3, "w", milliseconds(250)});
+    world_.RunFor(time);
+    for (const auto& exchange : exchanges_) exchange.lock()->OnPromptStart({});
+    world_.RunFor(seconds(1));  // what is passed on later than `time`
+    EXPECT_EQ(std::count_if(heard.begin(), heard.end(), [](int times) { return times > 1; }), 0);
+    return static_cast<size_t>(std::count(heard.begin(), heard.end(), 1));
+  }
+
   simulation::SimWorld world_{11};
   std::vector<simulation::SimHost*> hosts_;
   std::vector<std::weak_ptr<LoadExchange>> exchanges_;
@@ -136,6 +156,36 @@
   EXPECT_EQ(alive, std::vector<int>(40, -1));
 }
 
+TEST_F(LoadExchangeTest, APromptThatIsBeingReadIsAnnouncedToAllInASmallFleet) {
+  StartFleet(8);
+  world_.RunFor(seconds(3));
+  EXPECT_EQ(HeardOfAPrompt(2, milliseconds(50)), 7U);
+}
+
+TEST_F(LoadExchangeTest, InALargeFleetTheCollectorsPassAnnouncementsOn) {
+  StartFleet(40);
+  world_.RunFor(seconds(3));
+  EXPECT_EQ(HeardOfAPrompt(3, milliseconds(40)), 13U);  // its own zone
+  EXPECT_EQ(HeardOfAPrompt(3, milliseconds(400)), 39U);
+  EXPECT_EQ(HeardOfAPrompt(0, milliseconds(400)), 39U);  // a collector
+}
+
+TEST_F(LoadExchangeTest, InALargeZoneAnnouncementsComeByWayOfItsCollector) {
+  StartFleet(120);
+  world_.RunFor(seconds(3));
+  EXPECT_GE(HeardOfAPrompt(3, milliseconds(600)), 119U);
+}
+
+TEST_F(LoadExchangeTest, AFloodOfAnnouncementsIsBounded) {
+  StartFleet(3);
+  world_.RunFor(seconds(3));
+  size_t heard = 0;
+  exchanges_[1].lock()->OnPromptStart([&heard](const PromptStart&) { ++heard; });
+  for (int i = 0; i < 10000; ++i) exchanges_[0].lock()->Announce({7, 3, "w", milliseconds(250)});
+  world_.RunFor(seconds(1));
+  EXPECT_EQ(heard, LoadExchangeOptions().max_prompt_starts);
+}
+
 TEST_F(LoadExchangeTest, KilledCollectorIsReplacedAndTheDeadAreForgotten) {
   StartFleet(30);
   world_.RunFor(seconds(3));
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -12,6 +12,10 @@
 // What was found of a store is told for so long.
 constexpr runtime::Duration kStoreSeenWithin = std::chrono::milliseconds(1200);
 
+bool HasNews(const LoadReport& report) {
+  return report.loads_size() + report.stores_size() + report.prompt_starts_size() > 0;
+}
+
 void Add(const Load& load, Load* sum) {
   sum->in_flight += load.in_flight;
   sum->pending_tokens += load.pending_tokens;
@@ -51,6 +55,38 @@
   Schedule(difference >= options_.urgent_tokens);
 }
 
+void LoadExchange::Announce(PromptStart start) {
+  if (own_starts_.size() >= options_.max_prompt_starts) return;
+  own_starts_.push_back(std::move(start));
+  Schedule(/*urgent=*/true);
+}
+
+void LoadExchange::AddPromptStarts(std::vector<PromptStart>* starts, LoadReport* report) const {
+  for (const PromptStart& start : *starts) {
+    if (static_cast<size_t>(report->prompt_starts_size()) >= options_.max_prompt_starts) break;
+    PromptStartLine* line = report->add_prompt_starts();
+    line->set_affinity(start.affinity);
+    line->set_revision(start.revision);
+    line->set_worker_id(start.worker_id);
+    line->set_ready_in_ms(static_cast<uint32_t>(runtime::ToMilliseconds(start.ready_in)));
+  }
+  starts->clear();
+}
+
+void LoadExchange::TakePromptStarts(const LoadReport& report) {
+  const std::string& zone = report.zone().empty() ? options_.zone : report.zone();
+  const bool collects = collect_timer_.running();
+  for (const PromptStartLine& line : report.prompt_starts()) {
+    PromptStart start{line.affinity(), line.revision(), line.worker_id(),
+                      std::chrono::milliseconds(line.ready_in_ms())};
+    if (on_prompt_start_) on_prompt_start_(start);
+    std::vector<PromptStart>& passed_on = zone_starts_[zone];
+    if (collects && passed_on.size() < options_.max_prompt_starts) {
+      passed_on.push_back(std::move(start));
+    }
+  }
+}
+
 void LoadExchange::SetStore(const std::string& endpoint, bool alive) {
   if (on_store_) on_store_(endpoint, alive);
   const auto [known, is_new] = stores_.try_emplace(endpoint);
@@ -142,7 +178,12 @@
   const bool whole = std::exchange(refresh_due_, false);
   AddChanges(own_, whole, &told_, &report);
   if (!UsesCollectors(peers)) AddStores(whole, &report);
-  if (whole || report.loads_size() + report.stores_size() > 0) SendTo(Recipients(peers), report);
+  if (collects) {
+    std::vector<PromptStart>& passed_on = zone_starts_[options_.zone];
+    passed_on.insert(passed_on.end(), own_starts_.begin(), own_starts_.end());
+  }
+  AddPromptStarts(&own_starts_, &report);
+  if (whole || HasNews(report)) SendTo(Recipients(peers), report);
 }
 
 bool LoadExchange::ZoneIsDirect(const std::vector<LoadPeer>& peers) const {
@@ -207,6 +248,7 @@
   const std::vector<LoadPeer> peers = peers_();
   if (!UsesCollectors(peers) || !CollectorOf(options_.zone, peers).empty()) {
     told_zones_.clear();
+    zone_starts_.clear();
     return;
   }
   collect_timer_.Start(options_.collector_period, [this] { Collect(); });
@@ -228,7 +270,8 @@
     LoadReport report;
     report.set_zone(zone);
     AddChanges(loads, whole, &told_zones_[zone], &report);
-    if (whole || report.loads_size() + report.stores_size() > 0) SendTo(endpoints, report);
+    AddPromptStarts(&zone_starts_[zone], &report);
+    if (whole || HasNews(report)) SendTo(endpoints, report);
   };
   tell(options_.zone, SumOfZone(), to_tell_of_own_zone);
   for (const auto& [zone, source] : zones_) {
@@ -263,6 +306,7 @@
   if (on_store_) {
     for (const StoreHealth& store : report.stores()) on_store_(store.endpoint(), store.alive());
   }
+  TakePromptStarts(report);
   Take(report, report.zone().empty() ? &gateways_[envelope.from_node()] : &zones_[report.zone()]);
 }
 
--- a/src/posthatch/traffic/load_exchange.h
+++ b/src/posthatch/traffic/load_exchange.h
@@ -10,6 +10,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "posthatch/runtime/runtime.h"
+#include "posthatch/traffic/prompts_under_way.h"
 #include "posthatch/traffic/traffic.pb.h"
 
 namespace posthatch::traffic {
@@ -31,6 +32,8 @@
   size_t direct_gateways_of_zone = 32;
   // Everything is told again this often.
   runtime::Duration refresh = std::chrono::milliseconds(1000);
+  // Starts of prompts in one report; further ones are left out.
+  size_t max_prompt_starts = 48;
   // What was told is forgotten when nothing was heard of its sender for so long.
   runtime::Duration forget_after = std::chrono::milliseconds(2500);
 };
@@ -77,6 +80,12 @@
   void Set(const std::string& worker_id, const Load& load);
   // What the other gateways have under way there.
   Load OfOthers(const std::string& worker_id) const;
+  // Tells the others that a prompt's shared segments are being read at a worker.
+  void Announce(PromptStart start);
+  // Called with what other gateways announce.
+  using PromptStartObserver = std::function<void(const PromptStart&)>;
+  void OnPromptStart(PromptStartObserver observer) { on_prompt_start_ = std::move(observer); }
+
   // Whether what is known of other zones comes by way of collectors, and so later.
   bool OtherZonesAreFar() const { return other_zones_are_far_; }
 
@@ -120,6 +129,8 @@
   void Collect();
   // Adds what is known of stores, if that has changed or all is told.
   void AddStores(bool whole, LoadReport* report);
+  void AddPromptStarts(std::vector<PromptStart>* starts, LoadReport* report) const;
+  void TakePromptStarts(const LoadReport& report);
   Loads SumOfZone() const;
 
   runtime::Runtime* const runtime_;
@@ -138,6 +149,10 @@
   bool stores_changed_ = false;
   bool other_zones_are_far_ = false;
   StoreObserver on_store_;
+  PromptStartObserver on_prompt_start_;
+  std::vector<PromptStart> own_starts_;  // since the last report
+  // As a collector: of its own zone and of others, since they were passed on.
+  std::map<std::string, std::vector<PromptStart>> zone_starts_;
   bool refresh_due_ = false;
   bool collector_refresh_due_ = false;
   uint64_t last_report_ = 0;
--- a/src/posthatch/traffic/placement-test.cc
+++ b/src/posthatch/traffic/placement-test.cc
@@ -29,10 +29,11 @@
   void RunStreams(const std::string& id, int count) {
     for (int i = 0; i < count; ++i) pool_.OnDispatched(Find(id).get(), 0);
   }
-  void Keeps(const std::string& id, uint32_t segments) {
+  void Keeps(const std::string& id, uint32_t segments, uint64_t revision = 1) {
     index::PrefixHolder holder;
     holder.backend_id = id;
     holder.blocks = segments;
+    holder.model_revision = revision;
     query_.holders.push_back(holder);
   }
   std::string Choose() {
@@ -80,6 +81,61 @@
   EXPECT_EQ(placement_.save_endpoint, "");
 }
 
+// During a roll-out: what w2 made under revision 1 is of use to it and to others that serve 1 only.
+TEST_F(PlacerTest, EntriesOfAnotherRevisionAreOfNoUse) {
+  SetPrompt(20000, 500);
+  Find("w2")->revision = 2;
+  Keeps("w2", 1, 1);
+  for (int i = 0; i < 10; ++i) {
+    Choose();
+    EXPECT_EQ(placement_.missing_tokens, 20500U);
+    EXPECT_EQ(placement_.fetch_endpoint == "w2:80" && placement_.worker->revision == 1, false);
+    EXPECT_EQ(placement_.fetch_tokens, 0U);
+  }
+}
+
+TEST_F(PlacerTest, HolderOfTheOlderRevisionIsPreferredWhileItServesThat) {
+  SetPrompt(20000, 500);
+  Find("w1")->revision = 2;
+  Keeps("w2", 1, 1);
+  EXPECT_EQ(Choose(), "w2");
+  EXPECT_EQ(placement_.missing_tokens, 500U);
+}
+
+TEST_F(PlacerTest, PromptGoesWhereItsSharedSegmentsAreBeingRead) {
+  SetPrompt(20000, 500);
+  for (const char* worker : {"w1", "w2", "w3"}) {
+    PromptsUnderWay under_way(&clock_, PromptsUnderWay::Options());
+    under_way.Add({prompt_.affinity, 1, worker, milliseconds(400)});
+    query_.under_way = &under_way;
+    EXPECT_EQ(Choose(), worker);
+    EXPECT_EQ(placement_.missing_tokens, 500U);
+  }
+}
+
+TEST_F(PlacerTest, SegmentsAreTakenFromTheirReaderOnlyOnceTheyAreRead) {
+  SetPrompt(20000, 500);
+  PromptsUnderWay under_way(&clock_, PromptsUnderWay::Options());
+  under_way.Add({prompt_.affinity, 1, "w2", milliseconds(400)});
+  query_.under_way = &under_way;
+  pool_.OnDispatched(Find("w2").get(), 100000);
+  EXPECT_NE(Choose(), "w2");
+  EXPECT_EQ(placement_.fetch_tokens, 0U);
+  clock_.now += milliseconds(500);
+  EXPECT_NE(Choose(), "w2");
+  EXPECT_EQ(placement_.fetch_tokens, 20000U);
+  EXPECT_EQ(placement_.fetch_endpoint, "w2:80");
+}
+
+TEST_F(PlacerTest, ReaderOfAnotherRevisionIsOfNoUse) {
+  SetPrompt(20000, 500);
+  PromptsUnderWay under_way(&clock_, PromptsUnderWay::Options());
+  under_way.Add({prompt_.affinity, 2, "w2", milliseconds(0)});
+  query_.under_way = &under_way;
+  Choose();
+  EXPECT_EQ(placement_.missing_tokens, 20500U);
+}
+
 TEST_F(PlacerTest, PrefixIsFetchedFromABusyHolder) {
   SetPrompt(20000, 500);
   Keeps("w2", 1);
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -49,6 +49,20 @@
   return XXH3_64bits_withSeed(worker_id.data(), worker_id.size(), affinity);
 }
 
+// Whether the worker finds what the holder entry names: it is the holder and serves that revision.
+bool FindsThere(const Worker& worker, const index::PrefixHolder& holder) {
+  return holder.backend_id == worker.backend.id() && holder.model_revision == worker.revision;
+}
+
+// Whether any holder, or a worker that reads the segments now, is known among those of a revision.
+bool KnownOf(const PlacementQuery& query, uint64_t revision) {
+  const bool kept =
+      std::any_of(query.holders.begin(), query.holders.end(),
+                  [&](const auto& holder) { return holder.model_revision == revision; });
+  if (kept || query.under_way == nullptr) return kept;
+  return !query.under_way->Find(query.prompt->affinity, revision).empty();
+}
+
 bool Contains(const std::vector<std::string>* ids, const std::string& id) {
   return ids != nullptr && std::find(ids->begin(), ids->end(), id) != ids->end();
 }
@@ -106,6 +120,19 @@
   return placement;
 }
 
+uint64_t Placer::KeptAt(const PlacementQuery& query, const Worker& worker) {
+  uint64_t kept = 0;
+  for (const index::PrefixHolder& holder : query.holders) {
+    if (FindsThere(worker, holder)) kept = std::max(kept, query.prompt->TokensOf(holder.blocks));
+  }
+  if (kept >= query.prompt->shared_tokens || query.under_way == nullptr) return kept;
+  const auto places = query.under_way->Find(query.prompt->affinity, worker.revision);
+  const bool is_read_there =
+      std::any_of(places.begin(), places.end(),
+                  [&worker](const auto& place) { return place.worker_id == worker.backend.id(); });
+  return is_read_there ? query.prompt->shared_tokens : kept;
+}
+
 std::vector<Placer::Candidate> Placer::Candidates(const PlacementQuery& query,
                                                   const std::vector<WorkerPointer>& usable) const {
   std::vector<Candidate> candidates;
@@ -113,20 +140,13 @@
     const bool known = std::any_of(candidates.begin(), candidates.end(),
                                    [&](const auto& other) { return other.worker == worker; });
     if (known) return;
-    uint64_t kept = 0;
-    for (const index::PrefixHolder& holder : query.holders) {
-      if (holder.backend_id == worker->backend.id()) {
-        kept = std::max(kept, query.prompt->TokensOf(holder.blocks));
-      }
-    }
+    const uint64_t kept = KeptAt(query, *worker);
     const auto likely =
         static_cast<uint64_t>(likelihood * static_cast<double>(query.prompt->shared_tokens));
-    candidates.push_back({worker, kept, query.holders.empty() ? likely : 0});
+    candidates.push_back({worker, kept, KnownOf(query, worker->revision) ? 0 : likely});
   };
   for (const WorkerPointer& worker : usable) {
-    for (const index::PrefixHolder& holder : query.holders) {
-      if (holder.backend_id == worker->backend.id()) add(worker, 0);
-    }
+    if (KeptAt(query, *worker) > 0) add(worker, 0);
   }
   std::vector<std::pair<uint64_t, size_t>> ranked;
   ranked.reserve(usable.size());
@@ -161,10 +181,12 @@
   double reading = read_rate_.MillisecondsFor(placement->missing_tokens);
   for (const index::PrefixHolder& holder : query.holders) {
     const uint64_t kept = query.prompt->TokensOf(holder.blocks);
+    // What was made under another revision is of no use there.
+    if (holder.model_revision != worker.revision) continue;
     if (kept < candidate.kept_tokens + kLeastTokensToFetch) continue;
     // A source needn't be fit for new work.
     for (const WorkerPointer& source : pool_->Of(query.service->name())) {
-      if (source->backend.id() != holder.backend_id || source == candidate.worker) continue;
+      if (!FindsThere(*source, holder) || source == candidate.worker) continue;
       if (!pool_->MayMove(*source) || !pool_->MayMove(worker)) continue;
       const uint64_t moved = kept - candidate.kept_tokens;
       const bool same_zone = source->backend.zone() == worker.backend.zone();
@@ -176,10 +198,11 @@
       placement->fetch_endpoint = source->backend.endpoint();
     }
   }
+  FetchFromReader(query, candidate, &reading, placement);
   const bool store_may_help =
       query.store != nullptr && pool_->MayMove(worker) &&
       query.prompt->shared_tokens >= candidate.kept_tokens + kLeastTokensToFetch &&
-      !SharedIsKept(query);
+      !SharedIsKept(query, worker.revision);
   if (store_may_help) {
     const double with_store = MillisecondsWithStore(query, candidate);
     if (with_store < reading) {
@@ -199,9 +222,34 @@
          InterferenceMs(load, placement->missing_tokens - placement->fetch_tokens);
 }
 
-bool Placer::SharedIsKept(const PlacementQuery& query) {
+void Placer::FetchFromReader(const PlacementQuery& query, const Candidate& candidate,
+                             double* reading_ms, Placement* placement) const {
+  const uint64_t total = query.prompt->total_tokens();
+  const uint64_t shared = query.prompt->shared_tokens;
+  if (query.under_way == nullptr || shared < candidate.kept_tokens + kLeastTokensToFetch) return;
+  for (const auto& place :
+       query.under_way->Find(query.prompt->affinity, candidate.worker->revision)) {
+    if (!place.ready) continue;
+    for (const WorkerPointer& source : pool_->Of(query.service->name())) {
+      if (source->backend.id() != place.worker_id || source == candidate.worker) continue;
+      if (source->revision != candidate.worker->revision) continue;  // it has loaded another one
+      if (!pool_->MayMove(*source) || !pool_->MayMove(*candidate.worker)) continue;
+      const uint64_t moved = shared - candidate.kept_tokens;
+      const bool same_zone = source->backend.zone() == candidate.worker->backend.zone();
+      const double with_fetch = FetchMilliseconds(query.service->engine(), moved, same_zone) +
+                                read_rate_.MillisecondsFor(total - shared);
+      if (with_fetch >= *reading_ms) continue;
+      *reading_ms = with_fetch;
+      placement->fetch_tokens = moved;
+      placement->fetch_endpoint = source->backend.endpoint();
+    }
+  }
+}
+
+bool Placer::SharedIsKept(const PlacementQuery& query, uint64_t revision) {
   return std::any_of(query.holders.begin(), query.holders.end(), [&](const auto& holder) {
-    return query.prompt->TokensOf(holder.blocks) >= query.prompt->shared_tokens;
+    return holder.model_revision == revision &&
+           query.prompt->TokensOf(holder.blocks) >= query.prompt->shared_tokens;
   });
 }
 
@@ -255,7 +303,7 @@
   }
   GuessSource(query, usable, &best);
   const bool worth_saving = query.prompt->shared_tokens >= kLeastTokensToSave;
-  if (query.store != nullptr && worth_saving && !SharedIsKept(query)) {
+  if (query.store != nullptr && worth_saving && !SharedIsKept(query, best.worker->revision)) {
     best.save_endpoint = query.store->endpoint;
   }
   return best;
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -8,6 +8,7 @@
 #include "posthatch/index/prefix_locator.h"
 #include "posthatch/runtime/runtime.h"
 #include "posthatch/traffic/prompt_stores.h"
+#include "posthatch/traffic/prompts_under_way.h"
 #include "posthatch/traffic/worker_pool.h"
 
 namespace posthatch::traffic {
@@ -26,8 +27,11 @@
 struct PlacementQuery {
   const control::TrafficService* service = nullptr;
   const PromptShape* prompt = nullptr;  // null: the call is no prompt
-  // Who keeps leading segments of it, as far as that may be trusted.
+  // Who keeps leading segments of it, under any revision that workers serve, as far as that may be
+  // trusted.
   std::vector<index::PrefixHolder> holders;
+  // Where prompts with the same shared segments were sent to a moment ago; null: not known.
+  const PromptsUnderWay* under_way = nullptr;
   // Workers that this call has failed at; chosen again only when nothing else is left.
   const std::vector<std::string>* tried = nullptr;
   // Where its segments are saved and may be fetched from; null: nowhere.
@@ -73,7 +77,7 @@
  private:
   struct Candidate {
     WorkerPointer worker;
-    uint64_t kept_tokens = 0;      // as the index says
+    uint64_t kept_tokens = 0;      // as the index says, or being read there at this moment
     uint64_t expected_tokens = 0;  // likely to be kept, by the rank
   };
 
@@ -82,6 +86,8 @@
   std::vector<WorkerPointer> Usable(const PlacementQuery& query) const;
   std::vector<Candidate> Candidates(const PlacementQuery& query,
                                     const std::vector<WorkerPointer>& usable) const;
+  // Tokens of the prompt that the worker keeps, or is reading already.
+  static uint64_t KeptAt(const PlacementQuery& query, const Worker& worker);
   // Where the shared segments may be kept, though the index knows of nobody: the worker that all
   // gateways rank first among those of the same revision. A miss there costs next to nothing.
   void GuessSource(const PlacementQuery& query, const std::vector<WorkerPointer>& usable,
@@ -93,12 +99,17 @@
   // milliseconds to the first event.
   double Estimate(const PlacementQuery& query, const Candidate& candidate,
                   Placement* placement) const;
+  // Takes the shared segments from a worker that has just read them, where that is quicker than
+  // `reading_ms`, which it then lowers.
+  void FetchFromReader(const PlacementQuery& query, const Candidate& candidate, double* reading_ms,
+                       Placement* placement) const;
   // What reading `read_tokens` costs the streams that run there, or what gathering saves.
   double InterferenceMs(const Load& load, uint64_t read_tokens) const;
   double FetchMilliseconds(const control::WorkerEngine& engine, uint64_t tokens,
                            bool same_zone) const;
-  // Whether some holder keeps all shared segments, as far as the index knows.
-  static bool SharedIsKept(const PlacementQuery& query);
+  // Whether some holder keeps all shared segments under that model revision, as far as the index
+  // knows.
+  static bool SharedIsKept(const PlacementQuery& query, uint64_t revision);
 
   runtime::Runtime* const runtime_;
   const std::string zone_;
--- /dev/null
+++ b/src/posthatch/traffic/prompts_under_way.cc
@@ -0,0 +1,68 @@
+#include "posthatch/traffic/prompts_under_way.h"
+
+#include <algorithm>
+
+namespace posthatch::traffic {
+namespace {
+
+constexpr runtime::Duration kSweepInterval = std::chrono::seconds(1);
+// Workers that are remembered for the same segments.
+constexpr size_t kPlacesPerPrompt = 4;
+
+}  // namespace
+
+void PromptsUnderWay::Add(const PromptStart& start) {
+  Forget();
+  if (size_ >= options_.max_starts) return;
+  const runtime::MonotonicTime now = clock_->Now();
+  std::vector<Entry>& entries = entries_[{start.affinity, start.revision}];
+  const auto known = std::find_if(entries.begin(), entries.end(), [&start](const Entry& entry) {
+    return entry.worker_id == start.worker_id;
+  });
+  if (known != entries.end()) {
+    known->started = now;
+    return;  // it is ready when the first of them has been read
+  }
+  if (entries.size() >= kPlacesPerPrompt) {
+    entries.erase(entries.begin());
+    --size_;
+  }
+  entries.push_back({start.worker_id, now, now + start.ready_in});
+  ++size_;
+}
+
+std::vector<PromptsUnderWay::Place> PromptsUnderWay::Find(uint64_t affinity,
+                                                          uint64_t revision) const {
+  std::vector<Place> places;
+  const auto found = entries_.find({affinity, revision});
+  if (found == entries_.end()) return places;
+  const runtime::MonotonicTime now = clock_->Now();
+  for (auto entry = found->second.rbegin(); entry != found->second.rend(); ++entry) {
+    if (now - entry->started > options_.forget_after) continue;
+    places.push_back({entry->worker_id, now >= entry->ready_at});
+  }
+  return places;
+}
+
+void PromptsUnderWay::Forget() {
+  const runtime::MonotonicTime now = clock_->Now();
+  if (now < next_sweep_) return;
+  next_sweep_ = now + kSweepInterval;
+  size_ = 0;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    std::vector<Entry>& entries = it->second;
+    entries.erase(std::remove_if(entries.begin(), entries.end(),
+                                 [&](const Entry& entry) {
+                                   return now - entry.started > options_.forget_after;
+                                 }),
+                  entries.end());
+    size_ += entries.size();
+    if (entries.empty()) {
+      entries_.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+}
+
+}  // namespace posthatch::traffic
--- /dev/null
+++ b/src/posthatch/traffic/prompts_under_way.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/runtime/runtime.h"
+
+namespace posthatch::traffic {
+
+// A gateway has sent a prompt to a worker that has to read its shared segments first.
+struct PromptStart {
+  uint64_t affinity = 0;  // PromptShape::affinity
+  uint64_t revision = 0;  // model revision of the worker
+  std::string worker_id;
+  runtime::Duration ready_in{0};  // until the shared segments are kept there, as expected
+};
+
+// Where shared segments are being read at this moment, or were a moment ago: the prefix cache index
+// hears of them only through the worker's events, a second or more later, and prompts that share
+// them would be read at several workers meanwhile. Only a hint: a wrong one costs a worse
+// placement. Owned by TrafficGateway; event loop thread only.
+class PromptsUnderWay {
+ public:
+  struct Options {
+    // By then the index knows, or the worker keeps them no more.
+    runtime::Duration forget_after = std::chrono::seconds(5);
+    // Starts that are remembered; further ones are not taken.
+    size_t max_starts = 8192;
+  };
+
+  // One worker where the segments are read, or have been.
+  struct Place {
+    std::string worker_id;
+    bool ready = false;  // they should be kept there by now
+  };
+
+  PromptsUnderWay(const runtime::Clock* clock, Options options)
+      : clock_(clock), options_(options) {}
+
+  void Add(const PromptStart& start);
+  // Newest first.
+  std::vector<Place> Find(uint64_t affinity, uint64_t revision) const;
+  size_t size() const { return size_; }
+
+ private:
+  struct Key {
+    uint64_t affinity = 0;
+    uint64_t revision = 0;
+
+    friend bool operator==(const Key&, const Key&) = default;
+    template <typename Hash>
+    friend Hash AbslHashValue(Hash hash, const Key& key) {
+      return Hash::combine(std::move(hash), key.affinity, key.revision);
+    }
+  };
+  struct Entry {
+    std::string worker_id;
+    runtime::MonotonicTime started;
+    runtime::MonotonicTime ready_at;
+  };
+
+  void Forget();
+
+  const runtime::Clock* const clock_;
+  const Options options_;
+  absl::flat_hash_map<Key, std::vector<Entry>> entries_;
+  size_t size_ = 0;
+  runtime::MonotonicTime next_sweep_;
+};
+
+}  // namespace posthatch::traffic
--- a/src/posthatch/traffic/traffic_context.h
+++ b/src/posthatch/traffic/traffic_context.h
@@ -11,6 +11,7 @@
 #include "posthatch/traffic/call_format.h"
 #include "posthatch/traffic/placement.h"
 #include "posthatch/traffic/prompt_stores.h"
+#include "posthatch/traffic/prompts_under_way.h"
 #include "posthatch/traffic/retry_budget.h"
 #include "posthatch/traffic/traffic_metrics.h"
 #include "posthatch/traffic/worker_pool.h"
@@ -26,6 +27,9 @@
   WorkerPool* pool = nullptr;
   Placer* placer = nullptr;
   PromptStores* stores = nullptr;
+  // Null: nothing is told of prompts that are being read.
+  PromptsUnderWay* under_way = nullptr;
+  LoadExchange* loads = nullptr;
   RetryBudget* retry_budget = nullptr;
   TrafficMetrics* metrics = nullptr;
   const gateway::FleetLookup* lookup = nullptr;
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -33,6 +33,7 @@
       pool_(runtime, {.revision_deadline = options_.revision_deadline}, &cold_starts_, &loads_),
       placer_(runtime, options_.zone, &pool_),
       stores_(runtime),
+      under_way_(runtime->clock, PromptsUnderWay::Options()),
       store_watch_(runtime, {.format = options_.cache_event_format}, StoreWatchParts()),
       retry_budget_(runtime->clock, BudgetOptions()),
       inventory_(runtime, WatchOptions(), view),
@@ -43,6 +44,8 @@
   context_.pool = &pool_;
   context_.placer = &placer_;
   context_.stores = &stores_;
+  context_.under_way = &under_way_;
+  context_.loads = &loads_;
   context_.retry_budget = &retry_budget_;
   context_.metrics = &metrics_;
   context_.lookup = &lookup_;
@@ -99,6 +102,7 @@
   inventory_.Start();
   loads_.OnStore(
       [this](const std::string& endpoint, bool alive) { stores_.OnHealth(endpoint, alive); });
+  loads_.OnPromptStart([this](const PromptStart& start) { under_way_.Add(start); });
   store_watch_.Start();
 }
 
--- a/src/posthatch/traffic/traffic_gateway.h
+++ b/src/posthatch/traffic/traffic_gateway.h
@@ -83,6 +83,7 @@
   WorkerPool pool_;
   Placer placer_;
   PromptStores stores_;
+  PromptsUnderWay under_way_;
   StoreWatch store_watch_;
   RetryBudget retry_budget_;
   gateway::FleetLookup lookup_;
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -29,6 +29,8 @@
 constexpr double kSlowMoveExcessMs = 800;
 // A first event that comes so much later, after a fetch from a store, counts against the store.
 constexpr double kLateFetchMs = 250;
+// Fewer shared tokens are read again sooner than told.
+constexpr uint64_t kLeastTokensToAnnounce = 1024;
 constexpr int kFirstServerError = 500;
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusMisdirected = 421;
@@ -109,13 +111,26 @@
   shape_.shared_tokens = shape_.TokensOf(static_cast<uint32_t>(shared));
 }
 
+// While a roll-out goes on, workers of the older revision keep what was made under it: each holder
+// names the revision under which it may be used.
 std::vector<index::PrefixHolder> TrafficRequest::LocatePrefix() {
   const std::string& model = admitted_.call.model;
-  seed_ = context_->lookup->SeedFor(model, context_->pool->TargetRevision(model), admitted_.tenant);
   std::vector<std::string> ids;
   for (const PromptSegment& segment : admitted_.call.segments) ids.push_back(segment.id);
-  chain_ = index::HashSegments(index::CacheSalt(seed_), ids);
-  return context_->locator->Locate(seed_, chain_);
+  std::vector<uint64_t> revisions = context_->pool->RevisionsServed(admitted_.service.name());
+  if (revisions.empty()) revisions.push_back(context_->pool->TargetRevision(model));
+  chains_.clear();
+  std::vector<index::PrefixHolder> holders;
+  for (const uint64_t revision : revisions) {
+    NamedChain chain;
+    chain.seed = context_->lookup->SeedFor(model, revision, admitted_.tenant);
+    chain.blocks = index::HashSegments(index::CacheSalt(chain.seed), ids);
+    const std::vector<index::PrefixHolder> found =
+        context_->locator->Locate(chain.seed, chain.blocks);
+    holders.insert(holders.end(), found.begin(), found.end());
+    chains_.push_back(std::move(chain));
+  }
+  return holders;
 }
 
 void TrafficRequest::TryDispatch() {
@@ -127,6 +142,7 @@
     query.prompt = &shape_;
     query.store = context_->stores->For(shape_.affinity);
     query.holders = LocatePrefix();
+    query.under_way = context_->under_way;
   }
   Placement placement = context_->placer->Choose(query);
   if (placement.worker == nullptr) return GiveUp(RefusalReason::kFailed, "refused");
@@ -209,6 +225,7 @@
   placement_ = std::move(placement);
   worker_ = placement_.worker;
   TraceDispatch(fields);
+  if (IsPrompt()) AnnounceStart();
   context_->pool->OnDispatched(worker_.get(), placement_.missing_tokens);
   prompt_pending_ = true;
   first_event_seen_ = false;
@@ -220,6 +237,21 @@
       OptionsFor(), ObserverFor(attempt_));
 }
 
+// Tells all gateways that the shared segments are about to be kept at the worker, unless they were.
+void TrafficRequest::AnnounceStart() {
+  const uint64_t own_tokens = shape_.total_tokens() - shape_.shared_tokens;
+  const bool reads_shared = placement_.missing_tokens > own_tokens;
+  if (context_->under_way == nullptr || !reads_shared) return;
+  if (shape_.shared_tokens < kLeastTokensToAnnounce) return;
+  PromptStart start;
+  start.affinity = shape_.affinity;
+  start.revision = revision_;
+  start.worker_id = worker_->backend.id();
+  start.ready_in = std::chrono::milliseconds(static_cast<int64_t>(placement_.expected_ms));
+  context_->under_way->Add(start);
+  context_->loads->Announce(std::move(start));
+}
+
 void TrafficRequest::TraceDispatch(const DispatchFields& fields) {
   const Load load = context_->pool->TotalLoad(*worker_);
   context_->runtime->trace->Event(runtime::Severity::kDebug, "CallDispatched",
@@ -240,6 +272,20 @@
                                    {"read_rate", context_->placer->read_rate()->tokens_per_ms()}});
 }
 
+// What scripts/experiments/losses.py adds up, with the events above.
+void TrafficRequest::TraceEnd(const char* outcome) {
+  const runtime::MonotonicTime now = context_->runtime->clock->Now();
+  context_->runtime->trace->Event(
+      runtime::Severity::kDebug, "CallEnded",
+      {{"request_id", admitted_.call.request_id},
+       {"route", admitted_.route.name()},
+       {"outcome", outcome},
+       {"last_failure", last_failure_},
+       {"attempts", static_cast<uint64_t>(tried_.size())},
+       {"stream_started", stream_started_},
+       {"elapsed_ms", runtime::ToMilliseconds(now - admitted_.received)}});
+}
+
 void TrafficRequest::OnHead(const http::Response& head) {
   const AnswerJudgement judgement = context_->format->Judge(admitted_.call, head);
   if (!judgement.belongs) return OnAttemptFailed(Failure::kForeign);
@@ -296,12 +342,18 @@
                                    {"elapsed_ms", runtime::ToMilliseconds(elapsed)},
                                    {"expected_ms", placement_.expected_ms}});
   if (placement_.fetch_endpoint.empty()) rate->Record(read, elapsed);
-  if (revision_ != seed_.model_revision) return;
+  RecordKept();
+}
+
+void TrafficRequest::RecordKept() {
+  const auto chain = std::find_if(chains_.begin(), chains_.end(), [this](const NamedChain& named) {
+    return named.seed.model_revision == revision_;
+  });
   channels::ObjectVersion version;
   const std::string object = index::HolderObject(index::HolderKind::kWorker, worker_->backend.id());
-  if (context_->trust->CurrentVersion(object, &version)) {
-    context_->locator->RecordDispatch(seed_, chain_, worker_->backend.id(), version.epoch());
-  }
+  if (chain == chains_.end() || !context_->trust->CurrentVersion(object, &version)) return;
+  context_->locator->RecordDispatch(chain->seed, chain->blocks, worker_->backend.id(),
+                                    version.epoch());
 }
 
 void TrafficRequest::OnEnd() {
@@ -342,7 +394,8 @@
 }
 
 void TrafficRequest::OnAttemptFailed(Failure failure) {
-  context_->metrics->failures.Increment(NameOf(failure));
+  last_failure_ = NameOf(failure);
+  context_->metrics->failures.Increment(last_failure_);
   WorkerPool* pool = context_->pool;
   switch (failure) {
     case Failure::kUnreachable:
@@ -438,6 +491,7 @@
   ended_ = true;
   deadline_timer_.Cancel();
   context_->metrics->answers.Increment(outcome);
+  TraceEnd(outcome);
   context_->retire(this);
 }
 
--- a/src/posthatch/traffic/traffic_request.h
+++ b/src/posthatch/traffic/traffic_request.h
@@ -54,6 +54,8 @@
   void Dispatch(Placement placement);
   DispatchFields FieldsFor(const Placement& placement);
   void TraceDispatch(const DispatchFields& fields);
+  void AnnounceStart();
+  void TraceEnd(const char* outcome);
   http::CallOptions OptionsFor() const;
   http::CallObserver ObserverFor(uint64_t attempt);
 
@@ -61,6 +63,8 @@
   void OnPiece(const std::string& piece);
   void RelayEvents(const std::string& piece);
   void OnFirstEvent();
+  // The worker keeps the prompt now.
+  void RecordKept();
   void OnEnd();
   void OnStreamEnd();
   void OnWholeAnswer();
@@ -84,14 +88,19 @@
 
   // The prompt.
   PromptShape shape_;
-  index::BlockSeed seed_;  // of the newest revision
-  std::vector<index::BlockHash> chain_;
+  // Its blocks as they are named under one model revision.
+  struct NamedChain {
+    index::BlockSeed seed;
+    std::vector<index::BlockHash> blocks;
+  };
+  std::vector<NamedChain> chains_;  // one for each revision that workers serve
 
   // Over all attempts.
   uint64_t attempt_ = 0;      // number of the running one; callbacks of earlier ones are ignored
   uint32_t runs_ = 0;         // dispatches that may have run
   uint32_t other_tries_ = 0;  // dispatches that are proved not to have run
   std::vector<std::string> tried_;
+  const char* last_failure_ = "";  // name of the newest failed attempt's failure
   bool stream_started_ = false;
   EventSplitter events_;
 
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -144,6 +144,18 @@
   return found == services_.end() ? *none : found->second;
 }
 
+std::vector<uint64_t> WorkerPool::RevisionsServed(const std::string& service) const {
+  std::vector<uint64_t> revisions;
+  for (const WorkerPointer& worker : Of(service)) {
+    const uint64_t revision = worker->revision;
+    if (revision == 0) continue;
+    if (std::find(revisions.begin(), revisions.end(), revision) == revisions.end()) {
+      revisions.push_back(revision);
+    }
+  }
+  return revisions;
+}
+
 const WorkerPool::ColdStart* WorkerPool::ColdStartOf(const Worker& worker) const {
   const auto found = cold_starts_.find(worker.backend.service());
   if (found == cold_starts_.end() || found->second.requests_per_second <= 0) return nullptr;
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -62,6 +62,9 @@
   // Workers of a service that are on the list and neither draining nor evacuated.
   const std::vector<WorkerPointer>& Of(const std::string& service) const;
 
+  // Model revisions that they serve, as far as that is known.
+  std::vector<uint64_t> RevisionsServed(const std::string& service) const;
+
   // Whether new work may go there now; asked again right before each dispatch.
   bool Eligible(const Worker& worker) const;
   // As Eligible, for when nothing else is left: takes ejected and busy workers too.
