[routing] switches with an ablation script; splits by an even sequence; no list reads before a configuration

(2) Parts of a traffic_split were drawn by chance: over 300 requests a 10% part is off by 1.7% (one standard deviation) of all. (2) WeightedSplit: multiples of the golden ratio from a point of its own for each route and gateway. (3) InventoryWatch asks whether the list is needed. Tests: WeightedSplitTest, ReadsNoInventoryItselfBeforeItHasAConfiguration, callers that leave between tries and in a stream, SwitchesAreOnOrOffAndOnUnlessSaid.

--- /dev/null
+++ b/scripts/experiments/ablate.sh
@@ -0,0 +1,66 @@
+#!/usr/bin/env bash
+# Switches the mechanisms of the settings' [routing] table off one by one, plays the same days and
+# seeds with each, and prints the table of paired differences (ablation_table.py).
+# Each job works in a copy of this tree of its own, so that the checkout stays as it is.
+# Usage: scripts/experiments/ablate.sh BENCH RESULTS JOBS "SITE DAY SEED..." ["SITE DAY SEED..."]
+#   BENCH    the bench's program        RESULTS  file that lines "SWITCH SITE DAY SEED WORTH" go to
+#   JOBS     copies that work at once   SITE     path of a site file
+# SWITCHES="index rank" limits it to these; "none" (all on) is always played.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+bench=$1
+results=$2
+jobs=$3
+shift 3
+plays=("$@")
+if [ -z "${SWITCHES:-}" ]; then
+  SWITCHES=$(sed -n 's/^ *RoutingSwitch("\([a-z_]*\)".*/\1/p' src/posthatch/daemon/settings_table.cc | tr '\n' ' ')
+fi
+work=${ABLATE_FOLDER:-$(mktemp -d)}
+: >"$results"
+
+prepare() {
+  mkdir -p "$work/$1"
+  git ls-files -z --cached --others --exclude-standard ':!journal' |
+    xargs -0 cp --parents -t "$work/$1" 2>/dev/null || true
+  mkdir -p "$work/$1/journal"
+  (cd "$work/$1" && { [ -d .git ] || git init -q; } && "$bench" build >build.log 2>&1)
+}
+
+# One switch in copy $1: plays every day and seed.
+play() {
+  local copy=$work/$1 switch=$2
+  cd "$copy"
+  [ -f gateway.toml.in.kept ] || cp deploy/gateway.toml.in gateway.toml.in.kept
+  cp gateway.toml.in.kept deploy/gateway.toml.in
+  [ "$switch" = none ] || printf '\n[routing]\n%s = "off"\n' "$switch" >>deploy/gateway.toml.in
+  local play site day seed
+  for play in "${plays[@]}"; do
+    read -r site day seeds <<<"$play"
+    for seed in $seeds; do
+      "$bench" run "$site" "$day" --seed "$seed" --why "ablation: without $switch" >run.txt 2>&1 || true
+      local worth
+      worth=$(grep -E "^$day +[0-9]+/" run.txt | awk '{print $4}' | tail -1)
+      echo "$switch $(basename "$site" .toml) $day $seed ${worth:-none}" >>"$results"
+    done
+  done
+}
+
+for copy in $(seq "$jobs"); do prepare "$copy"; done
+queue=(none $SWITCHES)
+lock=$(mktemp)
+take() { # prints the next switch, or nothing
+  (
+    flock 9
+    local number
+    number=$(cat "$lock")
+    number=${number:-0}
+    echo $((number + 1)) >"$lock"
+    echo "${queue[$number]:-}"
+  ) 9>"$lock.held"
+}
+for copy in $(seq "$jobs"); do
+  (while switch=$(take) && [ -n "$switch" ]; do play "$copy" "$switch"; done) &
+done
+wait
+scripts/experiments/ablation_table.py "$results"
--- a/src/posthatch/control/inventory_watch.cc
+++ b/src/posthatch/control/inventory_watch.cc
@@ -47,6 +47,7 @@
 
 void InventoryWatch::Check() {
   timer_.Start(kCheckInterval, [this] { Check(); });
+  if (options_.needed && !options_.needed()) return;
   const runtime::MonotonicTime now = runtime_->clock->Now();
   const runtime::Duration leader_age = view_->InventoryAge();
   if (own_.has_value() && leader_age < now - own_asked_at_) {
--- a/src/posthatch/control/inventory_watch.h
+++ b/src/posthatch/control/inventory_watch.h
@@ -25,6 +25,9 @@
   double reads_per_second = 4.0;
   // Live gateways of the fleet with this one.
   std::function<uint32_t()> live_gateways;
+  // Whether the list is of any use now; null: always. Asked at each look at the list's age. A fleet
+  // that starts as a whole would otherwise read the list once for each gateway.
+  std::function<bool()> needed;
   // Runs after own() changed.
   std::function<void()> on_change;
   // Counts a reading: "ok", "rate_limited" or "failed".
--- a/src/posthatch/daemon/node_settings.h
+++ b/src/posthatch/daemon/node_settings.h
@@ -8,6 +8,7 @@
 #include "posthatch/membership/membership.h"
 #include "posthatch/runtime/clock.h"
 #include "posthatch/runtime/trace.h"
+#include "posthatch/traffic/routing_switches.h"
 
 // Settings of one process, already checked (see settings_loader.h). Each field is documented here
 // and in the table of settings_table.cc, which names its key in the TOML file, checks it and makes
@@ -47,6 +48,7 @@
   double inventory_reads_per_second = 4;
   runtime::Duration revision_deadline = std::chrono::seconds(12);
   runtime::Duration drain_bound = std::chrono::seconds(3);
+  traffic::RoutingSwitches routing;
 };
 
 struct ControllerSettings {
--- a/src/posthatch/daemon/settings_loader-test.cc
+++ b/src/posthatch/daemon/settings_loader-test.cc
@@ -104,6 +104,21 @@
   EXPECT_EQ(settings.node.zone, "untouched");
 }
 
+TEST(SettingsLoaderTest, SwitchesAreOnOrOffAndOnUnlessSaid) {
+  GatewaySettings settings;
+  EXPECT_THAT(LoadGateway(kGateway, &settings), ElementsAre());
+  EXPECT_TRUE(settings.routing.index);
+  EXPECT_THAT(
+      LoadGateway(std::string(kGateway) + "[routing]\nindex = \"off\"\nrank = \"on\"\n", &settings),
+      ElementsAre());
+  EXPECT_FALSE(settings.routing.index);
+  EXPECT_TRUE(settings.routing.rank);
+  EXPECT_THAT(LoadGateway(std::string(kGateway) + "[routing]\nindex = \"no\"\n", &settings),
+              ElementsAre(HasSubstr("routing.index: must be on or off, is \"no\"")));
+  EXPECT_THAT(LoadGateway(std::string(kGateway) + "[routing]\nmagic = \"on\"\n", &settings),
+              ElementsAre(HasSubstr("routing.magic: unknown setting")));
+}
+
 TEST(SettingsLoaderTest, TellsWhereTheFileIsNoToml) {
   GatewaySettings settings;
   EXPECT_THAT(LoadGateway("[node]\nzone = \n", &settings),
--- a/src/posthatch/daemon/settings_table.cc
+++ b/src/posthatch/daemon/settings_table.cc
@@ -271,6 +271,62 @@
   };
 }
 
+template <bool traffic::RoutingSwitches::*kSwitch>
+SettingTarget RoutingTarget(SettingsDraft* draft) {
+  return &(draft->gateway.routing.*kSwitch);
+}
+
+SettingDescription RoutingSwitch(std::string_view name, SettingTarget (*target)(SettingsDraft*),
+                                 std::string_view help) {
+  return {.table = "routing",
+          .name = name,
+          .kind = SettingKind::kSwitch,
+          .controller = false,
+          .target = target,
+          .help = help};
+}
+
+// Mechanisms of routed traffic; off only to measure what they are worth.
+std::vector<SettingDescription> RoutingTable() {
+  using Switches = traffic::RoutingSwitches;
+  return {
+      RoutingSwitch("index", RoutingTarget<&Switches::index>,
+                    "Place prompts by what the index knows of kept segments."),
+      RoutingSwitch("older_revisions", RoutingTarget<&Switches::older_revisions>,
+                    "Use kept segments of workers that a roll-out has not reached yet."),
+      RoutingSwitch(
+          "announcements", RoutingTarget<&Switches::announcements>,
+          "Tell the other gateways which prompts are being read, and use what they tell."),
+      RoutingSwitch("rank", RoutingTarget<&Switches::rank>,
+                    "Send prompts that nobody is known to keep to the workers that all gateways "
+                    "rank first for them."),
+      RoutingSwitch("guessed_source", RoutingTarget<&Switches::guessed_source>,
+                    "Name the worker ranked first as the source where nothing is known."),
+      RoutingSwitch("peer_moves", RoutingTarget<&Switches::peer_moves>,
+                    "Let workers fetch kept segments from another worker that keeps them."),
+      RoutingSwitch("stores", RoutingTarget<&Switches::stores>,
+                    "Save shared segments to the stores and fetch them from there."),
+      RoutingSwitch("loads", RoutingTarget<&Switches::loads>,
+                    "Count what the other gateways have under way at a worker."),
+      RoutingSwitch("urgent_loads", RoutingTarget<&Switches::urgent_loads>,
+                    "Tell waiting prompts and announcements within milliseconds."),
+      RoutingSwitch("interference", RoutingTarget<&Switches::interference>,
+                    "Weigh what reading a long prompt does to the streams that run there."),
+      RoutingSwitch("gathering", RoutingTarget<&Switches::gathering>,
+                    "Gather short prompts where streams run already."),
+      RoutingSwitch("measured_waits", RoutingTarget<&Switches::measured_waits>,
+                    "Weigh how much later than expected first events came from a worker lately."),
+      RoutingSwitch("ejection", RoutingTarget<&Switches::ejection>,
+                    "Keep away for a while from workers that fail."),
+      RoutingSwitch("resumption", RoutingTarget<&Switches::resumption>,
+                    "Take resumable streams up at another worker."),
+      RoutingSwitch("retries", RoutingTarget<&Switches::retries>,
+                    "Try a second worker after a failure, within the retry budget."),
+      RoutingSwitch("priorities", RoutingTarget<&Switches::priorities>,
+                    "Tell workers how urgent a prompt is."),
+  };
+}
+
 std::vector<SettingDescription> ControllerTable() {
   return {
       {.table = "controller",
@@ -385,7 +441,8 @@
 const std::vector<SettingDescription>& SettingsTable() {
   static const auto* const settings = [] {
     auto* table = new std::vector<SettingDescription>();
-    for (const auto& part : {NodeTable(), LimitsTable(), GatewayTable(), ControllerTable()}) {
+    for (const auto& part :
+         {NodeTable(), LimitsTable(), GatewayTable(), RoutingTable(), ControllerTable()}) {
       table->insert(table->end(), part.begin(), part.end());
     }
     return table;
--- a/src/posthatch/daemon/traffic_gateway_node.cc
+++ b/src/posthatch/daemon/traffic_gateway_node.cc
@@ -81,6 +81,7 @@
   options.inventory_reads_per_second = settings_.inventory_reads_per_second;
   options.revision_deadline = settings_.revision_deadline;
   options.drain_bound = settings_.drain_bound;
+  options.switches = settings_.routing;
   options.gateways = [this] { return GatewayIds(); };
   options.peers = [this] { return OtherGateways(); };
   return options;
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -29,6 +29,9 @@
 // leaves other workers free for long reads. The saving per stream there, and for how many.
 constexpr double kGatheringMs = 4;
 constexpr uint32_t kMostGathered = 12;
+// Kept segments that are fetched to a second worker push out as much of what is kept there, some of
+// which has to be read again: weighed as this share of reading them.
+constexpr double kReplicaShare = 0.3;
 constexpr double kFetchOverheadMs = 4;
 // How likely the store keeps shared segments that the index knows no holder of.
 constexpr double kStoreLikelihood = 0.6;
@@ -153,7 +156,7 @@
   for (size_t i = 0; i < usable.size(); ++i) {
     ranked.emplace_back(RankOf(query.prompt->affinity, usable[i]->backend.id()), i);
   }
-  const size_t count = std::min(kRankedCandidates, ranked.size());
+  const size_t count = switches_.rank ? std::min(kRankedCandidates, ranked.size()) : 0;
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end());
   for (size_t i = 0; i < count; ++i) add(usable[ranked[i].second], kKeptLikelihood[i]);
@@ -186,6 +189,7 @@
     if (kept < candidate.kept_tokens + kLeastTokensToFetch) continue;
     // A source needn't be fit for new work.
     for (const WorkerPointer& source : pool_->Of(query.service->name())) {
+      if (!switches_.peer_moves) break;
       if (!FindsThere(*source, holder) || source == candidate.worker) continue;
       if (!pool_->MayMove(*source) || !pool_->MayMove(worker)) continue;
       const uint64_t moved = kept - candidate.kept_tokens;
@@ -218,7 +222,9 @@
       candidate.expected_tokens - std::min(candidate.expected_tokens, candidate.kept_tokens));
   const Load load = pool_->TotalLoad(worker);
   placement->expected_ms = read_rate_.MillisecondsFor(load.pending_tokens) + reading;
-  return placement->expected_ms + pool_->ExpectedWait(worker) + zone - likely_saving +
+  const double replica_ms = kReplicaShare * read_rate_.MillisecondsFor(placement->fetch_tokens);
+  const double measured_wait = switches_.measured_waits ? pool_->ExpectedWait(worker) : 0;
+  return placement->expected_ms + measured_wait + zone + replica_ms - likely_saving +
          InterferenceMs(load, placement->missing_tokens - placement->fetch_tokens);
 }
 
@@ -226,7 +232,8 @@
                              double* reading_ms, Placement* placement) const {
   const uint64_t total = query.prompt->total_tokens();
   const uint64_t shared = query.prompt->shared_tokens;
-  if (query.under_way == nullptr || shared < candidate.kept_tokens + kLeastTokensToFetch) return;
+  if (query.under_way == nullptr || !switches_.peer_moves) return;
+  if (shared < candidate.kept_tokens + kLeastTokensToFetch) return;
   for (const auto& place :
        query.under_way->Find(query.prompt->affinity, candidate.worker->revision)) {
     if (!place.ready) continue;
@@ -267,8 +274,10 @@
 
 double Placer::InterferenceMs(const Load& load, uint64_t read_tokens) const {
   if (read_tokens <= kTokensNotFelt) {
+    if (!switches_.gathering) return 0;
     return -kGatheringMs * std::min(load.in_flight, kMostGathered);
   }
+  if (!switches_.interference) return 0;
   return kInterferenceShare * read_rate_.MillisecondsFor(read_tokens) * load.in_flight;
 }
 
@@ -276,7 +285,7 @@
                          Placement* placement) const {
   const uint64_t own_tokens = query.prompt->total_tokens() - query.prompt->shared_tokens;
   const bool worth_it = placement->missing_tokens >= own_tokens + kLeastTokensToFetch;
-  if (!worth_it || !placement->fetch_endpoint.empty()) return;
+  if (!switches_.guessed_source || !worth_it || !placement->fetch_endpoint.empty()) return;
   if (!pool_->MayMove(*placement->worker)) return;
   const WorkerPointer* first = nullptr;
   for (const WorkerPointer& worker : usable) {
--- a/src/posthatch/traffic/placement.h
+++ b/src/posthatch/traffic/placement.h
@@ -9,6 +9,7 @@
 #include "posthatch/runtime/runtime.h"
 #include "posthatch/traffic/prompt_stores.h"
 #include "posthatch/traffic/prompts_under_way.h"
+#include "posthatch/traffic/routing_switches.h"
 #include "posthatch/traffic/worker_pool.h"
 
 namespace posthatch::traffic {
@@ -68,8 +69,9 @@
 // without any message), and two at random. Event loop thread only.
 class Placer {
  public:
-  Placer(runtime::Runtime* runtime, std::string zone, WorkerPool* pool)
-      : runtime_(runtime), zone_(std::move(zone)), pool_(pool) {}
+  Placer(runtime::Runtime* runtime, std::string zone, WorkerPool* pool,
+         const RoutingSwitches& switches = RoutingSwitches())
+      : runtime_(runtime), zone_(std::move(zone)), pool_(pool), switches_(switches) {}
 
   Placement Choose(const PlacementQuery& query);
   ReadRate* read_rate() { return &read_rate_; }
@@ -114,6 +116,7 @@
   runtime::Runtime* const runtime_;
   const std::string zone_;
   WorkerPool* const pool_;
+  const RoutingSwitches switches_;
   ReadRate read_rate_;
 };
 
--- a/src/posthatch/traffic/traffic_context.h
+++ b/src/posthatch/traffic/traffic_context.h
@@ -13,6 +13,7 @@
 #include "posthatch/traffic/prompt_stores.h"
 #include "posthatch/traffic/prompts_under_way.h"
 #include "posthatch/traffic/retry_budget.h"
+#include "posthatch/traffic/routing_switches.h"
 #include "posthatch/traffic/traffic_metrics.h"
 #include "posthatch/traffic/worker_pool.h"
 
@@ -24,6 +25,7 @@
 struct TrafficContext {
   runtime::Runtime* runtime = nullptr;
   const CallFormat* format = nullptr;
+  RoutingSwitches switches;
   WorkerPool* pool = nullptr;
   Placer* placer = nullptr;
   PromptStores* stores = nullptr;
--- a/src/posthatch/traffic/traffic_gateway-test.cc
+++ b/src/posthatch/traffic/traffic_gateway-test.cc
@@ -17,6 +17,22 @@
   EXPECT_TRUE(writer->whole.headers.Has("Retry"));
 }
 
+TEST_F(TrafficGatewayTest, ReadsNoInventoryItselfBeforeItHasAConfiguration) {
+  options_.inventory_endpoint = "inventory:1";
+  options_.inventory_format = control::NativeInventoryFormat();
+  const control::FleetState fleet = view_.fleet;
+  view_.fleet.Clear();
+  view_.inventory_age = std::chrono::hours(1);
+  Start();
+  timers_.Advance(seconds(5));
+  EXPECT_EQ(client_.calls.size(), 0U);
+  view_.fleet = fleet;
+  view_.Changed();
+  timers_.Advance(seconds(1));
+  EXPECT_GE(client_.calls.size(), 1U) << "no controller has read it for long";
+  EXPECT_EQ(Last().endpoint, "inventory:1");
+}
+
 TEST_F(TrafficGatewayTest, UnknownRouteKeyAndMalformedCallAreToldApart) {
   Start();
   EXPECT_EQ(Send("nowhere")->whole.status, 404);
--- a/src/posthatch/traffic/traffic_gateway.cc
+++ b/src/posthatch/traffic/traffic_gateway.cc
@@ -29,14 +29,17 @@
                      [this] { return static_cast<uint32_t>(options_.gateways().size()); }),
       metrics_(runtime->metrics),
       cold_starts_(runtime->clock, options_.gateway_id, options_.gateways),
-      loads_(runtime, {.zone = options_.zone}, options_.peers),
-      pool_(runtime, {.revision_deadline = options_.revision_deadline}, &cold_starts_, &loads_),
-      placer_(runtime, options_.zone, &pool_),
+      loads_(runtime, LoadOptions(), options_.peers),
+      pool_(runtime,
+            {.revision_deadline = options_.revision_deadline, .switches = options_.switches},
+            &cold_starts_, &loads_),
+      placer_(runtime, options_.zone, &pool_, options_.switches),
       stores_(runtime),
       under_way_(runtime->clock, PromptsUnderWay::Options()),
       store_watch_(runtime, {.format = options_.cache_event_format}, StoreWatchParts()),
       retry_budget_(runtime->clock, BudgetOptions()),
       inventory_(runtime, WatchOptions(), view),
+      split_(runtime->random),
       sweep_timer_(runtime->timers),
       refresh_timer_(runtime->timers) {
   context_.runtime = runtime;
@@ -44,7 +47,8 @@
   context_.pool = &pool_;
   context_.placer = &placer_;
   context_.stores = &stores_;
-  context_.under_way = &under_way_;
+  context_.switches = options_.switches;
+  if (options_.switches.announcements) context_.under_way = &under_way_;
   context_.loads = &loads_;
   context_.retry_budget = &retry_budget_;
   context_.metrics = &metrics_;
@@ -60,6 +64,13 @@
 
 TrafficGateway::~TrafficGateway() = default;
 
+LoadExchangeOptions TrafficGateway::LoadOptions() const {
+  LoadExchangeOptions options;
+  options.zone = options_.zone;
+  if (!options_.switches.urgent_loads) options.period = options.slow_period;
+  return options;
+}
+
 control::InventoryWatchOptions TrafficGateway::WatchOptions() {
   control::InventoryWatchOptions options;
   options.endpoint = options_.inventory_endpoint;
@@ -67,6 +78,8 @@
   options.stale_age = options_.drain_bound - kTimeToReadList;
   options.reads_per_second = options_.inventory_reads_per_second;
   options.live_gateways = [this] { return live_gateways_.Get(); };
+  // Without a configuration nothing is served, and the first grant brings the list along.
+  options.needed = [this] { return configuration_ != nullptr; };
   options.on_change = [this] { UpdatePool(); };
   options.on_read = [this](std::string_view outcome) {
     metrics_.inventory_reads.Increment(std::string(outcome));
@@ -122,6 +135,7 @@
     traffic_index_ = state.traffic_index();
     configuration_ = std::make_shared<const control::TrafficConfiguration>(state.traffic());
     routes_.Rebuild(*configuration_);
+    split_.Clear();
     stores_.Rebuild(*configuration_);
     runtime_->trace->Event(runtime::Severity::kInfo, "TrafficInForce",
                            {{"version", configuration_->version()}, {"index", traffic_index_}});
@@ -185,15 +199,8 @@
 }
 
 const control::TrafficService* TrafficGateway::PickService(const control::TrafficRoute& route) {
-  uint64_t total = 0;
-  for (const control::RouteTarget& target : route.targets()) total += target.weight();
-  if (total == 0) return nullptr;
-  uint64_t drawn = runtime_->random->Uniform(total);
-  for (const control::RouteTarget& target : route.targets()) {
-    if (drawn < target.weight()) return routes_.FindService(target.service());
-    drawn -= target.weight();
-  }
-  return nullptr;
+  const control::RouteTarget* target = split_.Next(route);
+  return target == nullptr ? nullptr : routes_.FindService(target->service());
 }
 
 void TrafficGateway::Retire(TrafficRequest* request) {
--- a/src/posthatch/traffic/traffic_gateway.h
+++ b/src/posthatch/traffic/traffic_gateway.h
@@ -11,9 +11,11 @@
 #include "posthatch/control/inventory_watch.h"
 #include "posthatch/gateway/live_gateway_count.h"
 #include "posthatch/traffic/route_table.h"
+#include "posthatch/traffic/routing_switches.h"
 #include "posthatch/traffic/store_watch.h"
 #include "posthatch/traffic/traffic_context.h"
 #include "posthatch/traffic/traffic_request.h"
+#include "posthatch/traffic/weighted_split.h"
 
 namespace posthatch::traffic {
 
@@ -30,6 +32,7 @@
   // From when the inventory shows a worker as draining until it gets nothing more; above 1.5 s.
   runtime::Duration drain_bound = std::chrono::seconds(3);
   const index::KvEventFormat* cache_event_format = index::NativeKvEventFormat();
+  RoutingSwitches switches;
   // Requests in flight; further ones are refused at once.
   size_t max_concurrent_requests = 4096;
   // Ids of the live gateways of the fleet, with this one; asked often.
@@ -58,6 +61,7 @@
   void OnQuiet(std::function<void()> done);
 
  private:
+  LoadExchangeOptions LoadOptions() const;
   control::InventoryWatchOptions WatchOptions();
   StoreWatch::Parts StoreWatchParts();
   RetryBudgetOptions BudgetOptions();
@@ -93,6 +97,7 @@
   // In force; the routes refer into it.
   std::shared_ptr<const control::TrafficConfiguration> configuration_;
   RouteTable routes_;
+  WeightedSplit split_;
   uint64_t traffic_index_ = 0;
   // Of the sections that were last put in force here.
   control::SectionIndices indices_{};
--- a/src/posthatch/traffic/traffic_request-test.cc
+++ b/src/posthatch/traffic/traffic_request-test.cc
@@ -105,6 +105,31 @@
   EXPECT_EQ(writer->answers, 0);
 }
 
+TEST_F(TrafficRequestTest, NothingIsDispatchedForACallerThatHasLeft) {
+  for (const char* route : {"often", "resume"}) {
+    const auto writer = Send(route);
+    const auto call = client_.calls.back();
+    const size_t before = client_.calls.size();
+    writer->on_gone();
+    timers_.Advance(seconds(3));
+    EXPECT_TRUE(call->cancelled) << route;
+    EXPECT_EQ(client_.calls.size(), before) << route;
+    EXPECT_EQ(writer->answers, 0) << route;
+  }
+}
+
+TEST_F(TrafficRequestTest, AStreamWhoseCallerHasLeftIsNotTakenUpElsewhere) {
+  const auto writer = Send("resume");
+  Head(200);
+  const auto call = client_.calls.back();
+  call->Piece("id: 1\n\n");
+  const size_t before = client_.calls.size();
+  writer->on_gone();
+  timers_.Advance(seconds(4));
+  EXPECT_TRUE(call->cancelled);
+  EXPECT_EQ(client_.calls.size(), before);
+}
+
 TEST_F(TrafficRequestTest, DeadlineAnswersAtOnceAndPromisesNothing) {
   const auto writer = Send("once");
   timers_.Advance(seconds(5));
--- a/src/posthatch/traffic/traffic_request.cc
+++ b/src/posthatch/traffic/traffic_request.cc
@@ -118,7 +118,8 @@
   std::vector<std::string> ids;
   for (const PromptSegment& segment : admitted_.call.segments) ids.push_back(segment.id);
   std::vector<uint64_t> revisions = context_->pool->RevisionsServed(admitted_.service.name());
-  if (revisions.empty()) revisions.push_back(context_->pool->TargetRevision(model));
+  const bool newest_only = !context_->switches.older_revisions;
+  if (newest_only || revisions.empty()) revisions = {context_->pool->TargetRevision(model)};
   chains_.clear();
   std::vector<index::PrefixHolder> holders;
   for (const uint64_t revision : revisions) {
@@ -140,8 +141,8 @@
   query.tried = &tried_;
   if (IsPrompt()) {
     query.prompt = &shape_;
-    query.store = context_->stores->For(shape_.affinity);
-    query.holders = LocatePrefix();
+    if (context_->switches.stores) query.store = context_->stores->For(shape_.affinity);
+    if (context_->switches.index) query.holders = LocatePrefix();
     query.under_way = context_->under_way;
   }
   Placement placement = context_->placer->Choose(query);
@@ -169,7 +170,9 @@
   if (!IsPrompt()) return fields;
   revision_ = placement.worker->revision;
   fields.expected_revision = revision_;
-  fields.priority = std::min(admitted_.priority, kLowestPriority);
+  if (context_->switches.priorities) {
+    fields.priority = std::min(admitted_.priority, kLowestPriority);
+  }
   fields.cache_salt = index::CacheSalt(
       context_->lookup->SeedFor(admitted_.call.model, revision_, admitted_.tenant));
   fields.fetch_endpoint = placement.fetch_endpoint;
@@ -423,6 +426,9 @@
 // Whether another attempt is allowed; `failure` is what ended the running one.
 bool TrafficRequest::MayTryAgain(Failure failure) const {
   if (Left() < kLeastTimeForRetry) return false;
+  if (!context_->switches.retries || (stream_started_ && !context_->switches.resumption)) {
+    return false;
+  }
   const bool counted = worker_ == nullptr;  // OnAttemptFailed has counted the running attempt
   const bool ran = failure != Failure::kUnreachable && failure != Failure::kNotExecuted &&
                    failure != Failure::kMisdirected;
--- /dev/null
+++ b/src/posthatch/traffic/weighted_split-test.cc
@@ -0,0 +1,69 @@
+#include "posthatch/traffic/weighted_split.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+
+namespace posthatch::traffic {
+namespace {
+
+control::TrafficRoute Route(const std::string& name, const std::vector<uint32_t>& weights) {
+  control::TrafficRoute route;
+  route.set_name(name);
+  for (size_t i = 0; i < weights.size(); ++i) {
+    control::RouteTarget* target = route.add_targets();
+    target->set_service("s" + std::to_string(i));
+    target->set_weight(weights[i]);
+  }
+  return route;
+}
+
+TEST(WeightedSplitTest, SharesOfOneGatewayAreExactToARequestOrTwo) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    runtime::Random random(seed);
+    WeightedSplit split(&random);
+    const control::TrafficRoute route = Route("r", {90, 10});
+    std::map<std::string, int> taken;
+    for (int i = 0; i < 100; ++i) ++taken[split.Next(route)->service()];
+    EXPECT_NEAR(taken["s1"], 10, 2) << "seed " << seed;
+  }
+}
+
+TEST(WeightedSplitTest, SharesOfManyGatewaysWithFewRequestsEach) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    std::map<std::string, int> taken;
+    for (uint64_t gateway = 0; gateway < 60; ++gateway) {
+      runtime::Random random(seed * 1000 + gateway);
+      WeightedSplit split(&random);
+      const control::TrafficRoute route = Route("r", {70, 30});
+      for (int i = 0; i < 5; ++i) ++taken[split.Next(route)->service()];
+    }
+    EXPECT_NEAR(taken["s1"], 90, 15) << "seed " << seed;
+  }
+}
+
+TEST(WeightedSplitTest, TargetsWithoutWeightGetNothing) {
+  runtime::Random random(3);
+  WeightedSplit split(&random);
+  const control::TrafficRoute route = Route("r", {0, 5, 0});
+  for (int i = 0; i < 50; ++i) EXPECT_EQ(split.Next(route)->service(), "s1");
+  EXPECT_EQ(split.Next(Route("none", {0, 0})), nullptr);
+  EXPECT_EQ(split.Next(Route("one", {0})), nullptr);
+}
+
+TEST(WeightedSplitTest, RoutesDoNotDisturbEachOther) {
+  runtime::Random random(5);
+  WeightedSplit split(&random);
+  const control::TrafficRoute one = Route("one", {50, 50});
+  const control::TrafficRoute other = Route("other", {50, 50});
+  std::map<std::string, int> taken;
+  for (int i = 0; i < 200; ++i) {
+    ++taken[split.Next(one)->service()];
+    split.Next(other);
+  }
+  EXPECT_NEAR(taken["s0"], 100, 3);
+}
+
+}  // namespace
+}  // namespace posthatch::traffic
--- /dev/null
+++ b/src/posthatch/traffic/weighted_split.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "posthatch/control/control.pb.h"
+#include "posthatch/runtime/random.h"
+
+namespace posthatch::traffic {
+
+// Divides the requests of a route among its targets by their weights. Draws by chance would leave
+// the shares off by some percent over a few hundred requests, and each gateway sees few: each route
+// walks along a sequence that fills the range evenly (the golden ratio's multiples, modulo 1) from
+// a point of its own, so that the shares of one gateway are off by a request or two, and those of
+// many gateways by less. Event loop thread only.
+class WeightedSplit {
+ public:
+  explicit WeightedSplit(runtime::Random* random) : random_(random) {}
+
+  // The target of the next request; null if all weights are 0.
+  const control::RouteTarget* Next(const control::TrafficRoute& route);
+  // Forgets routes that are no more.
+  void Clear() { positions_.clear(); }
+
+ private:
+  runtime::Random* const random_;
+  absl::flat_hash_map<std::string, double> positions_;  // by route, in [0, 1)
+};
+
+}  // namespace posthatch::traffic
--- a/src/posthatch/traffic/worker_pool.cc
+++ b/src/posthatch/traffic/worker_pool.cc
@@ -33,7 +33,8 @@
 }
 
 Load WorkerPool::TotalLoad(const Worker& worker) const {
-  Load load = loads_->OfOthers(worker.backend.id());
+  Load load;
+  if (options_.switches.loads) load = loads_->OfOthers(worker.backend.id());
   load.in_flight += worker.in_flight;
   load.pending_tokens += worker.pending_tokens;
   return load;
@@ -239,6 +240,7 @@
 }
 
 void WorkerPool::OnFailure(Worker* worker, bool unreachable) {
+  if (!options_.switches.ejection) return;
   worker->failure_score += 1;
   if (!unreachable && worker->failure_score < kFailuresToEject) return;
   const uint32_t doublings = std::min(worker->ejections, kMaxEjectionDoublings);
--- a/src/posthatch/traffic/worker_pool.h
+++ b/src/posthatch/traffic/worker_pool.h
@@ -11,6 +11,7 @@
 #include "posthatch/traffic/cold_start_limiter.h"
 #include "posthatch/traffic/load_exchange.h"
 #include "posthatch/traffic/route_table.h"
+#include "posthatch/traffic/routing_switches.h"
 
 namespace posthatch::traffic {
 
@@ -44,6 +45,7 @@
   runtime::Duration revision_deadline = std::chrono::seconds(12);
   // Marks of workers that load other weights count while the leader's list is younger than this.
   runtime::Duration loading_trust = std::chrono::seconds(4);
+  RoutingSwitches switches;
 };
 
 // Which workers there are, service by service, and which may get new work: the inventory, draining
