--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -62,13 +62,18 @@
     if [ -e "$cache/$key" ]; then echo "$file" >>"$work/known"; else echo "$key $file" >>"$work/todo"; fi
   done
 
+# A result is kept only if none of the project's own files it rests on was changed meanwhile.
+touch "$work/started"
 lint_one() {
   local key=$1 file=$2
   clang-tidy -p "$build" --quiet "$file" 2>/dev/null || return 1
-  touch "$cache/$key"
+  local changed
+  changed=$(awk -F'\t' -v file="$file" '$1 == file && $2 !~ /^\/usr\// { print $2 }' "$work/dependencies" |
+    (cd "$build" && xargs -r -d '\n' -I{} find {} -newer "$work/started" 2>/dev/null))
+  [ -n "$changed" ] || touch "$cache/$key"
 }
 export -f lint_one
-export build cache
+export build cache work
 # The largest first, so that none is left over at the end.
 while read -r key file; do
   echo "$(wc -l <"$work/keys/${file//\//%}") $key $file"
--- a/src/posthatch/index/index_messages-fuzz.cc
+++ b/src/posthatch/index/index_messages-fuzz.cc
@@ -13,7 +13,8 @@
   trust.versions["worker/w"] = posthatch::channels::MakeVersion(1, 0);
   FakeFleet fleet;
   TrustedPrefixLocator locator({1 << 16, nullptr}, &trust);
-  IndexUpdateReceiver receiver(&fleet, &locator);
+  IndexFakes fakes;
+  IndexUpdateReceiver receiver(fakes.runtime.clock, &fleet, &trust, &locator);
   IndexMessage message;
   if (!message.ParseFromArray(data, static_cast<int>(size))) return 0;
   receiver.Receive(posthatch::runtime::Envelope(), message.update());
--- a/src/posthatch/index/index_node.cc
+++ b/src/posthatch/index/index_node.cc
@@ -11,6 +11,8 @@
 // One segment at most is compacted at each step; with nothing dropped there is little to look for.
 constexpr runtime::Duration kSweepInterval = std::chrono::milliseconds(20);
 constexpr runtime::Duration kIdleSweepInterval = std::chrono::milliseconds(500);
+// Between debug events with the counters.
+constexpr runtime::Duration kStatsInterval = std::chrono::seconds(2);
 
 channels::SubscriptionSetOptions SubscriptionOptionsOf(const IndexOptions& options) {
   channels::SubscriptionSetOptions set_options;
@@ -39,7 +41,7 @@
       attributions_(options_.max_attributions),
       reporter_(runtime, client),
       publisher_(runtime, options_.updates, [this] { return OtherGateways(); }),
-      receiver_(fleet, &locator_),
+      receiver_(runtime->clock, fleet, &subscriptions_, &locator_),
       recorder_(
           runtime, options_.dispatches,
           {fleet, &subscriptions_, &attributions_, &locator_, [this] { return OtherGateways(); }}),
@@ -135,6 +137,10 @@
 void IndexNode::Sweep() {
   locator_.SweepStep();
   const bool idle = locator_.index_stats().dropped_blocks == 0;
+  if (runtime_->clock->Now() >= next_stats_) {
+    next_stats_ = runtime_->clock->Now() + kStatsInterval;
+    runtime_->trace->Event(runtime::Severity::kDebug, "IndexStats", {{"stats", stats_json()}});
+  }
   sweep_timer_.Start(idle ? kIdleSweepInterval : kSweepInterval, [this] { Sweep(); });
 }
 
@@ -166,6 +172,7 @@
 void IndexNode::ChannelListener::OnObjects(const std::string& /*channel*/,
                                            const std::vector<std::string>& objects) {
   for (const std::string& object : objects) node_->locator_.ObjectChanged(object);
+  node_->receiver_.OnVersionsTold();
 }
 
 void IndexNode::ChannelListener::OnSynchronised(const std::string& channel) {
@@ -173,6 +180,7 @@
   for (const channels::RegisteredObject& object : subscription->Objects()) {
     node_->locator_.ObjectChanged(object.object());
   }
+  node_->receiver_.OnVersionsTold();
 }
 
 std::string IndexNode::stats_json() const {
@@ -203,6 +211,8 @@
       {"updates_applied", updates.updates_applied},
       {"update_gaps", updates.gaps},
       {"updates_fenced", updates.fenced},
+      {"extents_waited", updates.extents_waited},
+      {"extents_not_trusted", updates.extents_not_trusted},
       {"updates_sent", publisher_.stats().updates_sent},
       {"workers_read", reader_.feed_count()},
       {"events_stored_blocks", events.stored_blocks},
--- a/src/posthatch/index/index_node.h
+++ b/src/posthatch/index/index_node.h
@@ -106,6 +106,7 @@
   WorkerEventReader reader_;
   StorePoller store_poller_;
   runtime::Timer sweep_timer_;
+  runtime::MonotonicTime next_stats_;
   channels::MetricsExport metrics_;
   // Guards the listener left with `fleet`, which can't be taken back.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/posthatch/index/index_update-test.cc
+++ b/src/posthatch/index/index_update-test.cc
@@ -57,7 +57,7 @@
   IndexUpdatePublisher publisher_{&fakes_.runtime, options_,
                                   [] { return std::vector<std::string>{"10.0.0.2:7000"}; }};
   TrustedPrefixLocator locator_{{1 << 20, nullptr}, &trust_};
-  IndexUpdateReceiver receiver_{&fleet_, &locator_};
+  IndexUpdateReceiver receiver_{fakes_.runtime.clock, &fleet_, &trust_, &locator_};
 };
 
 TEST_F(IndexUpdateTest, StoredAndRemovedBlocksArrive) {
@@ -88,6 +88,48 @@
   EXPECT_EQ(blocks(), 1u);
 }
 
+// After a loss the worker's list may come before the channel tells the new version here.
+TEST_F(IndexUpdateTest, WhatComesBeforeItsHoldersVersionIsKnownWaitsForIt) {
+  Store({1, 2, 3}, /*sequence=*/1);
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  EXPECT_EQ(blocks(), 0u);
+  receiver_.OnVersionsTold();
+  EXPECT_EQ(blocks(), 0u) << "not told yet";
+  Remove({2});
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  trust_.versions["worker/w"] = MakeVersion(100, 1);
+  receiver_.OnVersionsTold();
+  EXPECT_EQ(blocks(), 2u) << "without the block that was removed meanwhile";
+  EXPECT_EQ(receiver_.stats().extents_waited, 1u);
+  receiver_.OnVersionsTold();
+  EXPECT_EQ(blocks(), 2u);
+}
+
+TEST_F(IndexUpdateTest, WhatRestsOnAnOlderVersionNeverWaits) {
+  trust_.versions["worker/w"] = MakeVersion(100, 2);
+  Store({1}, /*sequence=*/1);
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  EXPECT_EQ(receiver_.stats().extents_waited, 0u);
+  EXPECT_EQ(receiver_.stats().extents_not_trusted, 1u);
+}
+
+TEST_F(IndexUpdateTest, WaitingEndsWithTheNextVersionOrAMissingUpdate) {
+  Store({1}, /*sequence=*/1);
+  for (const IndexUpdate& update : TakeSent()) Receive(update);
+  trust_.versions["worker/w"] = MakeVersion(100, 2);  // lost again meanwhile
+  receiver_.OnVersionsTold();
+  EXPECT_EQ(blocks(), 0u);
+  Store({2}, /*sequence=*/3);
+  Store({3}, /*sequence=*/3);
+  Store({4}, /*sequence=*/3);
+  const auto updates = TakeSent();
+  Receive(updates[0]);
+  Receive(updates[2]);  // one is missing
+  trust_.versions["worker/w"] = MakeVersion(100, 3);
+  receiver_.OnVersionsTold();
+  EXPECT_EQ(blocks(), 1u) << "only what came after the gap";
+}
+
 // One message to each gateway for each removal was most of what a gateway of 77 spent.
 TEST_F(IndexUpdateTest, RemovalsTravelTogether) {
   for (BlockHash block = 1; block <= 30; ++block) publisher_.Removed("w", {block});
--- a/src/posthatch/index/index_update_receiver.cc
+++ b/src/posthatch/index/index_update_receiver.cc
@@ -1,12 +1,21 @@
 #include "posthatch/index/index_update_receiver.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "posthatch/channels/channel_names.h"
 #include "posthatch/index/index_update_publisher.h"
 
 namespace posthatch::index {
+namespace {
+
+// A version is told everywhere within this, or its channel is silent.
+constexpr runtime::Duration kWaitForVersion = std::chrono::seconds(3);
+constexpr size_t kMaxWaiting = 16384;
+
+}  // namespace
 
 uint64_t IndexUpdateReceiver::TokenInForce(const std::string& worker) const {
   for (const control::WorkerLease& lease : fleet_->state().leases()) {
@@ -46,6 +55,7 @@
   if (update.update() != source.last_update + 1) {
     ++stats_.gaps;
     locator_->DropHolder(HolderKind::kWorker, update.holder());
+    DropWaiting(update.holder());
   }
   source.last_update = update.update();
   return true;
@@ -61,6 +71,14 @@
   ++stats_.updates_applied;
   for (const Extent& extent : update.stored()) ApplyStored(extent);
   locator_->Remove(HolderKind::kWorker, update.holder(), removed);
+  if (!removed.empty()) RemoveFromWaiting(update.holder(), removed);
+}
+
+bool IndexUpdateReceiver::IsEarly(const Extent& extent) const {
+  const auto version = channels::MakeVersion(extent.holder_epoch(), extent.holder_sequence());
+  channels::ObjectVersion newest;
+  const std::string object = HolderObject(KindOf(extent.holder()), extent.holder());
+  return !trust_->CurrentVersion(object, &newest) || channels::CompareVersions(newest, version) < 0;
 }
 
 void IndexUpdateReceiver::ApplyStored(const Extent& extent) {
@@ -69,6 +87,13 @@
     ++stats_.malformed;
     return;
   }
+  if (!IsEarly(extent)) return Apply(extent, blocks);
+  ++stats_.extents_waited;
+  if (waiting_.size() >= kMaxWaiting) waiting_.pop_front();
+  waiting_.push_back({extent, std::move(blocks), clock_->Now() + kWaitForVersion});
+}
+
+void IndexUpdateReceiver::Apply(const Extent& extent, const std::vector<BlockHash>& blocks) {
   const auto version = channels::MakeVersion(extent.holder_epoch(), extent.holder_sequence());
   if (locator_->Add(KindOf(extent.holder()), extent.holder(), version, SeedOf(extent), blocks)) {
     stats_.blocks_stored += blocks.size();
@@ -77,4 +102,40 @@
   }
 }
 
+void IndexUpdateReceiver::OnVersionsTold() {
+  if (waiting_.empty()) return;
+  const runtime::MonotonicTime now = clock_->Now();
+  std::deque<Waiting> still_waiting;
+  for (Waiting& waiting : waiting_) {
+    if (now >= waiting.given_up_at) {
+      ++stats_.extents_not_trusted;
+    } else if (IsEarly(waiting.extent)) {
+      still_waiting.push_back(std::move(waiting));
+    } else {
+      Apply(waiting.extent, waiting.blocks);
+    }
+  }
+  waiting_ = std::move(still_waiting);
+}
+
+void IndexUpdateReceiver::DropWaiting(const std::string& holder) {
+  waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(),
+                                [&holder](const Waiting& waiting) {
+                                  return waiting.extent.holder() == holder;
+                                }),
+                 waiting_.end());
+}
+
+void IndexUpdateReceiver::RemoveFromWaiting(const std::string& holder,
+                                            const std::vector<BlockHash>& removed) {
+  const absl::flat_hash_set<BlockHash> gone(removed.begin(), removed.end());
+  for (Waiting& waiting : waiting_) {
+    if (waiting.extent.holder() != holder) continue;
+    std::vector<BlockHash>& blocks = waiting.blocks;
+    blocks.erase(std::remove_if(blocks.begin(), blocks.end(),
+                                [&gone](BlockHash block) { return gone.contains(block); }),
+                 blocks.end());
+  }
+}
+
 }  // namespace posthatch::index
--- a/src/posthatch/index/index_update_receiver.h
+++ b/src/posthatch/index/index_update_receiver.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "posthatch/control/control_client.h"
@@ -19,18 +21,24 @@
   uint64_t fenced = 0;  // from a former lease holder
   uint64_t malformed = 0;
   uint64_t blocks_stored = 0;
-  uint64_t extents_not_trusted = 0;  // of versions that are no longer, or not yet, the newest here
+  uint64_t extents_not_trusted = 0;  // of versions that are no longer the newest here
+  uint64_t extents_waited = 0;       // came before the channel told their holder's version
 };
 
 // Takes IndexUpdate messages of other gateways into this gateway's index: in the order of fencing
-// tokens and update numbers; a missing number drops what is known of that worker. Owned by
-// IndexNode; event loop thread only.
+// tokens and update numbers; a missing number drops what is known of that worker. What rests on a
+// version of its holder that the channels have not told here yet waits for it: after a loss the
+// list of all that a worker keeps follows its new version at once. Owned by IndexNode; event loop
+// thread only.
 class IndexUpdateReceiver {
  public:
-  IndexUpdateReceiver(const control::FleetView* fleet, TrustedPrefixLocator* locator)
-      : fleet_(fleet), locator_(locator) {}
+  IndexUpdateReceiver(const runtime::Clock* clock, const control::FleetView* fleet,
+                      const channels::ObjectTrust* trust, TrustedPrefixLocator* locator)
+      : clock_(clock), fleet_(fleet), trust_(trust), locator_(locator) {}
 
   void Receive(const runtime::Envelope& envelope, const IndexUpdate& update);
+  // The channels have told newer versions of some objects.
+  void OnVersionsTold();
 
   const IndexUpdateReceiverStats& stats() const { return stats_; }
 
@@ -49,10 +57,24 @@
   // Whether the update is to be applied; follows its numbers.
   bool Admit(const runtime::Envelope& envelope, const IndexUpdate& update);
   void ApplyStored(const Extent& extent);
+  // Whether the extent rests on a version of its holder that is not known here yet.
+  bool IsEarly(const Extent& extent) const;
+  void Apply(const Extent& extent, const std::vector<BlockHash>& blocks);
+  void DropWaiting(const std::string& holder);
+  void RemoveFromWaiting(const std::string& holder, const std::vector<BlockHash>& removed);
 
+  struct Waiting {
+    Extent extent;
+    std::vector<BlockHash> blocks;
+    runtime::MonotonicTime given_up_at;
+  };
+
+  const runtime::Clock* const clock_;
   const control::FleetView* const fleet_;
+  const channels::ObjectTrust* const trust_;
   TrustedPrefixLocator* const locator_;
   absl::flat_hash_map<std::string, Source> sources_;
+  std::deque<Waiting> waiting_;
   IndexUpdateReceiverStats stats_;
 };
 
