--- a/scripts/check-determinism.sh
+++ b/scripts/check-determinism.sh
@@ -13,12 +13,13 @@
 for run in "${runs[@]}"; do
   scenario=${run%%:*}
   seed=${run##*:}
-  traces=$(for _ in $(seq "$processes"); do
+  traces=$(seq "$processes" | xargs -P "$processes" -I{} \
     "$program" simulate "scenarios/$scenario.toml" --seeds "$seed-$seed" 2>&1 |
-      grep -oE 'trace [0-9a-f]+' | head -1
-  done | sort | uniq -c)
+    grep -oE 'trace [0-9a-f]+' | sort | uniq -c)
   echo "$scenario, seed $seed: $(echo "$traces" | tr -s ' \n' ' ')"
+  # One trace, told by every process.
   [ "$(echo "$traces" | wc -l)" -eq 1 ] || failed=1
+  [ "$(echo "$traces" | awk '{ print $1 }')" = "$processes" ] || failed=1
   echo "$traces" | grep -q trace || failed=1
 done
 [ "$failed" -eq 0 ] || { echo "The simulator's traces differ between processes." >&2; exit 1; }
--- a/scripts/simulate-all.sh
+++ b/scripts/simulate-all.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Simulates every scenario over a range of seeds and prints a line each; fails if one doesn't pass.
+# Several run at a time; a simulation depends on its seed alone.
 # Usage: scripts/simulate-all.sh [FIRST_SEED] [LAST_SEED]
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -7,12 +8,22 @@
 last=${2:-1}
 program=build/release/src/posthatch/rehearse/posthatch-rehearse
 reports=$(mktemp -d)
+export first last program reports
+
+simulate() {
+  local name=$1
+  timeout -s KILL 600 "$program" simulate "scenarios/$name.toml" --seeds "$first-$last" \
+    --report "$reports/$name.json" >"$reports/$name.out" 2>&1
+  echo $? >"$reports/$name.status"
+}
+export -f simulate
+mapfile -t names < <(basename -s .toml scenarios/*.toml)
+printf '%s\n' "${names[@]}" | xargs -P "${POSTHATCH_JOBS:-$(nproc)}" -I{} bash -c 'simulate {}'
+
 passed=0
 failed=0
-for scenario in scenarios/*.toml; do
-  name=$(basename "$scenario" .toml)
-  if timeout -s KILL 600 "$program" simulate "$scenario" --seeds "$first-$last" \
-    --report "$reports/$name.json" >"$reports/$name.out" 2>&1; then
+for name in "${names[@]}"; do
+  if [ "$(cat "$reports/$name.status")" = 0 ]; then
     passed=$((passed + 1))
     echo "$name: $(grep 'seeds passed' "$reports/$name.out")"
   else
