--- a/src/posthatch/index/index_node.cc
+++ b/src/posthatch/index/index_node.cc
@@ -187,6 +187,8 @@
     fanout_.PassOn(envelope.from_incarnation(), message.to_pass_on());
   } else if (message.has_relayed()) {
     for (const RelayedUpdate& relayed : message.relayed().updates()) {
+      // Its own news come back from the relay of its own zone.
+      if (relayed.from_incarnation() == runtime_->transport->incarnation()) continue;
       receiver_.Receive(relayed.from_incarnation(), relayed.update());
     }
   } else if (message.has_dispatches()) {
--- a/src/posthatch/index/index_update_fanout.cc
+++ b/src/posthatch/index/index_update_fanout.cc
@@ -16,13 +16,7 @@
 
 IndexUpdateFanout::Plan IndexUpdateFanout::MakePlan() const {
   Plan plan;
-  for (IndexPeer& peer : peers_()) {
-    if (peer.zone == options_.zone) {
-      plan.direct.push_back(std::move(peer.endpoint));
-    } else {
-      plan.relayed_zones[peer.zone].push_back(std::move(peer));
-    }
-  }
+  for (IndexPeer& peer : peers_()) plan.relayed_zones[peer.zone].push_back(std::move(peer));
   for (auto zone = plan.relayed_zones.begin(); zone != plan.relayed_zones.end();) {
     if (zone->second.size() >= options_.least_gateways_for_relay) {
       ++zone;
@@ -40,18 +34,24 @@
 }
 
 const IndexPeer& IndexUpdateFanout::RelayFor(const std::string& holder,
-                                             const std::vector<IndexPeer>& zone) {
-  const uint64_t seed = XXH3_64bits(holder.data(), holder.size());
-  const auto rank = [seed](const IndexPeer& peer) {
-    return XXH3_64bits_withSeed(peer.node_id.data(), peer.node_id.size(), seed);
+                                             std::vector<IndexPeer>* zone) const {
+  const auto sort_by_hash = [zone](uint64_t seed, size_t count) {
+    const auto rank = [seed](const IndexPeer& peer) {
+      return XXH3_64bits_withSeed(peer.node_id.data(), peer.node_id.size(), seed);
+    };
+    std::partial_sort(
+        zone->begin(), zone->begin() + static_cast<std::ptrdiff_t>(count), zone->end(),
+        [&rank](const auto& left, const auto& right) { return rank(left) < rank(right); });
+    zone->resize(count);
   };
-  return *std::min_element(zone.begin(), zone.end(), [&rank](const auto& left, const auto& right) {
-    return rank(left) < rank(right);
-  });
+  // The same gateways for all workers, then one of them for this one.
+  sort_by_hash(0, std::max<size_t>(1, zone->size() / options_.gateways_of_relay));
+  sort_by_hash(XXH3_64bits(holder.data(), holder.size()), 1);
+  return zone->front();
 }
 
 size_t IndexUpdateFanout::Send(const IndexUpdate& update) {
-  const Plan plan = MakePlan();
+  Plan plan = MakePlan();
   IndexMessage message;
   *message.mutable_update() = update;
   const std::string payload = message.SerializeAsString();
@@ -60,8 +60,8 @@
   IndexMessage for_relays;
   *for_relays.mutable_to_pass_on() = update;
   const std::string relay_payload = for_relays.SerializeAsString();
-  for (const auto& [zone, gateways] : plan.relayed_zones) {
-    SendMessage(RelayFor(update.holder(), gateways).endpoint, relay_payload);
+  for (auto& [zone, gateways] : plan.relayed_zones) {
+    SendMessage(RelayFor(update.holder(), &gateways).endpoint, relay_payload);
   }
   return payload.size();
 }
@@ -72,8 +72,12 @@
   *waiting->mutable_update() = update;
   ++relayed_;
   if (relay_timer_.running()) return;
-  const size_t gateways = MakePlan().direct.size();
-  const size_t factor = std::max<size_t>(1, gateways / options_.gateways_at_period);
+  const std::vector<IndexPeer> peers = peers_();
+  const auto in_zone = std::count_if(peers.begin(), peers.end(), [this](const IndexPeer& peer) {
+    return peer.zone == options_.zone;
+  });
+  const size_t factor =
+      std::max<size_t>(1, static_cast<size_t>(in_zone) / options_.gateways_at_period);
   relay_timer_.Start(options_.relay_period * static_cast<int64_t>(factor),
                      [this] { FlushRelayed(); });
 }
--- a/src/posthatch/index/index_update_fanout.h
+++ b/src/posthatch/index/index_update_fanout.h
@@ -22,18 +22,20 @@
   std::string zone;  // of this gateway
   // A zone with fewer gateways is told directly: there a relay saves little and may fail.
   size_t least_gateways_for_relay = 16;
+  // One in so many gateways of a zone relays: few, so that each passes much on at a time.
+  size_t gateways_of_relay = 4;
   // How long a relay gathers what it passes on, with up to `gateways_at_period` gateways in its
   // zone; longer in proportion in a larger one.
-  runtime::Duration relay_period = std::chrono::milliseconds(50);
+  runtime::Duration relay_period = std::chrono::milliseconds(80);
   size_t gateways_at_period = 8;
 };
 
 // Brings this gateway's index updates to all others, and passes on those of other zones as a relay.
 //
-// The gateways of the own zone are told directly. A large zone elsewhere is told by way of one of
-// its gateways, so that an update crosses between zones once for each zone in place of once for
-// each gateway. The relay of a worker's updates is chosen by rendezvous hashing, so each gateway of
-// a zone relays for a few workers. Updates keep the numbers of their holder: one that is lost with
+// A large zone, also the own one, is told by way of one of its gateways: an update crosses between
+// zones once for each zone in place of once for each gateway, and a gateway gets the news of many
+// workers in one message. Some of a zone's gateways relay, each for some of the workers by
+// rendezvous hashing. Updates keep the numbers of their holder: one that is lost with
 // its relay, or overtaken when the relay changes, is a gap at the receivers, which drop what they
 // know of that worker (IndexUpdateReceiver). Owned by IndexNode; event loop thread only.
 class IndexUpdateFanout {
@@ -44,6 +46,8 @@
 
   // Messages that one update takes now.
   size_t recipients() const;
+  // The other gateways of the fleet.
+  size_t gateways() const { return peers_().size(); }
   // Sends `update`, which this gateway made; returns the bytes of one message.
   size_t Send(const IndexUpdate& update);
   // As a relay: tells `update` of another zone's gateway, in that life, to this zone's gateways.
@@ -59,7 +63,7 @@
   };
 
   Plan MakePlan() const;
-  static const IndexPeer& RelayFor(const std::string& holder, const std::vector<IndexPeer>& zone);
+  const IndexPeer& RelayFor(const std::string& holder, std::vector<IndexPeer>* zone) const;
   void FlushRelayed();
   void SendMessage(const std::string& endpoint, const std::string& payload);
 
--- a/src/posthatch/index/index_update_publisher.cc
+++ b/src/posthatch/index/index_update_publisher.cc
@@ -81,7 +81,8 @@
 void IndexUpdatePublisher::StartBatch() {
   if (batch_timer_.running()) return;
   const size_t factor =
-      std::max<size_t>(1, fanout_->recipients() / std::max<size_t>(1, options_.gateways_at_period));
+      std::clamp<size_t>(fanout_->gateways() / std::max<size_t>(1, options_.gateways_at_period), 1,
+                         options_.longest_factor);
   batch_timer_.Start(options_.batch_period * static_cast<int64_t>(factor), [this] { Flush(); });
 }
 
--- a/src/posthatch/index/index_update_publisher.h
+++ b/src/posthatch/index/index_update_publisher.h
@@ -26,12 +26,14 @@
 BlockSeed SeedOf(const Extent& extent);
 
 struct IndexUpdatePublisherOptions {
-  // With up to `gateways_at_period` messages an update; longer in proportion in a larger fleet.
+  // With up to `gateways_at_period` gateways; longer in proportion in a larger fleet, up to
+  // `longest_factor` times.
   runtime::Duration batch_period = std::chrono::milliseconds(50);
   // Bound of what is published, before it is multiplied by the number of messages.
   double bytes_per_second = 1024.0 * 1024;
   double burst_bytes = 4.0 * 1024 * 1024;
   size_t gateways_at_period = 8;
+  size_t longest_factor = 4;
 };
 
 struct IndexUpdatePublisherStats {
--- a/src/posthatch/index/index_update_receiver.cc
+++ b/src/posthatch/index/index_update_receiver.cc
@@ -23,10 +23,16 @@
   return lease == nullptr ? 0 : lease->fencing_token();
 }
 
-HolderKind IndexUpdateReceiver::KindOf(const std::string& holder) const {
+HolderKind IndexUpdateReceiver::KindOf(const std::string& holder) {
+  // The extents of an update are of one holder.
+  const uint64_t inventory_index = fleet_->state().inventory_index();
+  if (holder == asked_holder_ && inventory_index == asked_inventory_) return asked_kind_;
   const control::Backend* backend = control::FindBackend(fleet_->state().inventory(), holder);
   const bool is_store = backend != nullptr && backend->kind() == control::BACKEND_KIND_STORE;
-  return is_store ? HolderKind::kStore : HolderKind::kWorker;
+  asked_holder_ = holder;
+  asked_inventory_ = inventory_index;
+  asked_kind_ = is_store ? HolderKind::kStore : HolderKind::kWorker;
+  return asked_kind_;
 }
 
 bool IndexUpdateReceiver::Admit(uint64_t incarnation, const IndexUpdate& update) {
@@ -71,7 +77,7 @@
   if (!removed.empty()) RemoveFromWaiting(update.holder(), removed);
 }
 
-bool IndexUpdateReceiver::IsEarly(const Extent& extent) const {
+bool IndexUpdateReceiver::IsEarly(const Extent& extent) {
   const auto version = channels::MakeVersion(extent.holder_epoch(), extent.holder_sequence());
   channels::ObjectVersion newest;
   const std::string object = HolderObject(KindOf(extent.holder()), extent.holder());
--- a/src/posthatch/index/index_update_receiver.h
+++ b/src/posthatch/index/index_update_receiver.h
@@ -54,12 +54,12 @@
 
   // The newest fencing token known for `worker`; 0 if nobody holds it.
   uint64_t TokenInForce(const std::string& worker) const;
-  HolderKind KindOf(const std::string& holder) const;
+  HolderKind KindOf(const std::string& holder);
   // Whether the update is to be applied; follows its numbers.
   bool Admit(uint64_t incarnation, const IndexUpdate& update);
   void ApplyStored(const Extent& extent);
   // Whether the extent rests on a version of its holder that is not known here yet.
-  bool IsEarly(const Extent& extent) const;
+  bool IsEarly(const Extent& extent);
   void Apply(const Extent& extent, const std::vector<BlockHash>& blocks);
   void DropWaiting(const std::string& holder);
   void RemoveFromWaiting(const std::string& holder, const std::vector<BlockHash>& removed);
@@ -76,6 +76,10 @@
   TrustedPrefixLocator* const locator_;
   absl::flat_hash_map<std::string, Source> sources_;
   std::deque<Waiting> waiting_;
+  // The last holder that KindOf was asked for, with the inventory that it was looked up in.
+  std::string asked_holder_;
+  uint64_t asked_inventory_ = 0;
+  HolderKind asked_kind_ = HolderKind::kWorker;
   IndexUpdateReceiverStats stats_;
 };
 
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -50,10 +50,9 @@
   known = load;
   const auto told = told_.find(worker_id);
   const uint64_t told_tokens = told == told_.end() ? 0 : told->second.pending_tokens;
-  const uint64_t more = load.pending_tokens > told_tokens ? load.pending_tokens - told_tokens : 0;
-  const uint64_t less = told_tokens > load.pending_tokens ? told_tokens - load.pending_tokens : 0;
-  const bool tell_less = less >= options_.urgent_tokens && !zone_is_large_;
-  Schedule(more >= options_.urgent_tokens || tell_less);
+  const uint64_t difference = load.pending_tokens > told_tokens ? load.pending_tokens - told_tokens
+                                                                : told_tokens - load.pending_tokens;
+  Schedule(difference >= options_.urgent_tokens);
 }
 
 void LoadExchange::Announce(PromptStart start) {
@@ -136,8 +135,7 @@
 void LoadExchange::Schedule(bool urgent) {
   if (send_timer_.running() && (send_is_urgent_ || !urgent)) return;
   send_is_urgent_ = urgent;
-  const runtime::Duration slow_period = options_.slow_period * (zone_is_large_ ? 2 : 1);
-  const runtime::Duration period = urgent ? options_.period : slow_period;
+  const runtime::Duration period = urgent ? options_.period : options_.slow_period;
   send_timer_.Start(std::max(period, next_send_ - runtime_->clock->Now()), [this] { Send(); });
 }
 
@@ -187,8 +185,6 @@
 void LoadExchange::Send() {
   const std::vector<LoadPeer> peers = peers_();
   other_zones_are_far_ = UsesCollectors(peers);
-  const std::vector<std::string> recipients = Recipients(peers);
-  zone_is_large_ = recipients.size() >= options_.direct_gateways * 2;
   const bool collects = UsesCollectors(peers) && CollectorOf(options_.zone, peers).empty();
   if (collects && !collect_timer_.running()) {
     collect_timer_.Start(options_.collector_period, [this] { Collect(); });
@@ -204,6 +200,7 @@
   }
   AddPromptStarts(&own_starts_, &report);
   if (!whole && !HasNews(report)) return;
+  const std::vector<std::string> recipients = Recipients(peers);
   SendTo(recipients, report);
   next_send_ = runtime_->clock->Now() +
                std::chrono::duration_cast<runtime::Duration>(std::chrono::duration<double>(
--- a/src/posthatch/traffic/load_exchange.h
+++ b/src/posthatch/traffic/load_exchange.h
@@ -21,8 +21,7 @@
   runtime::Duration period = std::chrono::milliseconds(10);
   // ... and from any other change.
   runtime::Duration slow_period = std::chrono::milliseconds(150);
-  // Waiting prompt tokens at one worker, more or fewer than were told, that others must know of; in
-  // a zone of many gateways only more.
+  // Waiting prompt tokens at one worker, more or fewer than were told, that others must know of.
   uint64_t urgent_tokens = 2500;
   // Between the reports of a collector; longer where they would take more than
   // `collector_bytes_per_second` of its link.
@@ -166,9 +165,6 @@
   std::map<std::string, WatchedStore> stores_;  // by endpoint, as this collector found them
   bool stores_changed_ = false;
   bool other_zones_are_far_ = false;
-  // Many gateways are told directly: only what makes a worker busier is told at once. That it is
-  // less busy than believed keeps calls away for a moment longer, which does no harm.
-  bool zone_is_large_ = false;
   StoreObserver on_store_;
   PromptStartObserver on_prompt_start_;
   std::vector<PromptStart> own_starts_;  // since the last report
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -22,7 +22,7 @@
 constexpr double kFarZonePenaltyMs = 60;
 // Workers take few connections, and opening one costs them a moment: one that a connection is kept
 // to is preferred as if it were this much sooner.
-constexpr double kNewConnectionMs = 30;
+constexpr double kNewConnectionMs = 20;
 // The same for calls that are no prompts, in calls under way there.
 constexpr double kNewConnectionCalls = 1.5;
 // Reading a prompt holds up the streams that run at the same worker: each of them gets one token in
