--- a/src/posthatch/daemon/traffic_fleet-test.h
+++ b/src/posthatch/daemon/traffic_fleet-test.h
@@ -286,8 +286,8 @@
       auto node = std::make_shared<ControllerNode>(runtime, settings, &formats_all_);
       servers_[host] = *runtime->http_servers->Listen(
           host->http_endpoint(), {},
-          [node = std::weak_ptr<ControllerNode>(node)](http::Request request, auto writer) {
-            if (const auto alive = node.lock()) alive->HandleHttp(std::move(request), writer);
+          [node = std::weak_ptr<ControllerNode>(node)](const http::Request& request, auto writer) {
+            if (const auto alive = node.lock()) alive->HandleHttp(request, writer);
           });
       EXPECT_TRUE(node->Start().ok());
       controllers_[host] = node;
@@ -325,13 +325,14 @@
       auto server = runtime->http_servers->Listen(
           host->http_endpoint(), {},
           [this, backend, runtime](const http::Request& request, auto writer) {
-            AnswerAsWorker(request, backend, runtime, std::move(writer));
+            AnswerAsWorker(request, backend, runtime, writer);
           });
       return std::shared_ptr<http::HttpServer>(*std::move(server));
     });
   }
   void AnswerAsWorker(const http::Request& request, control::Backend* backend,
-                      runtime::Runtime* runtime, std::shared_ptr<http::ResponseWriter> writer) {
+                      runtime::Runtime* runtime,
+                      const std::shared_ptr<http::ResponseWriter>& writer) {
     http::Response response;
     if (absl::StartsWith(request.target, "/kv_events")) {
       response.body = R"({"epoch":1,"events":[]})";
--- a/src/posthatch/traffic/load_exchange.cc
+++ b/src/posthatch/traffic/load_exchange.cc
@@ -304,6 +304,7 @@
     }
   }
   std::vector<std::string> other_collectors;
+  other_collectors.reserve(zones.size());
   for (const std::string& zone : zones) other_collectors.push_back(CollectorOf(zone, peers));
   bytes_sent_ = 0;
   const bool whole = std::exchange(collector_refresh_due_, false);
--- a/src/posthatch/traffic/placement.cc
+++ b/src/posthatch/traffic/placement.cc
@@ -172,8 +172,11 @@
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end());
   for (size_t i = 0; i < count; ++i) add(usable[ranked[i].second], kKeptLikelihood[i]);
-  const WorkerPointer connected = LeastBusyConnected(query, usable);
-  if (connected != nullptr) add(connected, 0);
+  // A long prompt goes where it is kept: a further worker for it would push out other prompts.
+  if (query.prompt->shared_tokens < kLeastTokensToSave) {
+    const WorkerPointer connected = LeastBusyConnected(query, usable);
+    if (connected != nullptr) add(connected, 0);
+  }
   const std::vector<size_t> drawn_from = DrawnFrom(usable);
   for (size_t i = 0; i < kRandomCandidates; ++i) {
     add(usable[drawn_from[runtime_->random->Uniform(drawn_from.size())]], 0);
