--- a/src/posthatch/membership/gossip_membership-test.cc
+++ b/src/posthatch/membership/gossip_membership-test.cc
@@ -24,6 +24,13 @@
     world_.Partition(absl::StrCat("n", from), absl::StrCat("n", to));
     world_.Partition(absl::StrCat("n", to), absl::StrCat("n", from));
   }
+  // Among the newest trace lines.
+  int64_t TraceLinesWith(std::string_view event) {
+    const std::vector<std::string> lines = world_.RecentTrace();
+    return std::count_if(lines.begin(), lines.end(), [event](const std::string& line) {
+      return line.find(event) != std::string::npos;
+    });
+  }
   // Partitions the nodes below `border` from the others.
   void Split(const GossipFleet& fleet, size_t border) {
     for (size_t low = 0; low < border; ++low) {
@@ -229,6 +236,20 @@
   }
 }
 
+// An incident's record was read as two live processes where one had restarted.
+TEST_P(GossipTest, RestartIsReportedAsFormerIncarnationOnly) {
+  GossipFleet fleet(&world_, 20);
+  ASSERT_TRUE(fleet.RunUntilConverged(seconds(20)));
+  for (int restart = 0; restart < 6; ++restart) {
+    fleet.host(8)->Crash();
+    world_.RunFor(milliseconds(100));
+    fleet.host(8)->Start();
+    world_.RunFor(seconds(10));
+  }
+  EXPECT_GT(TraceLinesWith("FormerIncarnationOverridden"), 0);
+  EXPECT_EQ(TraceLinesWith("ConflictingIncarnationOverridden"), 0);
+}
+
 TEST_P(GossipTest, LeaveIsKnownImmediately) {
   SetLoss(0.05);
   GossipFleet fleet(&world_, 20);
@@ -310,6 +331,7 @@
   world_.RunFor(seconds(60));
   EXPECT_LE(changes, 130);
   EXPECT_LT(fleet.sent_bytes() - bytes, 10u * 60u * 1500u);
+  EXPECT_GT(TraceLinesWith("ConflictingIncarnationOverridden"), 10);
   twin->Crash();
   EXPECT_TRUE(fleet.RunUntilConverged(seconds(90)));
 }
--- a/src/posthatch/membership/record_merger.cc
+++ b/src/posthatch/membership/record_merger.cc
@@ -8,6 +8,8 @@
 // Shortest time between two records by which this process overrides another incarnation of its
 // node id.
 constexpr runtime::Duration kOverrideInterval = std::chrono::seconds(1);
+// Answers to overrides, in a row, after which another process with this node id must be running.
+constexpr uint32_t kAnswersOfRunningProcess = 2;
 
 }  // namespace
 
@@ -88,11 +90,27 @@
   const runtime::MonotonicTime now = runtime_->clock->Now();
   if (now < next_override_) return false;
   next_override_ = now + kOverrideInterval;
-  runtime_->trace->Event(runtime::Severity::kWarning, "ConflictingIncarnationOverridden",
-                         {{"incarnation", record.incarnation()}, {"version", record.version()}});
+  TraceOverride(record);
   return record.version() < UINT32_MAX;
 }
 
+void RecordMerger::TraceOverride(const MemberRecord& record) {
+  // Only a running process raises its version: a former incarnation never answers an override,
+  // though an older record of it may still arrive after the first one.
+  const bool answered =
+      record.incarnation() == overridden_incarnation_ && record.version() > overridden_version_ + 1;
+  answers_to_override_ = answered ? answers_to_override_ + 1 : 0;
+  overridden_incarnation_ = record.incarnation();
+  overridden_version_ = record.version();
+  if (answers_to_override_ >= kAnswersOfRunningProcess) {
+    runtime_->trace->Event(runtime::Severity::kWarning, "ConflictingIncarnationOverridden",
+                           {{"incarnation", record.incarnation()}, {"version", record.version()}});
+  } else {
+    runtime_->trace->Event(runtime::Severity::kInfo, "FormerIncarnationOverridden",
+                           {{"incarnation", record.incarnation()}, {"version", record.version()}});
+  }
+}
+
 void RecordMerger::AddNew(const MemberRecord& record, Dissemination dissemination) {
   if (!record.has_details()) return;  // anti-entropy will bring the complete record
   MemberEntry* entry = table_->Upsert(MakeMember(record), record.version(), runtime_->clock->Now());
--- a/src/posthatch/membership/record_merger.h
+++ b/src/posthatch/membership/record_merger.h
@@ -60,6 +60,8 @@
  private:
   void ApplyToSelf(const MemberRecord& record);
   bool MayOverrideNow(const MemberRecord& record);
+  // Says whether `record`, about this node id, is of a former incarnation or of a running process.
+  void TraceOverride(const MemberRecord& record);
   void AddNew(const MemberRecord& record, Dissemination dissemination);
   void ApplyAlive(MemberEntry* entry, const MemberRecord& record, Dissemination dissemination);
   void ApplySuspect(MemberEntry* entry, const MemberRecord& record, Dissemination dissemination);
@@ -79,6 +81,11 @@
   FlapDamper flap_damper_;
   MemberEntry* self_ = nullptr;
   runtime::MonotonicTime next_override_{};
+  // The last override of a record of another incarnation, and how many of its predecessors in a row
+  // were answered.
+  uint64_t overridden_incarnation_ = 0;
+  uint64_t overridden_version_ = 0;
+  uint32_t answers_to_override_ = 0;
 };
 
 }  // namespace posthatch::membership
--- a/src/posthatch/rollout/rollout_coordinator-test.cc
+++ b/src/posthatch/rollout/rollout_coordinator-test.cc
@@ -158,6 +158,21 @@
   for (const std::string& token : tokens_) EXPECT_EQ(token, "7");
 }
 
+TEST_F(RolloutCoordinatorTest, ReportsBeginningProgressAndEnd) {
+  coordinator_->OnLeadership(true, 7);
+  Name(2);
+  world_.RunFor(seconds(9));
+  std::map<std::string, int> events;
+  for (const std::string& line : world_.RecentTrace()) {
+    for (const char* event : {"RolloutStarted", "WeightLoadFinished", "RolloutFinished"}) {
+      if (line.find(event) != std::string::npos) ++events[event];
+    }
+  }
+  EXPECT_EQ(events["RolloutStarted"], 1);
+  EXPECT_EQ(events["WeightLoadFinished"], kWorkers);
+  EXPECT_EQ(events["RolloutFinished"], 1);
+}
+
 TEST_F(RolloutCoordinatorTest, CanaryGoesFirst) {
   coordinator_->OnLeadership(true, 7);
   world_.RunFor(seconds(4));
--- a/src/posthatch/rollout/rollout_coordinator.cc
+++ b/src/posthatch/rollout/rollout_coordinator.cc
@@ -20,6 +20,7 @@
     : runtime_(runtime),
       options_(std::move(options)),
       dependencies_(std::move(dependencies)),
+      metrics_(runtime->metrics),
       tick_timer_(runtime->timers) {}
 
 void RolloutCoordinator::OnLeadership(bool is_leader, uint64_t term) {
@@ -29,6 +30,8 @@
   commanded_at_.clear();
   revisions_.clear();
   proven_revisions_.clear();
+  rollouts_.clear();
+  ReportProgress({});
   tick_timer_.Cancel();
   if (!is_leader) return;
   handover_until_ = runtime_->clock->Now() + options_.handover_period;
@@ -119,15 +122,45 @@
     if (revision >= model.target_revision) {
       uint64_t& proven = proven_revisions_[backend.model()];
       proven = std::max(proven, revision);
-    } else if (revision > 0 && !commanded_before) {
-      survey.outdated.push_back(&backend);
+    } else {
+      ++model.outdated;
+      if (revision > 0 && !commanded_before) survey.outdated.push_back(&backend);
     }
   }
   return survey;
 }
 
+void RolloutCoordinator::ReportProgress(const Survey& survey) {
+  size_t outdated = 0;
+  size_t in_progress = 0;
+  for (const auto& [name, model] : survey.models) {
+    outdated += model.outdated;
+    in_progress += model.in_progress;
+    const size_t behind = model.outdated + model.in_progress;
+    Rollout& rollout = rollouts_[name];
+    if (behind > 0 && rollout.target != model.target_revision) {
+      rollout = {model.target_revision, runtime_->clock->Now(), false};
+      runtime_->trace->Event(runtime::Severity::kInfo, "RolloutStarted",
+                             {{"model", name},
+                              {"revision", model.target_revision},
+                              {"outdated", behind},
+                              {"workers", model.workers}});
+    } else if (behind == 0 && rollout.target == model.target_revision && !rollout.finished) {
+      rollout.finished = true;
+      const runtime::Duration elapsed = runtime_->clock->Now() - rollout.seen_at;
+      runtime_->trace->Event(runtime::Severity::kInfo, "RolloutFinished",
+                             {{"model", name},
+                              {"revision", model.target_revision},
+                              {"elapsed_ms", runtime::ToMilliseconds(elapsed)}});
+    }
+  }
+  metrics_.outdated().Set(static_cast<double>(outdated));
+  metrics_.in_progress().Set(static_cast<double>(in_progress));
+}
+
 void RolloutCoordinator::StartNextWorkers() {
   Survey survey = SurveyFleet();
+  ReportProgress(survey);
   bool started = false;
   for (const control::Backend* backend : survey.outdated) {
     ModelSurvey& model = survey.models[backend->model()];
@@ -138,6 +171,7 @@
     progress.endpoint = backend->endpoint();
     progress.target = model.target_revision;
     progress.stage_started_at = runtime_->clock->Now();
+    progress.announced_at = progress.stage_started_at;
     started = true;
   }
   if (started) dependencies_.publish();
@@ -263,6 +297,14 @@
 }
 
 void RolloutCoordinator::FinishWorker(const std::string& worker_id) {
+  const Progress& progress = active_.at(worker_id);
+  const runtime::Duration elapsed = runtime_->clock->Now() - progress.announced_at;
+  runtime_->trace->Event(runtime::Severity::kInfo, "WeightLoadFinished",
+                         {{"worker", worker_id},
+                          {"model", progress.model},
+                          {"revision", progress.target},
+                          {"elapsed_ms", runtime::ToMilliseconds(elapsed)}});
+  metrics_.finished().Increment();
   active_.erase(worker_id);
   dependencies_.publish();
 }
--- a/src/posthatch/rollout/rollout_coordinator.h
+++ b/src/posthatch/rollout/rollout_coordinator.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "posthatch/control/control.pb.h"
+#include "posthatch/rollout/rollout_metrics.h"
 #include "posthatch/rollout/worker_command_format.h"
 #include "posthatch/runtime/runtime.h"
 
@@ -77,9 +78,16 @@
     Stage stage = Stage::kAnnounced;
     runtime::MonotonicTime stage_started_at;
     runtime::MonotonicTime next_poll_at;  // while loading
-    uint64_t call_number = 0;             // of the running call; responses to others are ignored
+    runtime::MonotonicTime announced_at;
+    uint64_t call_number = 0;  // of the running call; responses to others are ignored
     std::unique_ptr<http::Call> call;
   };
+  // A roll-out as this leader has seen it.
+  struct Rollout {
+    uint64_t target = 0;
+    runtime::MonotonicTime seen_at;
+    bool finished = false;
+  };
 
   void Tick();
   // Starts as many outdated workers as may be in progress.
@@ -89,6 +97,7 @@
     uint64_t target_revision = 0;
     size_t workers = 0;
     size_t in_progress = 0;
+    size_t outdated = 0;  // and not in progress
   };
   struct Survey {
     std::map<std::string, ModelSurvey> models;
@@ -97,6 +106,8 @@
 
   // Also records which revisions are proven.
   Survey SurveyFleet();
+  // Tells operators when a roll-out begins and ends, and how far it is.
+  void ReportProgress(const Survey& survey);
   // How many of a model's workers may be in progress at one time.
   size_t MaxConcurrentWorkers(const std::string& model, const ModelSurvey& survey) const;
   bool InLeaderHandover() const { return runtime_->clock->Now() < handover_until_; }
@@ -126,6 +137,8 @@
   std::map<std::string, runtime::MonotonicTime> commanded_at_;  // by worker, its last command
   std::map<std::string, uint64_t> revisions_;                   // by worker, as its status said
   std::map<std::string, uint64_t> proven_revisions_;            // by model: some worker serves it
+  std::map<std::string, Rollout> rollouts_;                     // by model
+  RolloutMetrics metrics_;
   runtime::Timer tick_timer_;
 };
 
--- a/src/posthatch/routing/request_trace.cc
+++ b/src/posthatch/routing/request_trace.cc
@@ -32,6 +32,17 @@
                                    {"expected_ms", placement.expected_ms}});
 }
 
+void RequestTrace::OutdatedPromptBegan(const Placement& placement, uint64_t revision,
+                                       runtime::Duration elapsed,
+                                       runtime::Duration outdated_for) const {
+  context_->runtime->trace->Event(runtime::Severity::kWarning, "OutdatedPromptBegan",
+                                  {{"request_id", admitted_->call.request_id},
+                                   {"worker", placement.worker->backend.id()},
+                                   {"revision", revision},
+                                   {"elapsed_ms", runtime::ToMilliseconds(elapsed)},
+                                   {"outdated_for_ms", runtime::ToMilliseconds(outdated_for)}});
+}
+
 void RequestTrace::Ended(RequestOutcome outcome, const RetryState& retries,
                          bool stream_started) const {
   const runtime::MonotonicTime now = context_->runtime->clock->Now();
--- a/src/posthatch/routing/request_trace.h
+++ b/src/posthatch/routing/request_trace.h
@@ -11,8 +11,8 @@
 
 namespace posthatch::routing {
 
-// Writes one request's debug events: CallDispatched, FirstEvent and CallEnded, which
-// scripts/experiments/losses.py adds up. Their field names are that script's input. Owned by
+// Writes one request's events. CallDispatched, FirstEvent and CallEnded are what
+// scripts/experiments/losses.py adds up: their field names are that script's input. Owned by
 // TrafficRequest; event loop thread only.
 class RequestTrace {
  public:
@@ -25,6 +25,9 @@
                   const Placement& placement) const;
   // The first event of a stream came `elapsed` after the dispatch.
   void FirstEvent(const Placement& placement, runtime::Duration elapsed) const;
+  // The same under `revision`, past the deadline that a newer one gave it `outdated_for` ago.
+  void OutdatedPromptBegan(const Placement& placement, uint64_t revision, runtime::Duration elapsed,
+                           runtime::Duration outdated_for) const;
   void Ended(RequestOutcome outcome, const RetryState& retries, bool stream_started) const;
 
  private:
--- a/src/posthatch/routing/traffic_gateway-test.cc
+++ b/src/posthatch/routing/traffic_gateway-test.cc
@@ -5,7 +5,19 @@
 namespace posthatch::routing {
 namespace {
 
-class TrafficGatewayTest : public TrafficTest {};
+class TrafficGatewayTest : public TrafficTest {
+ protected:
+  // The value of posthatch_traffic_outdated_prompts_total.
+  double OutdatedPrompts(const std::string& stage) const {
+    for (const prometheus::MetricFamily& family : registry_.Collect()) {
+      if (family.name != "posthatch_traffic_outdated_prompts_total") continue;
+      for (const prometheus::ClientMetric& metric : family.metric) {
+        if (metric.label.front().value == stage) return metric.counter.value;
+      }
+    }
+    return 0;
+  }
+};
 
 TEST_F(TrafficGatewayTest, UnavailableWithoutConfiguration) {
   view_.fleet.clear_traffic();
@@ -138,6 +150,19 @@
   EXPECT_EQ(Send("stream")->whole.status, 503);
 }
 
+TEST_F(TrafficGatewayTest, CountsPromptsAtWorkersOfOlderRevision) {
+  options_.revision_deadline = seconds(10);
+  Start();
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  view_.Changed();
+  Send("stream");
+  EXPECT_EQ(OutdatedPrompts("dispatched"), 1);
+  Head(200);
+  Last().Piece("id: 1\ndata: x\n\n");
+  EXPECT_EQ(OutdatedPrompts("began"), 1);
+  EXPECT_EQ(OutdatedPrompts("began_late"), 0);
+}
+
 TEST_F(TrafficGatewayTest, AvoidsWorkersLoadedByOtherGateways) {
   Start();
   Send("stream");
--- a/src/posthatch/routing/traffic_metrics.h
+++ b/src/posthatch/routing/traffic_metrics.h
@@ -21,6 +21,10 @@
                  "cause"),
         prompt_tokens(registry, "posthatch_traffic_prompt_tokens_total",
                       "Tokens of dispatched prompts: asked, believed_missing, fetched", "kind"),
+        outdated_prompts(registry, "posthatch_traffic_outdated_prompts_total",
+                         "Prompts at workers of an older model revision than the newest named: "
+                         "dispatched, began (first event), began_late (past revision_deadline_ms)",
+                         "stage"),
         inventory_reads(registry, "posthatch_traffic_inventory_reads_total",
                         "This gateway's own readings of the inventory, by outcome", "outcome") {}
 
@@ -28,6 +32,7 @@
   gateway::LabeledCounter dispatches;
   gateway::LabeledCounter failures;
   gateway::LabeledCounter prompt_tokens;
+  gateway::LabeledCounter outdated_prompts;
   gateway::LabeledCounter inventory_reads;
 };
 
--- a/src/posthatch/routing/traffic_request.cc
+++ b/src/posthatch/routing/traffic_request.cc
@@ -122,6 +122,10 @@
   metrics->prompt_tokens.Increment("believed_missing",
                                    static_cast<double>(placement.uncached_tokens));
   metrics->prompt_tokens.Increment("fetched", static_cast<double>(placement.fetch_tokens));
+  const Worker& worker = *placement.worker;
+  if (context_->pool->OutdatedFor(worker.backend.model(), worker.revision).has_value()) {
+    metrics->outdated_prompts.Increment("dispatched");
+  }
 }
 
 DispatchFields TrafficRequest::MakeDispatchFields(const Placement& placement) const {
@@ -256,10 +260,22 @@
   attempt_.first_event_seen = true;
   ReleasePendingTokens();
   if (!admitted_.IsPrompt()) return;
-  LearnFromFirstEvent(context_->runtime->clock->Now() - attempt_.started_at);
+  const runtime::Duration elapsed = context_->runtime->clock->Now() - attempt_.started_at;
+  CountOutdatedStart(elapsed);
+  LearnFromFirstEvent(elapsed);
   prompt_.RecordCached(attempt_.worker->backend.id(), attempt_.revision);
 }
 
+void TrafficRequest::CountOutdatedStart(runtime::Duration elapsed) {
+  const std::optional<runtime::Duration> outdated_for =
+      context_->pool->OutdatedFor(attempt_.worker->backend.model(), attempt_.revision);
+  if (!outdated_for.has_value()) return;
+  const bool late = context_->pool->IsPastRevisionDeadline(*outdated_for);
+  context_->metrics->outdated_prompts.Increment(late ? "began_late" : "began");
+  if (!late) return;
+  trace_.OutdatedPromptBegan(attempt_.placement, attempt_.revision, elapsed, *outdated_for);
+}
+
 void TrafficRequest::LearnFromFirstEvent(runtime::Duration elapsed) {
   const Placement& placement = attempt_.placement;
   const double excess_ms = runtime::ToMilliseconds(elapsed) - placement.expected_ms;
--- a/src/posthatch/routing/traffic_request.h
+++ b/src/posthatch/routing/traffic_request.h
@@ -66,6 +66,8 @@
   void OnBodyChunk(const std::string& chunk);
   void RelayEvents(const std::string& chunk);
   void OnFirstEvent();
+  // Counts and reports a prompt that began under an outdated model revision.
+  void CountOutdatedStart(runtime::Duration elapsed);
   // Corrects what is believed of worker, stores and prefill rate by when the first event came.
   void LearnFromFirstEvent(runtime::Duration elapsed);
   void OnEnd();
--- a/src/posthatch/routing/worker_pool.cc
+++ b/src/posthatch/routing/worker_pool.cc
@@ -173,10 +173,10 @@
   if (!worker.in_inventory || worker.draining || worker.evacuated || worker.backend.loading()) {
     return false;
   }
-  const auto target = target_revisions_.find(worker.backend.model());
-  if (target != target_revisions_.end() && worker.revision < target->second.revision) {
-    const runtime::Duration age = runtime_->clock->Now() - target->second.seen_at;
-    if (age > options_.revision_deadline - kRevisionSafetyMargin) return false;
+  const auto outdated_for = OutdatedFor(worker.backend.model(), worker.revision);
+  if (outdated_for.has_value() &&
+      *outdated_for > options_.revision_deadline - kRevisionSafetyMargin) {
+    return false;
   }
   if (!InSlowStart(worker)) return true;
   return limiter_->MaySend(worker.backend.id(), SlowStartOf(worker)->requests_per_second);
@@ -200,6 +200,13 @@
   return found == target_revisions_.end() ? 0 : found->second.revision;
 }
 
+std::optional<runtime::Duration> WorkerPool::OutdatedFor(const std::string& model,
+                                                         uint64_t revision) const {
+  const auto target = target_revisions_.find(model);
+  if (target == target_revisions_.end() || revision >= target->second.revision) return std::nullopt;
+  return runtime_->clock->Now() - target->second.seen_at;
+}
+
 void WorkerPool::OnDispatched(Worker* worker, uint64_t pending_tokens) {
   ++worker->in_flight;
   worker->pending_tokens += pending_tokens;
--- a/src/posthatch/routing/worker_pool.h
+++ b/src/posthatch/routing/worker_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,12 @@
   Load TotalLoad(const Worker& worker) const;
   // The newest revision that was ordered for `model`; 0 if none is known.
   uint64_t TargetRevision(const std::string& model) const;
+  // For how long `revision` of `model` has been outdated, as far as this gateway knows; nothing if
+  // it is the newest.
+  std::optional<runtime::Duration> OutdatedFor(const std::string& model, uint64_t revision) const;
+  bool IsPastRevisionDeadline(runtime::Duration outdated_for) const {
+    return outdated_for > options_.revision_deadline;
+  }
 
   void OnDispatched(Worker* worker, uint64_t pending_tokens);
   // The prompt has been prefilled, or its request has ended.
