--- /dev/null
+++ b/scripts/soak/rules.py
@@ -0,0 +1,248 @@
+"""Judges a History by the users' rules. Each rule returns its violations and the number of cases it saw."""
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass
+class Bounds:
+    """Seconds, as the platform's settings name them."""
+    contact: float = 3.0
+    config_apply: float = 2.0
+    max_stretch: float = 5.0
+    version: float = 12.0
+    version_all: float = 17.0
+    drain: float = 3.0
+    grace: float = 8.0
+    loss_slack: float = 0.2
+
+
+@dataclasses.dataclass
+class Verdict:
+    rule: str
+    cases: int
+    violations: list[str]
+
+
+def core_unstable(history, bounds, controllers):
+    """Merged intervals in which the core does not count as stable: `contact` from each event on a
+    controller that the soak brought about, and while fewer than a majority run."""
+    spans = []
+    down = {}
+    down_spans = collections.defaultdict(list)
+    for event in sorted((e for e in history.events if e.is_controller), key=lambda e: e.at):
+        if event.kind == 'ended_by_itself':
+            continue
+        spans.append((event.at, event.at + bounds.contact))
+        if event.kind in ('kill', 'freeze', 'term'):
+            down.setdefault(event.node, event.at)
+        elif event.kind in ('start', 'thaw') and event.node in down:
+            down_spans[event.node].append((down.pop(event.node), event.at))
+    for node, since in down.items():
+        down_spans[node].append((since, history.ended_at))
+    edges = sorted(edge for node in down_spans.values() for span in node for edge in span)
+    for left, right in zip(edges, edges[1:]):
+        lost = sum(any(s <= left and right <= e for s, e in node) for node in down_spans.values())
+        if 2 * (controllers - lost) <= controllers:
+            spans.append((left, right))
+    return merge(spans)
+
+
+def merge(spans):
+    merged = []
+    for start, end in sorted(spans):
+        if merged and start <= merged[-1][1]:
+            merged[-1] = (merged[-1][0], max(end, merged[-1][1]))
+        else:
+            merged.append((start, end))
+    return merged
+
+
+def stable_stretches(start, end, unstable):
+    """Lengths of the stretches of [start, end] outside `unstable`."""
+    stretches = []
+    at = start
+    for left, right in unstable:
+        if right <= at or left >= end:
+            continue
+        if left > at:
+            stretches.append(left - at)
+        at = max(at, right)
+    if end > at:
+        stretches.append(end - at)
+    return stretches
+
+
+class Touch:
+    """Whether a process was in touch: nothing was done to it for `contact`."""
+
+    def __init__(self, history, bounds):
+        self._contact = bounds.contact
+        self._events = collections.defaultdict(list)
+        for event in history.events:
+            if event.kind != 'ended_by_itself':
+                self._events[event.node].append(event.at)
+
+    def holds(self, node, at):
+        return not any(at - self._contact <= event <= at for event in self._events[node])
+
+
+def judge(history, bounds, controllers):
+    unstable = core_unstable(history, bounds, controllers)
+    touch = Touch(history, bounds)
+    calls = {call.request_id: call for call in history.calls}
+    return [
+        version(history, bounds, unstable, touch, calls),
+        version_at_end(history, bounds, unstable),
+        configuration(history, bounds, unstable, touch),
+        configuration_kept(history),
+        twice(history, calls),
+        refused(history, calls),
+        drain(history, bounds, touch, calls),
+        lost(history, bounds),
+        ended(history),
+    ]
+
+
+def version(history, bounds, unstable, touch, calls):
+    """VERSION: no first token under a revision whose successor was acknowledged too long ago."""
+    named = [c for c in history.changes if c.kind == 'revision' and c.acknowledged_at is not None]
+    cases, violations = 0, []
+    for dispatch in history.dispatches:
+        if dispatch.first_token_at is None or not dispatch.model:
+            continue
+        newer = [c.acknowledged_at for c in named
+                 if c.name == dispatch.model and c.number > dispatch.revision]
+        if not newer:
+            continue
+        cases += 1
+        gateway = calls[dispatch.request_id].gateway
+        stretches = stable_stretches(min(newer), dispatch.first_token_at, unstable)
+        longest = max(stretches, default=0)
+        total = sum(s for s in stretches if s >= 2)
+        late = longest > bounds.version or total > bounds.version_all
+        if late and touch.holds(gateway, dispatch.at):
+            violations.append(
+                f'{dispatch.request_id} from {gateway} at {dispatch.worker_id} on {dispatch.revision}: arrived '
+                f'{dispatch.at:.2f}, began {dispatch.first_token_at:.2f}, newer acknowledged {min(newer):.2f}, '
+                f'stable for {longest:.2f} (all {total:.2f})')
+    return Verdict('VERSION', cases, violations)
+
+
+def version_at_end(history, bounds, unstable):
+    """VERSION at the end: at most one worker and a tenth of them are still behind."""
+    violations = []
+    cases = 0
+    newest = {}
+    for change in history.changes:
+        if change.kind == 'revision' and change.acknowledged_at is not None:
+            newest.setdefault(change.name, []).append(change)
+    for model, changes in newest.items():
+        behind = []
+        workers = [(w, r, s) for w, (m, r, s) in history.final_revisions.items() if m == model]
+        for worker, revision, started in workers:
+            overdue = [c for c in changes if c.number > revision and sum(stable_stretches(
+                max(c.acknowledged_at, started), history.ended_at, unstable)) > 1.5 * bounds.version]
+            cases += 1
+            if overdue:
+                behind.append(f'{worker} on {revision}')
+        if len(behind) > max(1, len(workers) / 10):
+            violations.append(f'{model}: ' + ', '.join(behind))
+    return Verdict('VERSION at end', cases, violations)
+
+
+def configuration(history, bounds, unstable, touch):
+    """CONFIG: the route of an acknowledged version is known, in time and for good."""
+    acknowledged = {c.number: c.acknowledged_at for c in history.changes
+                    if c.kind == 'configuration' and c.acknowledged_at is not None}
+    cases, violations = 0, []
+    for probe in history.probes:
+        at = acknowledged.get(probe.version)
+        if at is None or probe.status is None or not touch.holds(probe.gateway, probe.sent_at):
+            continue
+        disturbed = any(left < probe.sent_at and right > at for left, right in unstable)
+        bound = bounds.config_apply + (bounds.max_stretch if disturbed else 0)
+        if probe.sent_at - at <= bound:
+            continue
+        cases += 1
+        if probe.status in (401, 403, 404):
+            violations.append(f'{probe.gateway} answers {probe.status} for version {probe.version} '
+                              f'{probe.sent_at - at:.2f} s after its acknowledgement ({probe.sent_at:.2f})')
+    return Verdict('CONFIG', cases, violations)
+
+
+def configuration_kept(history):
+    """CONFIG at the end: what is read back is the newest that was acknowledged."""
+    numbers = [c.number for c in history.changes
+               if c.kind == 'configuration' and c.acknowledged_at is not None]
+    if not numbers:
+        return Verdict('CONFIG kept', 0, [])
+    wrong = history.final_configuration is None or history.final_configuration < max(numbers)
+    return Verdict('CONFIG kept', 1, [
+        f'read {history.final_configuration}, acknowledged {max(numbers)}'] if wrong else [])
+
+
+def twice(history, calls):
+    """TWICE: a request that is not idempotent runs once at most."""
+    runs = collections.Counter(d.request_id for d in history.dispatches
+                               if d.first_token_at is not None and calls[d.request_id].kind == 'once')
+    return Verdict('TWICE', len(runs), [f'{r} ran {n} times' for r, n in runs.items() if n > 1])
+
+
+def refused(history, calls):
+    """REFUSED: 429, 503, 408 and 421 promise that the request did not run and won't."""
+    ran = {d.request_id for d in history.dispatches if d.first_token_at is not None}
+    promised = [c for c in calls.values() if c.status in (429, 503, 408, 421) and c.kind == 'once']
+    return Verdict('REFUSED', len(promised),
+                   [f'{c.request_id} answered {c.status} but ran' for c in promised if c.request_id in ran])
+
+
+def drain(history, bounds, touch, calls):
+    """DRAIN: nothing arrives at a worker that the list has shown as draining for `drain`."""
+    shown = {d.worker_id: d.shown_at for d in history.drains}
+    cases, violations = 0, []
+    for dispatch in history.dispatches:
+        since = shown.get(dispatch.worker_id)
+        if since is None or dispatch.at < since:
+            continue
+        cases += 1
+        gateway = calls[dispatch.request_id].gateway
+        if dispatch.at - since > bounds.drain and touch.holds(gateway, dispatch.at):
+            violations.append(f'{dispatch.request_id} from {gateway} at {dispatch.worker_id}, '
+                              f'{dispatch.at - since:.2f} s after it was shown as draining')
+    return Verdict('DRAIN', cases, violations)
+
+
+def lost(history, bounds):
+    """LOST: around a SIGTERM alone, no request is read and then left without an answer."""
+    unplanned = [e for e in history.events if e.kind in ('kill', 'freeze', 'thaw', 'ended_by_itself')]
+    cases, violations = 0, []
+    for event in history.events:
+        if event.kind != 'term' or event.is_controller:
+            continue
+        for call in history.calls:
+            if call.gateway != event.node or call.ended_at is None:
+                continue
+            if not event.at - bounds.contact <= call.sent_at <= event.at + bounds.grace + 1:
+                continue
+            if call.ended_at < event.at:
+                continue
+            cases += 1
+            ran = any(d.request_id == call.request_id for d in history.dispatches)
+            read = ran or call.ended_at - call.sent_at > bounds.loss_slack
+            late_start = call.sent_at > event.at + 3
+            disturbed = any(call.sent_at - bounds.contact <= e.at <= call.ended_at for e in unplanned
+                            if e.node == call.gateway)
+            disturbed = disturbed or any(left <= call.ended_at and right >= call.sent_at - bounds.contact
+                                         for left, right, _ in history.disturbed)
+            cut_late = call.ended_at >= event.at + bounds.grace * 5 / 6 and not late_start
+            if call.status is None and read and not disturbed and not cut_late:
+                violations.append(f'{call.request_id} at {call.gateway}: sent {call.sent_at - event.at:.2f} s after '
+                                  f'SIGTERM, closed {call.ended_at - event.at:.2f} s after it ({call.detail})')
+    return Verdict('LOST', cases, violations)
+
+
+def ended(history):
+    """A process ended by itself."""
+    own = [e for e in history.events if e.kind == 'ended_by_itself']
+    starts = sum(1 for e in history.events if e.kind == 'start')
+    return Verdict('ENDED BY ITSELF', starts, [f'{e.node} at {e.at:.2f}' for e in own])
--- /dev/null
+++ b/scripts/soak/run.py
@@ -0,0 +1,293 @@
+#!/usr/bin/python3
+"""A soak of the deployed program as real processes: gateways and controllers filled from deploy/, stand-ins of
+the platform, clients that keep using their connections, and series of signals, restarts and changes that
+overlap, drawn by seed. Judged by rules.py from what clients, workers and operator saw.
+
+Usage: scripts/soak/run.py --program build/release/posthatch-platform --seeds 1-3 [--parallel 2] [--seconds 36]
+       [--controllers 5] [--gateways 8] [--workers 18] [--keep FOLDER]
+Exit 0: every run kept the rules; 1: one did not; 2: a run could not be judged.
+"""
+import argparse
+import asyncio
+import contextlib
+import os
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+import settings_template
+from callers import Callers, Operator
+from faults import Faults
+from history import History
+from processes import ManagedProcess
+from rules import Bounds, judge
+from workers import Engine, InstanceList, Pool, Worker
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ZONES = ['z1', 'z2', 'z3', 'z4']
+INTERNAL_PORT, CONTROL_PORT, FRONT_PORT, READINESS_PORT, WORKER_PORT = 7340, 8783, 8782, 8789, 8080
+SETTLE_S = 10
+# Of the soak's own event loop: beyond it the times that the stand-ins report can't be relied on.
+TOLERATED_STALL_S = 0.5
+
+
+class Run:
+    def __init__(self, options, seed, folder):
+        self.options = options
+        self.seed = seed
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.started_at = time.monotonic()
+        self.history = History()
+        self.bounds = Bounds()
+        # Runs side by side need networks of their own.
+        self.network = 2 + seed % 200
+        self.controllers = []
+        self.gateways = []
+        self.workers = []
+        self.pool = Pool(self.history, self.clock, self.rng, Engine())
+        self.list_address = self._ip(9, 1) + ':8784'
+        self.list = InstanceList(self.pool, self.list_address, 44)
+        self._seeds = [0, 1, 2]
+        self._ready = set()
+        self._replaced = 0
+
+    def clock(self):
+        return time.monotonic() - self.started_at
+
+    def _ip(self, group, number):
+        return f'127.{self.network}.{group + number // 250}.{1 + number % 250}'
+
+    # The fleet.
+
+    def _settings(self, role, number, first_start):
+        address = self._ip(10 if role == 'controller' else 20, number)
+        zone = ZONES[number % len(ZONES)]
+        fields = {
+            'node': self._node(role, number), 'ip': address, 'zone': zone, 'region': 'r',
+            'listen': {'front': f'{address}:{FRONT_PORT}', 'readiness': f'{address}:{READINESS_PORT}',
+                       'control': f'{address}:{CONTROL_PORT}'},
+            'port_range': [INTERNAL_PORT, INTERNAL_PORT + 15],
+            'seeds': [f'{self._ip(10, seed)}:{CONTROL_PORT}' for seed in self._seeds],
+            'bootstrap': first_start, 'data_dir': os.path.join(self.folder, self._node(role, number)),
+            'cloud': {'address': self.list_address, 'rate_per_s': 44.0},
+            'bounds': {'grace_s': 8, 'drain_ms': 3000, 'version_ms': 12000, 'version_all_ms': 17000,
+                       'lease_ms': 3000, 'retry_budget_ratio': 0.2, 'budget_slack': 56, 'config_apply_ms': 2000},
+        }
+        with open(os.path.join(ROOT, 'deploy', f'{role}.toml.in'), encoding='utf-8') as file:
+            return settings_template.fill(file.read(), fields)
+
+    @staticmethod
+    def _node(role, number):
+        return f'core-{number}' if role == 'controller' else f'edge-{number}'
+
+    def _make_process(self, role, number):
+        node = self._node(role, number)
+        return ManagedProcess(
+            self.history, self.clock, node, role == 'controller', [self.options.program, role],
+            os.path.join(self.folder, node + '.toml'),
+            lambda first_start: self._settings(role, number, first_start),
+            os.path.join(self.folder, node + '.log'), self.bounds.grace)
+
+    def _start_fleet(self):
+        self.controllers = [self._make_process('controller', n) for n in range(self.options.controllers)]
+        self.gateways = [self._make_process('gateway', n) for n in range(self.options.gateways)]
+        for process in self.controllers + self.gateways:
+            process.start()
+
+    async def _start_workers(self):
+        for number in range(self.options.workers):
+            await self._add_worker(f'i-{number}', 'llm', self._ip(30, number), number, 'm0')
+        for number in range(4):
+            await self._add_worker(f'a-{number}', 'app', self._ip(40, number), number, '')
+        await self.list.start()
+
+    async def _add_worker(self, instance_id, service, ip, number, model):
+        revision = self.pool.named.get(model, 1) if model else 0
+        worker = Worker(self.pool, instance_id, service, f'{ip}:{WORKER_PORT}', ZONES[number % len(ZONES)], model,
+                        revision)
+        await worker.start()
+        self.list.workers.append(worker)
+        if model:
+            self.workers.append(worker)
+
+    async def replace_worker(self):
+        """A new worker starts; an old one drains and leaves."""
+        self._replaced += 1
+        number = self.options.workers + self._replaced
+        await self._add_worker(f'i-{number}', 'llm', self._ip(30, number), number, 'm0')
+        old = next(worker for worker in self.workers if not worker.draining)
+        old.draining = True
+        asyncio.ensure_future(self._remove_worker(old))
+
+    async def _remove_worker(self, worker):
+        await asyncio.sleep(self.bounds.drain + 4)
+        self.workers.remove(worker)
+        self.list.workers.remove(worker)
+        await worker.stop()
+
+    def leader(self):
+        """The controller that won leadership last, by the logs."""
+        best = (0, None)
+        for process in self.controllers:
+            with open(os.path.join(self.folder, process.node + '.log'), encoding='utf-8') as log:
+                for line in log:
+                    if '"ControllerLeadershipAcquired"' in line:
+                        term = int(line.split('"term":"')[1].split('"')[0])
+                        best = max(best, (term, process), key=lambda entry: entry[0])
+        return best[1]
+
+    def change_seeds(self):
+        self._seeds = self.rng.sample(range(self.options.controllers), 3)
+
+    @contextlib.contextmanager
+    def disturbance(self, what):
+        since = self.clock()
+        yield
+        self.history.disturbed.append((since, self.clock(), what))
+
+    # The run.
+
+    async def _watch_readiness(self, number):
+        node, misses = self._node('gateway', number), 2
+        url = f'http://{self._ip(20, number)}:{READINESS_PORT}/v1/readyz'
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=0.9)) as session:
+            while True:
+                try:
+                    async with session.get(url) as response:
+                        misses = 0 if response.status == 200 else misses + 1
+                except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+                    misses += 1
+                (self._ready.discard if misses >= 2 else self._ready.add)(node)
+                await asyncio.sleep(1)
+
+    async def _watch_own_loop(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.05)
+            self.history.worst_stall_s = max(self.history.worst_stall_s, time.monotonic() - before - 0.05)
+
+    async def play(self):
+        await self._start_workers()
+        self._start_fleet()
+        background = [asyncio.ensure_future(self._watch_readiness(n)) for n in range(self.options.gateways)]
+        background.append(asyncio.ensure_future(self._watch_own_loop()))
+        controls = {p.node: f'{self._ip(10, n)}:{CONTROL_PORT}' for n, p in enumerate(self.controllers)}
+        self.operator = Operator(self.history, self.clock, self.rng, controls, self.pool.named)
+        await self.operator.change_configuration()
+        await self._until_ready()
+        fronts = {p.node: f'{self._ip(20, n)}:{FRONT_PORT}' for n, p in enumerate(self.gateways)}
+        callers = Callers(self.history, self.clock, self.rng, fronts, lambda: sorted(self._ready), f's{self.seed}')
+        clients = [asyncio.ensure_future(callers.client(0.4, 0.25)) for _ in range(self.options.clients)]
+        clients.append(asyncio.ensure_future(callers.probe(lambda: self.operator.acknowledged_version)))
+        faults = Faults(self, self.rng, self.options.seconds)
+        series = [asyncio.ensure_future(one) for one in faults.draw()]
+        await asyncio.sleep(self.options.seconds)
+        await asyncio.wait(series, timeout=SETTLE_S)
+        await asyncio.sleep(SETTLE_S)
+        callers.stopping = True
+        await asyncio.wait(clients, timeout=SETTLE_S + 2)
+        await self._finish(background, faults, series)
+
+    async def _until_ready(self):
+        deadline = time.monotonic() + 30
+        while len(self._ready) < self.options.gateways and time.monotonic() < deadline:
+            await asyncio.sleep(0.1)
+
+    async def _finish(self, background, faults, series):
+        for task in series:
+            if task.done() and task.exception() is not None:
+                raise task.exception()
+        self.history.ended_at = self.clock()
+        for worker in self.workers:
+            if not worker.draining:
+                self.history.final_revisions[worker.id] = (worker.model, worker.revision, worker.started_at)
+        self.history.final_configuration = await self.operator.read_configuration()
+        self.described = faults.described
+        for task in background:
+            task.cancel()
+        for process in self.controllers + self.gateways:
+            await process.close()
+
+    def report(self):
+        verdicts = judge(self.history, self.bounds, self.options.controllers)
+        broken = [v for v in verdicts if v.violations]
+        calls = [c for c in self.history.calls if c.kind != 'probe']
+        complete = sum(c.complete for c in calls)
+        lines = [f'seed {self.seed}: {len(calls)} calls, {complete} complete, '
+                 f'{len([e for e in self.history.events if e.kind == "start"])} starts, own stall '
+                 f'{self.history.worst_stall_s:.2f} s; ' + '; '.join(self.described)]
+        lines.append('  cases: ' + ', '.join(f'{v.rule} {v.cases}' for v in verdicts))
+        for verdict in broken:
+            lines.append(f'  {verdict.rule} BROKEN: {len(verdict.violations)} cases')
+            lines += ['    ' + violation for violation in verdict.violations[:4]]
+        unjudged = self.history.worst_stall_s > TOLERATED_STALL_S or complete == 0
+        if unjudged:
+            lines.append('  NOT JUDGED: the soak itself stood still, or nothing was served')
+        return broken, unjudged, '\n'.join(lines)
+
+
+def play_one(options, seed):
+    folder = os.path.join(options.keep or tempfile.mkdtemp(prefix='soak-'), f'seed-{seed}')
+    os.makedirs(folder)
+    run = Run(options, seed, folder)
+    asyncio.run(run.play())
+    broken, unjudged, text = run.report()
+    print(text, flush=True)
+    if not broken and not unjudged and not options.keep:
+        shutil.rmtree(os.path.dirname(folder))
+    elif not options.keep:
+        print(f'  logs: {folder}', flush=True)
+    return 1 if broken else 2 if unjudged else 0
+
+
+def play_many(options, seeds):
+    """Each seed in a process of its own, a few at a time."""
+    waiting, running, results = list(seeds), {}, {}
+    while waiting or running:
+        while waiting and len(running) < options.parallel:
+            seed = waiting.pop(0)
+            command = [sys.executable, __file__, '--program', options.program, '--one', str(seed)]
+            for name in ('seconds', 'controllers', 'gateways', 'workers', 'clients'):
+                command += [f'--{name}', str(getattr(options, name))]
+            if options.keep:
+                command += ['--keep', options.keep]
+            running[seed] = subprocess.Popen(command)
+        for seed, process in list(running.items()):
+            if process.poll() is not None:
+                results[seed] = process.returncode
+                del running[seed]
+        time.sleep(0.2)
+    broken = sorted(seed for seed, code in results.items() if code == 1)
+    unjudged = sorted(seed for seed, code in results.items() if code not in (0, 1))
+    print(f'soak: {len(results)} runs, broken: {broken or "none"}, not judged: {unjudged or "none"}')
+    return 1 if broken else 2 if unjudged else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument('--program', required=True)
+    parser.add_argument('--seeds', default='1-3', help='FIRST-LAST')
+    parser.add_argument('--parallel', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=36, help='of faults; a run takes some 25 s more')
+    parser.add_argument('--controllers', type=int, default=5)
+    parser.add_argument('--gateways', type=int, default=8)
+    parser.add_argument('--workers', type=int, default=18)
+    parser.add_argument('--clients', type=int, default=24)
+    parser.add_argument('--keep', help='folder that keeps settings, logs and disks')
+    parser.add_argument('--one', type=int, help='plays this seed alone, in this process')
+    options = parser.parse_args()
+    options.program = os.path.abspath(options.program)
+    if options.one is not None:
+        sys.exit(play_one(options, options.one))
+    first, _, last = options.seeds.partition('-')
+    sys.exit(play_many(options, range(int(first), int(last or first) + 1)))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/scripts/soak/workers.py
@@ -0,0 +1,287 @@
+"""Stand-ins of the platform's workers, application instances and instance list, after its published pages."""
+import asyncio
+import dataclasses
+import random
+
+from aiohttp import web
+
+from history import Dispatch, Drain, History
+
+LIST_LAG_S = 0.8
+REPORT_LAG_S = 0.2
+PARALLEL_LOADS = 3  # beyond it, loads slow each other
+
+
+@dataclasses.dataclass
+class Engine:
+    slots: int = 64
+    prefill_tokens_per_s: float = 38000.0
+    first_token_s: float = 0.02
+    token_s: float = 0.012
+    load_s: float = 1.1
+
+
+class Pool:
+    """What the workers of a run share."""
+
+    def __init__(self, history: History, clock, rng: random.Random, engine: Engine):
+        self.history = history
+        self.clock = clock
+        self.rng = rng
+        self.engine = engine
+        self.loading = 0
+        self.named: dict[str, int] = {}  # newest revision that the operator has sent, by model
+        # Whether an order also turns away requests that read their prompt but have no token yet.
+        self.order_stops_prefills = rng.random() < 0.5
+
+
+class Worker:
+    """One instance: a language model worker, or, without a model, one of an application service."""
+
+    def __init__(self, pool: Pool, instance_id, service, address, zone, model, revision):
+        self.pool = pool
+        self.id = instance_id
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.model = model
+        self.revision = revision
+        self.slowness = 1.0
+        self.hang_share = 0.0
+        self.draining = False
+        self.started_at = pool.clock()
+        self._slots = asyncio.Semaphore(pool.engine.slots if model else 6)
+        self._prefill = asyncio.Lock()
+        self._ordered = 0  # revision of the order under way
+        self._order_taken = asyncio.Event()
+        self._begun = 0  # requests that an order waits for
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._fence = 0
+        self._seq = 0
+        self._reports = []
+        self._runner = None
+        self.epoch = pool.rng.randrange(1, 1 << 40)
+
+    async def start(self):
+        server = web.Server(self._handle, keepalive_timeout=30)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        host, port = self.address.split(':')
+        await web.TCPSite(self._runner, host, int(port), backlog=512, shutdown_timeout=0.1).start()
+
+    async def stop(self):
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def report(self):
+        return {'stage': 'colocated', 'models': [{'name': self.model, 'version': self.revision, 'adapters': []}],
+                'busy': self._ordered > 0, 'seq': self._seq, 'waiting': 0, 'running': self._begun, 'kv_used': 0,
+                'kv_total': 165643, 'handles': 0}
+
+    def listed(self):
+        entry = {'service': self.service, 'address': self.address, 'zone': self.zone, 'version': 'v1', 'slots': 64,
+                 'state': 'draining' if self.draining else 'ready', 'cold_remaining_ms': 0, 'id': self.id}
+        if self.model:
+            entry.update(stage='colocated', models=[{'name': self.model, 'version': self.revision, 'adapters': []}])
+        return entry
+
+    async def _handle(self, request):
+        target = request.headers.get('Target-Instance')
+        if target is not None and target != self.id:
+            return web.Response(status=421, headers=self._identity(request))
+        if request.path == '/v1/report':
+            return await self._lagging_report()
+        if request.path == '/v1/order':
+            return self._order(await request.json())
+        if request.path == '/v1/kv-events':
+            await asyncio.sleep(min(int(request.headers.get('Wait-Ms', '0')), 1000) / 1000)
+            return web.json_response({'epoch': self.epoch, 'next_token': 0, 'lost': False, 'events': []})
+        if request.path == '/v1/kv-list':
+            return web.json_response({'epoch': self.epoch, 'next_token': 0, 'held': []})
+        if request.path == '/healthz':
+            return web.Response(headers={'Instance-Id': self.id})
+        body = await request.read()
+        return await self._run(request, body)
+
+    async def _lagging_report(self):
+        report = self.report()
+        await asyncio.sleep(REPORT_LAG_S)
+        return web.json_response(report)
+
+    def _identity(self, request):
+        headers = {'Instance-Id': self.id}
+        if 'Request-Id' in request.headers:
+            headers['Request-Id'] = request.headers['Request-Id']
+        if self.model:
+            headers['Weight-Versions'] = str(self.revision)
+        return headers
+
+    def _refusal(self, request, status):
+        return web.Response(status=status, headers={**self._identity(request), 'Not-Executed': '1'})
+
+    # Orders.
+
+    def _order(self, order):
+        if order.get('op') != 'version' or 'holder' not in order or 'fence' not in order:
+            return web.Response(status=400)
+        if order['fence'] < self._fence:
+            return web.Response(status=412)
+        self._fence = order['fence']
+        revision = order['version']
+        if order['model'] != self.model or revision > self.pool.named.get(self.model, 1):
+            return web.Response(status=400)
+        if revision <= self.revision:
+            return web.Response(status=200)
+        if self._ordered:
+            return web.Response(status=409)
+        self._seq += 1
+        self._ordered = revision
+        self._order_taken.set()
+        asyncio.ensure_future(self._load())
+        return web.Response(status=202)
+
+    async def _load(self):
+        await self._idle.wait()
+        self.pool.loading += 1
+        crowding = max(1.0, self.pool.loading / PARALLEL_LOADS)
+        await asyncio.sleep(self.pool.engine.load_s * crowding * self.slowness)
+        self.pool.loading -= 1
+        self.revision = self._ordered
+        self._ordered = 0
+        self._order_taken.clear()
+
+    def _hold_order(self, change):
+        self._begun += change
+        if self._begun == 0:
+            self._idle.set()
+        else:
+            self._idle.clear()
+
+    # Requests.
+
+    async def _run(self, request, body):
+        dispatch = Dispatch(request.headers.get('Request-Id', ''), self.id, self.service, self.pool.clock(),
+                            model=self.model)
+        self.pool.history.dispatches.append(dispatch)
+        async with self._slots:
+            if not self.model:
+                return await self._run_once(request, dispatch, body)
+            return await self._run_prompt(request, dispatch)
+
+    async def _run_once(self, request, dispatch, body):
+        if _gone(request):
+            return self._refusal(request, 503)
+        dispatch.first_token_at = self.pool.clock()
+        await asyncio.sleep(0.015 * self.slowness)
+        return web.Response(body=body, headers={**self._identity(request), 'Route-Stamp': f's.{self.id}'})
+
+    def _admission_refusal(self, request):
+        expected = request.headers.get('Expected-Version')
+        if expected is not None and int(expected) != self.revision:
+            return self._refusal(request, 421)
+        return self._refusal(request, 503) if self._ordered else None
+
+    async def _run_prompt(self, request, dispatch):
+        refusal = self._admission_refusal(request)
+        if refusal is not None or _gone(request):
+            return refusal or self._refusal(request, 503)
+        holds_order = not self.pool.order_stops_prefills
+        if holds_order:
+            self._hold_order(1)
+        try:
+            await self._read_prompt(request)
+            if _gone(request):
+                return self._refusal(request, 503)
+            if not holds_order:
+                refusal = self._admission_refusal(request)
+                if refusal is not None:
+                    return refusal
+                self._hold_order(1)
+                holds_order = True
+            dispatch.first_token_at = self.pool.clock()
+            dispatch.revision = self.revision
+            return await self._stream(request)
+        finally:
+            if holds_order:
+                self._hold_order(-1)
+
+    async def _read_prompt(self, request):
+        tokens = sum(int(part.split(':')[1]) for part in request.headers['Prefix-Hash'].split(','))
+        engine = self.pool.engine
+        async with self._prefill:
+            if _gone(request):
+                return
+            await asyncio.sleep(tokens / engine.prefill_tokens_per_s * self.slowness)
+        await asyncio.sleep(engine.first_token_s * self.slowness)
+        if self.pool.rng.random() < self.hang_share:
+            while not _gone(request):
+                await asyncio.sleep(0.1)
+
+    async def _stream(self, request):
+        response = web.StreamResponse(headers={**self._identity(request), 'Route-Stamp': f's.{self.id}',
+                                               'Content-Type': 'text/event-stream'})
+        try:
+            await response.prepare(request)
+            first = int(request.headers.get('Last-Event-Id') or 0) + 1
+            tokens = int(request.headers['Token-Counts'].split(',')[1])
+            for piece in range(first, tokens + 1):
+                end = 'end' if piece == tokens else 'more'
+                await response.write(f'id: {piece}\ndata: {request.headers["Request-Id"]} {end}\n\n'.encode())
+                if piece < tokens:
+                    await asyncio.sleep(self.pool.engine.token_s * self.slowness)
+            await response.write_eof()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        return response
+
+
+def _gone(request):
+    return request.transport is None or request.transport.is_closing()
+
+
+class InstanceList:
+    """The platform's list of instances: lags, and takes so many calls a second."""
+
+    def __init__(self, pool: Pool, address, calls_per_s):
+        self._pool = pool
+        self._address = address
+        self._calls_per_s = calls_per_s
+        self._tokens = calls_per_s
+        self._refilled_at = pool.clock()
+        self._shown = []
+        self._seen_draining = set()
+        self.workers: list[Worker] = []
+
+    async def start(self):
+        runner = web.ServerRunner(web.Server(self._handle))
+        await runner.setup()
+        host, port = self._address.split(':')
+        await web.TCPSite(runner, host, int(port), shutdown_timeout=0.1).start()
+        asyncio.ensure_future(self._follow())
+
+    async def _follow(self):
+        pending = []
+        while True:
+            now = self._pool.clock()
+            pending.append((now + LIST_LAG_S, [worker.listed() for worker in self.workers]))
+            while pending and pending[0][0] <= now:
+                self._show(pending.pop(0)[1], now)
+            await asyncio.sleep(0.1)
+
+    def _show(self, entries, now):
+        self._shown = entries
+        for entry in entries:
+            if entry['state'] == 'draining' and entry['id'] not in self._seen_draining:
+                self._seen_draining.add(entry['id'])
+                self._pool.history.drains.append(Drain(entry['id'], now))
+
+    async def _handle(self, _request):
+        now = self._pool.clock()
+        self._tokens = min(self._calls_per_s, self._tokens + (now - self._refilled_at) * self._calls_per_s)
+        self._refilled_at = now
+        if self._tokens < 1:
+            return web.Response(status=429, headers={'Retry-After': '0.5'})
+        self._tokens -= 1
+        return web.json_response({'instances': self._shown, 'next_token': None})
--- a/src/posthatch/server/platform_fleet-test.h
+++ b/src/posthatch/server/platform_fleet-test.h
@@ -79,8 +79,16 @@
     return request;
   }
   rollout::WorkerCommandResult ParseCommandResult(const http::Response& head) const override {
-    return head.status == 202 ? rollout::WorkerCommandResult::kAccepted
-                              : rollout::WorkerCommandResult::kUnknown;
+    switch (head.status) {
+      case 200:
+        return rollout::WorkerCommandResult::kAlreadyServed;
+      case 202:
+        return rollout::WorkerCommandResult::kAccepted;
+      case 409:
+        return rollout::WorkerCommandResult::kBusy;
+      default:
+        return rollout::WorkerCommandResult::kUnknown;
+    }
   }
   http::Request MakeStatusRequest(const std::string& /*worker_id*/) const override {
     http::Request request;
@@ -113,6 +121,17 @@
   int gateways = 100;
   int zones = 6;
   int workers = 40;
+  // A worker takes so long to load weights, and to read one prompt; it reads one at a time.
+  runtime::Duration load_time = milliseconds(1100);
+  runtime::Duration prefill_time = milliseconds(40);
+};
+
+// The first token of a prompt at a worker.
+struct PromptStart {
+  std::string request_id;  // its gateway's name comes first
+  std::string worker_id;
+  uint64_t revision = 0;
+  runtime::MonotonicTime at;
 };
 
 class PlatformFleet {
@@ -155,6 +174,14 @@
       route->add_targets()->set_service("llm");
       route->mutable_targets(0)->set_weight(1);
     }
+    control::TrafficRoute* prompts = whole->add_routes();
+    *prompts = whole->routes(0);
+    prompts->set_name("prompt");
+    prompts->set_path_prefix("/prompt/");
+    prompts->set_kind(control::STREAMING);
+    prompts->set_resumable(true);
+    prompts->set_max_attempts(2);
+    prompts->set_timeout_ms(10'000);
     Send(absl::StrCat("change ", version), command,
          [this, version] { acknowledged[version] = world.Now(); });
   }
@@ -163,7 +190,41 @@
     control::SetModelRevision* order = command.mutable_set_model_revision();
     order->set_model("m");
     order->set_revision(revision);
-    Send(absl::StrCat("revision ", revision), command, [] {});
+    Send(absl::StrCat("revision ", revision), command,
+         [this, revision] { revision_acknowledged[revision] = world.Now(); });
+  }
+  // Runs for `duration`, while callers send so many prompts a second, each to any ready gateway.
+  void RunWithPrompts(runtime::Duration duration, int per_second) {
+    const runtime::MonotonicTime until = world.Now() + duration;
+    while (world.Now() < until) {
+      SendPrompt();
+      world.RunFor(runtime::Duration(seconds(1)) / per_second);
+    }
+  }
+  // Prompts that began at a worker with an older revision more than `bound` after a newer one had
+  // been acknowledged.
+  std::vector<std::string> OutdatedStarts(runtime::Duration bound) const {
+    std::vector<std::string> late;
+    for (const PromptStart& start : prompt_starts) {
+      const auto newer = revision_acknowledged.upper_bound(start.revision);
+      if (newer == revision_acknowledged.end() || start.at <= newer->second + bound) continue;
+      late.push_back(absl::StrCat(start.request_id, " at ", start.worker_id, " on ", start.revision,
+                                  " ", runtime::ToMilliseconds(start.at - newer->second),
+                                  " ms after ", newer->first, " was acknowledged"));
+    }
+    return late;
+  }
+  size_t CompletedPrompts() const {
+    return std::count_if(writers_.begin(), writers_.end(),
+                         [](const auto& writer) { return writer->finished; });
+  }
+  // Workers whose revision is older than `revision`.
+  size_t OutdatedWorkers(uint64_t revision) const {
+    size_t outdated = 0;
+    for (const control::Backend& backend : list_.backends()) {
+      if (backend.model_revision() < revision) ++outdated;
+    }
+    return outdated;
   }
 
   // The newest version whose route the gateway has; 0 if it has none or isn't running.
@@ -207,7 +268,9 @@
   simulation::SimWorld world;
   std::vector<simulation::SimHost*> controller_hosts;
   std::vector<simulation::SimHost*> gateway_hosts;
-  std::map<uint64_t, runtime::MonotonicTime> acknowledged;  // by version
+  std::map<uint64_t, runtime::MonotonicTime> acknowledged;           // by version
+  std::map<uint64_t, runtime::MonotonicTime> revision_acknowledged;  // by revision
+  std::vector<PromptStart> prompt_starts;
   runtime::Duration longest_lag{0};
   std::string latest_gateway;
   uint64_t list_calls = 0;
@@ -219,6 +282,74 @@
     size_t next_controller = 0;
   };
 
+  // What a worker does, beside its entry in the list.
+  struct WorkerModel {
+    control::Backend* backend = nullptr;
+    runtime::Runtime* runtime = nullptr;
+    bool ordered = false;                  // no prompt begins until the order is done
+    runtime::MonotonicTime prefills_done;  // of the prompts that it has
+  };
+
+  void SendPrompt() {
+    const simulation::SimHost* host = gateway_hosts[world.random()->Uniform(gateway_hosts.size())];
+    const auto found = gateways_.find(host);
+    if (!host->running() || found == gateways_.end()) return;
+    const std::shared_ptr<PlatformGatewayNode> node = found->second.lock();
+    if (node == nullptr || !node->Ready()) return;
+    http::Request request;
+    request.method = "POST";
+    request.target = "/prompt/x";
+    request.headers.Add("Host", "h");
+    request.headers.Add("Id", absl::StrCat(host->name(), "/", ++prompts_sent_));
+    request.headers.Add("Prompt-Model", "m");
+    auto writer = std::make_shared<gateway::FakeWriter>();
+    node->HandleHttp(std::move(request), writer);
+    writers_.push_back(std::move(writer));
+  }
+
+  static http::Response NotExecuted(const http::Request& request, int status) {
+    http::Response response;
+    response.status = status;
+    response.headers.Add("Id", request.headers.Get("Id"));
+    response.headers.Add("Refused", "1");
+    return response;
+  }
+  // Why the worker doesn't begin the prompt now; 0 if it does.
+  static int RejectionOf(const http::Request& request, const WorkerModel& worker) {
+    const std::string expected(request.headers.Get("Revision"));
+    if (request.headers.Get("Instance") != worker.backend->id()) return 421;
+    if (expected != std::to_string(worker.backend->model_revision())) return 421;
+    return worker.ordered ? 503 : 0;
+  }
+  void ServePrompt(const http::Request& request, WorkerModel* worker,
+                   const std::shared_ptr<http::ResponseWriter>& writer) {
+    if (const int status = RejectionOf(request, *worker); status != 0) {
+      return writer->SendResponse(NotExecuted(request, status));
+    }
+    auto caller_gone = std::make_shared<bool>(false);
+    writer->OnCallerDisconnected([caller_gone] { *caller_gone = true; });
+    const runtime::MonotonicTime now = worker->runtime->clock->Now();
+    worker->prefills_done = std::max(worker->prefills_done, now) + plan_.prefill_time;
+    worker->runtime->timers->Schedule(worker->prefills_done - now,
+                                      [this, request, worker, writer, caller_gone] {
+                                        if (!*caller_gone)
+                                          BeginPrompt(request, *worker, writer.get());
+                                      });
+  }
+  void BeginPrompt(const http::Request& request, const WorkerModel& worker,
+                   http::ResponseWriter* writer) {
+    if (const int status = RejectionOf(request, worker); status != 0) {
+      return writer->SendResponse(NotExecuted(request, status));
+    }
+    prompt_starts.push_back({std::string(request.headers.Get("Id")), worker.backend->id(),
+                             worker.backend->model_revision(), world.Now()});
+    http::Response head;
+    head.headers.Add("Id", request.headers.Get("Id"));
+    writer->StartStream(head);
+    writer->WriteChunk("id: 1\ndata: x\n\n");
+    writer->FinishStream();
+  }
+
   void Watch(const simulation::SimHost* host) {
     const uint64_t version = VersionAt(host);
     const auto next = acknowledged.upper_bound(version);
@@ -330,33 +461,44 @@
     backend->set_model("m");
     backend->set_model_revision(1);
     host->SetBoot([this, host, backend](runtime::Runtime* runtime) -> std::shared_ptr<void> {
+      WorkerModel* worker = &workers_[host->name()];
+      *worker = {.backend = backend, .runtime = runtime, .prefills_done = {}};
       auto server = runtime->http_servers->Listen(
-          host->http_endpoint(), {},
-          [this, backend, runtime](const http::Request& request, auto writer) {
-            AnswerAsWorker(request, backend, runtime, writer);
+          host->http_endpoint(), {}, [this, worker](const http::Request& request, auto writer) {
+            AnswerAsWorker(request, worker, writer);
           });
       return std::shared_ptr<http::HttpServer>(*std::move(server));
     });
   }
-  void AnswerAsWorker(const http::Request& request, control::Backend* backend,
-                      runtime::Runtime* runtime,
+  void AnswerAsWorker(const http::Request& request, WorkerModel* worker,
                       const std::shared_ptr<http::ResponseWriter>& writer) {
+    if (request.target == "/prompt/x") return ServePrompt(request, worker, writer);
     http::Response response;
     if (absl::StartsWith(request.target, "/kv_events")) {
       response.body = R"({"epoch":1,"events":[]})";
-      runtime->timers->Schedule(milliseconds(700),
-                                [writer, response] { writer->SendResponse(response); });
+      worker->runtime->timers->Schedule(milliseconds(700),
+                                        [writer, response] { writer->SendResponse(response); });
       return;
     }
     if (absl::StartsWith(request.target, "/order/")) {
-      response.status = 202;
-      const uint64_t revision = std::stoull(request.target.substr(7));
-      runtime->timers->Schedule(milliseconds(1100),
-                                [backend, revision] { backend->set_model_revision(revision); });
+      response.status = AcceptOrder(std::stoull(request.target.substr(7)), worker);
+    }
+    if (request.target == "/report") {
+      response.body = std::to_string(worker->ordered ? 0 : worker->backend->model_revision());
     }
-    if (request.target == "/report") response.body = std::to_string(backend->model_revision());
     writer->SendResponse(response);
   }
+  // The status of the response to an order to load `revision`.
+  int AcceptOrder(uint64_t revision, WorkerModel* worker) {
+    if (worker->ordered) return 409;
+    if (worker->backend->model_revision() >= revision) return 200;
+    worker->ordered = true;
+    worker->runtime->timers->Schedule(plan_.load_time, [worker, revision] {
+      worker->backend->set_model_revision(revision);
+      worker->ordered = false;
+    });
+    return 202;
+  }
   void AddList() {
     simulation::SimHost* host = world.AddHost("list", "z0", "10.0.8.1");
     host->SetBoot([this, host](runtime::Runtime* runtime) -> std::shared_ptr<void> {
@@ -373,6 +515,9 @@
   const TestFormats formats_;
   PlatformFormats formats_all_;
   control::Inventory list_;
+  std::map<std::string, WorkerModel> workers_;
+  std::vector<std::shared_ptr<gateway::FakeWriter>> writers_;
+  uint64_t prompts_sent_ = 0;
   simulation::SimHost* operator_ = nullptr;
   std::map<std::string, Order> orders_;
   std::map<const simulation::SimHost*, std::weak_ptr<ControllerNode>> controllers_;
