A further model revision no longer gives old workers the whole deadline again

What callers saw: prompts run under a revision whose successor had been acknowledged more than 12 s before (rule VERSION), many at once, when versions were named one after another. Cause: WorkerPool kept one 'seen at' per model; the next revision overwrote it, and every worker two or more revisions behind got the whole revision_deadline_ms again. Change: control::RevisionTimeline keeps when each of the newest revisions was named; a worker's time runs from the first revision above its own. Its time can only move back. The unit test of the gateway (LaterRevisionDoesNotExtendDeadlineOfOlderOnes) fails with the old field. Why it works: the deadline of a worker depends on its own revision alone, which later commands don't change.

--- a/src/posthatch/control/client/control_client.h
+++ b/src/posthatch/control/client/control_client.h
@@ -6,6 +6,7 @@
 
 #include "absl/status/statusor.h"
 #include "posthatch/control/control.pb.h"
+#include "posthatch/control/state/revision_timeline.h"
 #include "posthatch/runtime/clock.h"
 
 namespace posthatch::control {
@@ -25,6 +26,8 @@
   virtual const FleetState& state() const = 0;
   // Time since the inventory in state() was requested from the platform.
   virtual runtime::Duration InventoryAge() const = 0;
+  // When the model revisions were named. Outlives every caller's use.
+  virtual const RevisionTimeline& revision_timeline() const = 0;
   virtual void AddListener(Listener listener) = 0;
 };
 
--- a/src/posthatch/control/client/gateway_session.cc
+++ b/src/posthatch/control/client/gateway_session.cc
@@ -141,6 +141,7 @@
   term_ = grant.term();
   locator_.OnLeaderResponse(from_endpoint);
   const UpdateOutcome outcome = replica_.Apply(grant.changed(), grant.changed_sections());
+  revision_timeline_.Observe(replica_.state(), runtime_->clock->Now());
   if (outcome == UpdateOutcome::kBaseMismatch) {
     // A push came in between; the next renewal reports what is in force now.
     ScheduleRenewal(kPromptRenewalDelay);
@@ -182,6 +183,7 @@
 void GatewaySession::OnPush(const std::string& from_endpoint, const StatePush& push) {
   if (lease_.ended() || push.term() < term_) return;
   const UpdateOutcome outcome = replica_.Apply(push.changed(), push.changed_sections());
+  revision_timeline_.Observe(replica_.state(), runtime_->clock->Now());
   if (outcome == UpdateOutcome::kRejected) return;
   // After a base mismatch this reports the versions that the next delta must start from.
   Acknowledge(from_endpoint, push.push());
--- a/src/posthatch/control/client/gateway_session.h
+++ b/src/posthatch/control/client/gateway_session.h
@@ -47,6 +47,7 @@
   const FleetState& state() const override { return replica_.state(); }
   // kUnknownAge before the first grant of a leader that has read the inventory.
   runtime::Duration InventoryAge() const override;
+  const RevisionTimeline& revision_timeline() const override { return revision_timeline_; }
   void AddListener(Listener listener) override { replica_.AddListener(std::move(listener)); }
 
   // ControlClient, QueryClient.
@@ -90,6 +91,7 @@
   LeaderLocator locator_;
   LeaderClient client_;
   FleetStateReplica replica_;
+  RevisionTimeline revision_timeline_;
   SessionLease lease_;
   runtime::Timer renew_timer_;
 
--- a/src/posthatch/control/inventory/inventory_watch-test.cc
+++ b/src/posthatch/control/inventory/inventory_watch-test.cc
@@ -36,9 +36,11 @@
   runtime::MonotonicTime lease_expiry() const override { return {}; }
   const FleetState& state() const override { return fleet; }
   runtime::Duration InventoryAge() const override { return clock_->Now() - inventory_requested_at; }
+  const RevisionTimeline& revision_timeline() const override { return revisions; }
   void AddListener(Listener) override {}
 
   FleetState fleet;
+  RevisionTimeline revisions;
   runtime::MonotonicTime inventory_requested_at;
 
  private:
--- a/src/posthatch/gateway/gateway_fakes-test.h
+++ b/src/posthatch/gateway/gateway_fakes-test.h
@@ -116,6 +116,7 @@
   runtime::MonotonicTime lease_expiry() const override { return expiry; }
   const control::FleetState& state() const override { return fleet; }
   runtime::Duration InventoryAge() const override { return inventory_age; }
+  const control::RevisionTimeline& revision_timeline() const override { return revisions; }
   void AddListener(Listener listener) override { listeners_.push_back(std::move(listener)); }
   // Notifies the listeners that every section has changed.
   void Changed() {
@@ -125,9 +126,11 @@
     fleet.set_revisions_index(index_);
     fleet.set_evacuations_index(index_);
     fleet.set_inventory_index(index_);
+    revisions.Observe(fleet, clock_->Now());
     for (const Listener& listener : listeners_) listener(fleet);
   }
   control::FleetState fleet;
+  control::RevisionTimeline revisions;
   runtime::MonotonicTime expiry = runtime::MonotonicTime::max();
   runtime::Duration inventory_age{0};
 
--- a/src/posthatch/index/fake_parts-test.h
+++ b/src/posthatch/index/fake_parts-test.h
@@ -37,6 +37,7 @@
   runtime::MonotonicTime lease_expiry() const override { return {}; }
   const control::FleetState& state() const override { return fleet; }
   runtime::Duration InventoryAge() const override { return {}; }
+  const control::RevisionTimeline& revision_timeline() const override { return revisions; }
   void AddListener(Listener listener) override { listeners.push_back(std::move(listener)); }
   void Changed() {
     for (const Listener& listener : listeners) listener(fleet);
@@ -56,6 +57,7 @@
     lease->set_fencing_token(token);
   }
   control::FleetState fleet;
+  control::RevisionTimeline revisions;
   bool lease_valid = true;
   std::vector<Listener> listeners;
 };
--- a/src/posthatch/rollout/revision_enforcer-test.cc
+++ b/src/posthatch/rollout/revision_enforcer-test.cc
@@ -21,6 +21,7 @@
   runtime::MonotonicTime lease_expiry() const override { return {}; }
   const control::FleetState& state() const override { return fleet_state; }
   Duration InventoryAge() const override { return {}; }
+  const control::RevisionTimeline& revision_timeline() const override { return revisions; }
   void AddListener(Listener listener) override { listeners_.push_back(std::move(listener)); }
 
   void SetRevision(uint64_t revision) {
@@ -31,6 +32,7 @@
     for (const Listener& listener : listeners_) listener(fleet_state);
   }
   control::FleetState fleet_state;
+  control::RevisionTimeline revisions;
 
  private:
   std::vector<Listener> listeners_;
--- a/src/posthatch/routing/placer-test.cc
+++ b/src/posthatch/routing/placer-test.cc
@@ -47,7 +47,7 @@
 
   SlowStartLimiter limiter_{&clock_, "gateway-1", [] { return std::vector<std::string>(); }};
   LoadReporter load_reporter_{&runtime_, {.zone = "a"}, [] { return std::vector<LoadPeer>(); }};
-  WorkerPool pool_{&runtime_, {}, &limiter_, &load_reporter_};
+  WorkerPool pool_{&runtime_, {}, &limiter_, &load_reporter_, &view_.revisions};
   Placer placer_{&runtime_, "a", &pool_};
   PromptShape prompt_;
   PlacementQuery query_;
@@ -94,7 +94,7 @@
   loads.SetLocalLoad("w1", {1, 10});
   timers_.Advance(seconds(1));
   ASSERT_TRUE(loads.RemoteZoneLoadIsDelayed());
-  WorkerPool pool(&runtime_, {}, &limiter_, &loads);
+  WorkerPool pool(&runtime_, {}, &limiter_, &loads, &view_.revisions);
   pool.Update(view_.fleet, nullptr, seconds(0));
   RoutingSwitches switches;
   switches.rank = false;
--- a/src/posthatch/routing/traffic_gateway-test.cc
+++ b/src/posthatch/routing/traffic_gateway-test.cc
@@ -150,6 +150,19 @@
   EXPECT_EQ(Send("stream")->whole.status, 503);
 }
 
+// Incident 34: a further revision gave workers of the oldest one the whole time again.
+TEST_F(TrafficGatewayTest, LaterRevisionDoesNotExtendDeadlineOfOlderOnes) {
+  options_.revision_deadline = seconds(10);
+  Start();
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  view_.Changed();
+  timers_.Advance(seconds(5));
+  view_.fleet.mutable_revisions(0)->set_revision(3);
+  view_.Changed();
+  timers_.Advance(milliseconds(3800));
+  EXPECT_EQ(Send("stream")->whole.status, 503);
+}
+
 TEST_F(TrafficGatewayTest, CountsPromptsAtWorkersOfOlderRevision) {
   options_.revision_deadline = seconds(10);
   Start();
--- a/src/posthatch/routing/traffic_gateway.cc
+++ b/src/posthatch/routing/traffic_gateway.cc
@@ -32,7 +32,7 @@
       load_reporter_(runtime, MakeLoadReporterOptions(), options_.peers),
       pool_(runtime,
             {.revision_deadline = options_.revision_deadline, .switches = options_.switches},
-            &slow_start_limiter_, &load_reporter_),
+            &slow_start_limiter_, &load_reporter_, &view->revision_timeline()),
       placer_(runtime, options_.zone, &pool_, options_.switches),
       stores_(runtime),
       in_flight_prefills_(runtime->clock, InFlightPrefills::Options()),
--- a/src/posthatch/routing/worker_pool.cc
+++ b/src/posthatch/routing/worker_pool.cc
@@ -20,11 +20,13 @@
 }  // namespace
 
 WorkerPool::WorkerPool(runtime::Runtime* runtime, WorkerPoolOptions options,
-                       SlowStartLimiter* limiter, LoadReporter* loads)
+                       SlowStartLimiter* limiter, LoadReporter* loads,
+                       const control::RevisionTimeline* revisions)
     : runtime_(runtime),
       options_(options),
       limiter_(limiter),
       load_reporter_(loads),
+      revisions_(revisions),
       outlier_detector_(runtime) {}
 
 void WorkerPool::PublishLoad(const Worker& worker) {
@@ -41,7 +43,9 @@
 
 void WorkerPool::Update(const control::FleetState& state, const control::Inventory* local_inventory,
                         runtime::Duration leader_inventory_age) {
-  UpdateTargetRevisions(state);
+  for (const control::ModelRevision& named : state.revisions()) {
+    target_revisions_[named.model()] = named.revision();
+  }
   slow_starts_.clear();
   for (const control::TrafficService& service : state.traffic().services()) {
     slow_starts_[service.name()] = {std::chrono::milliseconds(service.slow_start_ms()),
@@ -89,16 +93,6 @@
   if (slow_start != nullptr && just_started) worker->slow_start_until = now + slow_start->duration;
 }
 
-void WorkerPool::UpdateTargetRevisions(const control::FleetState& state) {
-  const runtime::MonotonicTime now = runtime_->clock->Now();
-  for (const control::ModelRevision& revision : state.revisions()) {
-    TargetRevisionState& target = target_revisions_[revision.model()];
-    if (revision.revision() <= target.revision) continue;
-    target.revision = revision.revision();
-    target.seen_at = now;
-  }
-}
-
 void WorkerPool::ApplyEvacuations(const control::FleetState& state) {
   const runtime::MonotonicTime now = runtime_->clock->Now();
   for (auto& [id, worker] : workers_) {
@@ -197,14 +191,14 @@
 
 uint64_t WorkerPool::TargetRevision(const std::string& model) const {
   const auto found = target_revisions_.find(model);
-  return found == target_revisions_.end() ? 0 : found->second.revision;
+  return found == target_revisions_.end() ? 0 : found->second;
 }
 
 std::optional<runtime::Duration> WorkerPool::OutdatedFor(const std::string& model,
                                                          uint64_t revision) const {
-  const auto target = target_revisions_.find(model);
-  if (target == target_revisions_.end() || revision >= target->second.revision) return std::nullopt;
-  return runtime_->clock->Now() - target->second.seen_at;
+  const std::optional<runtime::MonotonicTime> since = revisions_->OutdatedSince(model, revision);
+  if (!since.has_value()) return std::nullopt;
+  return runtime_->clock->Now() - *since;
 }
 
 void WorkerPool::OnDispatched(Worker* worker, uint64_t pending_tokens) {
--- a/src/posthatch/routing/worker_pool.h
+++ b/src/posthatch/routing/worker_pool.h
@@ -7,6 +7,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "posthatch/control/control.pb.h"
+#include "posthatch/control/state/revision_timeline.h"
 #include "posthatch/routing/load_reporter.h"
 #include "posthatch/routing/outlier_detector.h"
 #include "posthatch/routing/routing_switches.h"
@@ -17,7 +18,7 @@
 namespace posthatch::routing {
 
 struct WorkerPoolOptions {
-  // From when a model revision is ordered until no request may start on an older one.
+  // From when a model revision is named until no request may start on an older one.
   runtime::Duration revision_deadline = std::chrono::seconds(12);
   // The leader's marks of workers that load weights count while its inventory is younger than this.
   runtime::Duration loading_mark_ttl = std::chrono::seconds(4);
@@ -31,7 +32,7 @@
  public:
   // All outlive it.
   WorkerPool(runtime::Runtime* runtime, WorkerPoolOptions options, SlowStartLimiter* limiter,
-             LoadReporter* loads);
+             LoadReporter* loads, const control::RevisionTimeline* revisions);
 
   // Applies the fleet's state, together with the inventory as this gateway has read it itself
   // (null: not newer than the one in `state`). `leader_inventory_age` is the age of the one in
@@ -83,10 +84,6 @@
   void OnRevisionSeen(Worker* worker, uint64_t revision);
 
  private:
-  struct TargetRevisionState {
-    uint64_t revision = 0;
-    runtime::MonotonicTime seen_at;
-  };
   struct SlowStart {
     runtime::Duration duration{0};
     double requests_per_second = 0;
@@ -94,7 +91,6 @@
 
   void PublishLoad(const Worker& worker);
   void AddOrUpdateWorker(const control::Backend& backend, bool loading);
-  void UpdateTargetRevisions(const control::FleetState& state);
   void ApplyEvacuations(const control::FleetState& state);
   void RebuildServices();
   bool AcceptsNewWork(const Worker& worker) const;
@@ -104,11 +100,12 @@
   const WorkerPoolOptions options_;
   SlowStartLimiter* const limiter_;
   LoadReporter* const load_reporter_;
+  const control::RevisionTimeline* const revisions_;
   const OutlierDetector outlier_detector_;
   absl::flat_hash_map<std::string, WorkerPointer> workers_;
   absl::flat_hash_map<std::string, std::vector<WorkerPointer>> services_;
-  absl::flat_hash_map<std::string, SlowStart> slow_starts_;                 // by service
-  absl::flat_hash_map<std::string, TargetRevisionState> target_revisions_;  // by model
+  absl::flat_hash_map<std::string, SlowStart> slow_starts_;      // by service
+  absl::flat_hash_map<std::string, uint64_t> target_revisions_;  // by model
   bool inventory_known_ = false;
 };
 
