A restarted or late process counts a revision's deadline from its acknowledgement

What callers saw: prompts run under old weights past the bound of VERSION, from gateways that had restarted during a roll-out. Cause: each gateway counted from its own first sight of the revision; a restart gave it the whole time again, and so did hearing late. Controllers kept no time at all. Change: every controller keeps the times of the revisions it applies (RevisionTimeline); the leader sends ages with each grant or push that carries revisions, and with every grant for a minute after one was named, so that a late push is corrected a second later; a gateway counts a grant's ages from when it sent the renewal, which errs early. While workers are outdated the leader writes the ages into the log each second (SetInventory.revision_ages), so that they survive a restart of all. Why it works: the time of a revision is one fact with an owner, and a process that learns it can only move it back. Tried before: ages in the log only with a changed inventory. HoldsWhenAllProcessesRestartDuringRollout still failed (306 to 318 prompts): while a slow canary loads, nothing changes. With the second's repetition taken out it fails again (197).

--- a/src/posthatch/control/client/gateway_session.cc
+++ b/src/posthatch/control/client/gateway_session.cc
@@ -138,6 +138,7 @@
   const std::optional<runtime::MonotonicTime> sent_at = lease_.SentAt(grant.renewal());
   if (!sent_at.has_value() || !IsAcceptable(grant)) return;
   lease_.OnResponse(grant.renewal());
+  revision_timeline_.ObserveAges(grant.changed().revision_ages(), *sent_at);
   term_ = grant.term();
   locator_.OnLeaderResponse(from_endpoint);
   const UpdateOutcome outcome = replica_.Apply(grant.changed(), grant.changed_sections());
@@ -182,6 +183,7 @@
 
 void GatewaySession::OnPush(const std::string& from_endpoint, const StatePush& push) {
   if (lease_.ended() || push.term() < term_) return;
+  revision_timeline_.ObserveAges(push.changed().revision_ages(), runtime_->clock->Now());
   const UpdateOutcome outcome = replica_.Apply(push.changed(), push.changed_sections());
   revision_timeline_.Observe(replica_.state(), runtime_->clock->Now());
   if (outcome == UpdateOutcome::kRejected) return;
--- a/src/posthatch/control/server/controller_service.cc
+++ b/src/posthatch/control/server/controller_service.cc
@@ -37,18 +37,20 @@
                 messenger_.Send(endpoint, message);
               }),
       proposer_(log, &leadership_),
-      inventory_(runtime, options.inventory, &leadership_, host, state, &proposer_),
-      pushes_(runtime, options.push, &leadership_, state, &inventory_, &sessions_, &metrics_),
+      inventory_(runtime, options.inventory, &leadership_, host, state, &revision_timeline_,
+                 &proposer_),
+      pushes_(runtime, options.push, &leadership_, state, &revision_timeline_, &inventory_,
+              &sessions_, &metrics_),
       proposals_(runtime, options.max_proposals, log, &leadership_, state, &sessions_, &pushes_,
                  &messenger_, &metrics_),
       queries_(options.max_queries, log, &leadership_, host, state, &messenger_, &metrics_),
-      session_server_(runtime, options.session_lease, log, &leadership_, state, &inventory_,
-                      &sessions_, &pushes_, &proposals_, &messenger_, &metrics_),
+      session_server_(runtime, options.session_lease, log, &leadership_, state, &revision_timeline_,
+                      &inventory_, &sessions_, &pushes_, &proposals_, &messenger_, &metrics_),
       worker_leases_(runtime, options.plan_interval, &leadership_, state, &sessions_, &proposer_,
                      &metrics_) {
   log_->SetLeadershipListener(
       [this](bool is_leader, uint64_t term) { OnLeadership(is_leader, term); });
-  state_->SetSectionListener([this] { pushes_.Schedule(); });
+  state_->SetSectionListener([this] { OnSectionsChanged(); });
 }
 
 ControllerService::~ControllerService() {
@@ -93,6 +95,11 @@
   metrics_.sessions().Set(0);
 }
 
+void ControllerService::OnSectionsChanged() {
+  revision_timeline_.Observe(state_->fleet(), runtime_->clock->Now());
+  pushes_.Schedule();
+}
+
 void ControllerService::OnMessage(const ControlPeer& sender, const ControlMessage& message) {
   switch (message.message_case()) {
     case ControlMessage::kSessionRenewal:
--- a/src/posthatch/control/server/controller_service.h
+++ b/src/posthatch/control/server/controller_service.h
@@ -66,6 +66,7 @@
   // True if this controller leads and has applied all that earlier leaders acknowledged.
   bool leading() const { return leadership_.active(); }
   size_t session_count() const { return sessions_.sessions().size(); }
+  const RevisionTimeline& revision_timeline() const { return revision_timeline_; }
   // Publishes the last reading of the inventory again, with new annotations.
   void RefreshInventory() { inventory_.Refresh(); }
 
@@ -74,6 +75,7 @@
   void BeginLeadership(uint64_t term);
   void EndLeadership(uint64_t term);
   void ResetTerm();
+  void OnSectionsChanged();
   void OnMessage(const ControlPeer& sender, const ControlMessage& message);
 
   runtime::Runtime* const runtime_;
@@ -83,6 +85,8 @@
   consensus::ReplicatedLog* const log_;
   ControlState* const state_;
 
+  // Also while this controller follows: a new leader continues the times.
+  RevisionTimeline revision_timeline_;
   ControllerMetrics metrics_;
   Leadership leadership_;
   SessionTable sessions_;
--- a/src/posthatch/control/server/inventory_publisher.cc
+++ b/src/posthatch/control/server/inventory_publisher.cc
@@ -1,5 +1,8 @@
 #include "posthatch/control/server/inventory_publisher.h"
 
+#include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "posthatch/control/state/fleet_sections.h"
@@ -11,17 +14,22 @@
 
 // Annotations that change close together go into one command.
 constexpr runtime::Duration kRefreshDelay = std::chrono::milliseconds(40);
+// While workers are outdated. By so much a revision looks younger once all processes have
+// restarted.
+constexpr runtime::Duration kAgesInterval = std::chrono::seconds(1);
 
 }  // namespace
 
 InventoryPublisher::InventoryPublisher(runtime::Runtime* runtime,
                                        const InventoryPollerOptions& options,
                                        const Leadership* leadership, ControllerHost* host,
-                                       const ControlState* state, InternalProposer* proposer)
+                                       const ControlState* state, const RevisionTimeline* revisions,
+                                       InternalProposer* proposer)
     : runtime_(runtime),
       leadership_(leadership),
       host_(host),
       state_(state),
+      revisions_(revisions),
       proposer_(proposer),
       poller_(runtime, options,
               [this](Inventory inventory, runtime::MonotonicTime requested_at) {
@@ -58,19 +66,33 @@
   last_reading_ = inventory;
   last_reading_requested_at_ = requested_at;
   host_->AnnotateInventory(&inventory);
-  if (SameBackends(inventory, state_->fleet().inventory())) {
+  if (SameBackends(inventory, state_->fleet().inventory()) && !NeedsNewerAges()) {
     MarkCurrent(requested_at);
     return;
   }
   if (!proposal_in_flight_) Propose(inventory, requested_at);
 }
 
+bool InventoryPublisher::NeedsNewerAges() const {
+  if (runtime_->clock->Now() - ages_proposed_at_ < kAgesInterval) return false;
+  std::map<std::string, uint64_t> newest;
+  for (const ModelRevision& named : state_->fleet().revisions()) {
+    newest[named.model()] = named.revision();
+  }
+  const auto& backends = state_->fleet().inventory().backends();
+  return std::any_of(backends.begin(), backends.end(), [&newest](const Backend& backend) {
+    return backend.model_revision() > 0 && backend.model_revision() < newest[backend.model()];
+  });
+}
+
 void InventoryPublisher::Propose(const Inventory& inventory, runtime::MonotonicTime requested_at) {
   proposal_in_flight_ = true;
   const Inventory& replicated = state_->fleet().inventory();
   Command command;
   *command.mutable_set_inventory()->mutable_delta() = ComputeDelta(replicated, inventory);
   command.mutable_set_inventory()->set_base_version(replicated.version());
+  ages_proposed_at_ = runtime_->clock->Now();
+  revisions_->SaveAges(ages_proposed_at_, command.mutable_set_inventory()->mutable_revision_ages());
   proposer_->Propose(command, [this, requested_at](bool applied) {
     proposal_in_flight_ = false;
     if (applied) MarkCurrent(requested_at);
--- a/src/posthatch/control/server/push_scheduler.cc
+++ b/src/posthatch/control/server/push_scheduler.cc
@@ -15,12 +15,13 @@
 
 PushScheduler::PushScheduler(runtime::Runtime* runtime, const PushSchedulerOptions& options,
                              const Leadership* leadership, const ControlState* state,
-                             const InventoryPublisher* inventory, SessionTable* sessions,
-                             ControllerMetrics* metrics)
+                             const RevisionTimeline* revisions, const InventoryPublisher* inventory,
+                             SessionTable* sessions, ControllerMetrics* metrics)
     : runtime_(runtime),
       options_(options),
       leadership_(leadership),
       state_(state),
+      revisions_(revisions),
       inventory_(inventory),
       sessions_(sessions),
       metrics_(metrics),
@@ -72,6 +73,7 @@
   push->set_inventory_age_ms(inventory_->InventoryAgeMs());
   EncodeChangedSections(*state_, acked_versions, push->mutable_changed(),
                         push->mutable_changed_sections());
+  EncodeRevisionAges(*revisions_, runtime_->clock->Now(), push->mutable_changed());
   return SerializeDeterministically(message);
 }
 
--- a/src/posthatch/control/server/push_scheduler.h
+++ b/src/posthatch/control/server/push_scheduler.h
@@ -28,8 +28,8 @@
   // All pointers outlive this object.
   PushScheduler(runtime::Runtime* runtime, const PushSchedulerOptions& options,
                 const Leadership* leadership, const ControlState* state,
-                const InventoryPublisher* inventory, SessionTable* sessions,
-                ControllerMetrics* metrics);
+                const RevisionTimeline* revisions, const InventoryPublisher* inventory,
+                SessionTable* sessions, ControllerMetrics* metrics);
 
   // Pushes as soon as the rate limit allows; no effect while a push is scheduled already.
   void Schedule();
@@ -45,6 +45,7 @@
   const PushSchedulerOptions options_;
   const Leadership* const leadership_;
   const ControlState* const state_;
+  const RevisionTimeline* const revisions_;
   const InventoryPublisher* const inventory_;
   SessionTable* const sessions_;
   ControllerMetrics* const metrics_;
--- a/src/posthatch/control/server/section_encoder.cc
+++ b/src/posthatch/control/server/section_encoder.cc
@@ -1,6 +1,12 @@
 #include "posthatch/control/server/section_encoder.h"
 
 namespace posthatch::control {
+namespace {
+
+// Longer than any deadline of a revision that is set in practice.
+constexpr runtime::Duration kRepeatAgesFor = std::chrono::seconds(60);
+
+}  // namespace
 
 void EncodeChangedSections(const ControlState& state, const SectionIndices& acked_versions,
                            FleetState* changed,
@@ -12,4 +18,12 @@
   state.deltas().EncodeTrafficDelta(IndexOf(acked_versions, Section::kTraffic), changed);
 }
 
+void EncodeRevisionAges(const RevisionTimeline& revisions, runtime::MonotonicTime now,
+                        FleetState* changed) {
+  const bool any_is_new = now - revisions.newest_named_at() < kRepeatAgesFor;
+  if (any_is_new || !changed->revisions().empty()) {
+    revisions.SaveAges(now, changed->mutable_revision_ages());
+  }
+}
+
 }  // namespace posthatch::control
--- a/src/posthatch/control/server/section_encoder.h
+++ b/src/posthatch/control/server/section_encoder.h
@@ -5,6 +5,7 @@
 #include "google/protobuf/repeated_ptr_field.h"
 #include "posthatch/control/state/control_state.h"
 #include "posthatch/control/state/fleet_sections.h"
+#include "posthatch/control/state/revision_timeline.h"
 
 namespace posthatch::control {
 
@@ -15,4 +16,9 @@
                            FleetState* changed,
                            google::protobuf::RepeatedPtrField<std::string>* changed_sections);
 
+// Adds when the model revisions were named to a grant or push that carries them, or that is sent
+// while some of them are so new that their time counts: an earlier message may have come late.
+void EncodeRevisionAges(const RevisionTimeline& revisions, runtime::MonotonicTime now,
+                        FleetState* changed);
+
 }  // namespace posthatch::control
--- a/src/posthatch/control/server/session_server.cc
+++ b/src/posthatch/control/server/session_server.cc
@@ -7,15 +7,16 @@
 
 SessionServer::SessionServer(runtime::Runtime* runtime, runtime::Duration session_lease,
                              const consensus::ReplicatedLog* log, const Leadership* leadership,
-                             const ControlState* state, const InventoryPublisher* inventory,
-                             SessionTable* sessions, PushScheduler* pushes,
-                             ProposalServer* proposals, ControlMessenger* messenger,
-                             ControllerMetrics* metrics)
+                             const ControlState* state, const RevisionTimeline* revisions,
+                             const InventoryPublisher* inventory, SessionTable* sessions,
+                             PushScheduler* pushes, ProposalServer* proposals,
+                             ControlMessenger* messenger, ControllerMetrics* metrics)
     : runtime_(runtime),
       session_lease_(session_lease),
       log_(log),
       leadership_(leadership),
       state_(state),
+      revisions_(revisions),
       inventory_(inventory),
       sessions_(sessions),
       pushes_(pushes),
@@ -76,6 +77,7 @@
   grant->set_inventory_age_ms(inventory_->InventoryAgeMs());
   EncodeChangedSections(*state_, IndicesOf(renewal), grant->mutable_changed(),
                         grant->mutable_changed_sections());
+  EncodeRevisionAges(*revisions_, runtime_->clock->Now(), grant->mutable_changed());
   return message;
 }
 
--- a/src/posthatch/control/server/session_server.h
+++ b/src/posthatch/control/server/session_server.h
@@ -23,9 +23,9 @@
   // `session_lease` is granted with each renewal. All pointers outlive this object.
   SessionServer(runtime::Runtime* runtime, runtime::Duration session_lease,
                 const consensus::ReplicatedLog* log, const Leadership* leadership,
-                const ControlState* state, const InventoryPublisher* inventory,
-                SessionTable* sessions, PushScheduler* pushes, ProposalServer* proposals,
-                ControlMessenger* messenger, ControllerMetrics* metrics);
+                const ControlState* state, const RevisionTimeline* revisions,
+                const InventoryPublisher* inventory, SessionTable* sessions, PushScheduler* pushes,
+                ProposalServer* proposals, ControlMessenger* messenger, ControllerMetrics* metrics);
 
   void OnRenewal(const ControlPeer& sender, const SessionRenewal& renewal);
   void OnPushAck(const StatePushAck& ack);
@@ -43,6 +43,7 @@
   const consensus::ReplicatedLog* const log_;
   const Leadership* const leadership_;
   const ControlState* const state_;
+  const RevisionTimeline* const revisions_;
   const InventoryPublisher* const inventory_;
   SessionTable* const sessions_;
   PushScheduler* const pushes_;
--- a/src/posthatch/control/state/control_state.cc
+++ b/src/posthatch/control/state/control_state.cc
@@ -210,6 +210,10 @@
 CommandResult ControlState::ApplyInventory(uint64_t index, const SetInventory& command) {
   InventoryState::Change change;
   CommandResult result = inventory_.Apply(command, &change);
+  if (!command.revision_ages().empty()) {
+    *fleet_.mutable_revision_ages() = command.revision_ages();
+    sections_changed_ = true;
+  }
   if (!change.changed) return result;
   UpdateInventoryObjects(change);
   deltas_.RecordInventoryDelta(fleet_.inventory_index(),
--- a/src/posthatch/control/state/revision_timeline.cc
+++ b/src/posthatch/control/state/revision_timeline.cc
@@ -53,6 +53,14 @@
   return since;
 }
 
+runtime::MonotonicTime RevisionTimeline::newest_named_at() const {
+  runtime::MonotonicTime newest{};
+  for (const auto& [model, revisions] : models_) {
+    for (const auto& [revision, named_at] : revisions) newest = std::max(newest, named_at);
+  }
+  return newest;
+}
+
 void RevisionTimeline::SaveAges(runtime::MonotonicTime now,
                                 google::protobuf::RepeatedPtrField<RevisionAge>* ages) const {
   for (const auto& [model, revisions] : models_) {
--- a/src/posthatch/control/state/revision_timeline.h
+++ b/src/posthatch/control/state/revision_timeline.h
@@ -26,6 +26,8 @@
   // the newest. Later revisions don't change it.
   std::optional<runtime::MonotonicTime> OutdatedSince(const std::string& model,
                                                       uint64_t revision) const;
+  // When the last one of any model was named; the clock's epoch if none is known.
+  runtime::MonotonicTime newest_named_at() const;
   void SaveAges(runtime::MonotonicTime now,
                 google::protobuf::RepeatedPtrField<RevisionAge>* ages) const;
 
--- a/src/posthatch/server/revision_bound-test.cc
+++ b/src/posthatch/server/revision_bound-test.cc
@@ -43,8 +43,9 @@
       Run(gap / 2);
     }
   }
-  void ExpectNoOutdatedStart(size_t least_completed) {
-    const std::vector<std::string> late = fleet_->OutdatedStarts(kRevisionBound);
+  // `uncounted`: time without a core, in which the bound doesn't run.
+  void ExpectNoOutdatedStart(size_t least_completed, runtime::Duration uncounted = {}) {
+    const std::vector<std::string> late = fleet_->OutdatedStarts(kRevisionBound + uncounted);
     EXPECT_TRUE(late.empty()) << late.size() << " prompts, the first: " << late.front();
     EXPECT_GE(fleet_->CompletedPrompts(), least_completed);
   }
@@ -85,6 +86,22 @@
   ExpectNoOutdatedStart(600);
 }
 
+// Nobody is left who saw the revision named: its age stands in the log.
+TEST_P(RevisionBoundTest, HoldsWhenAllProcessesRestartDuringRollout) {
+  PlatformFleetPlan plan = SmallFleet();
+  plan.load_time = seconds(8);
+  StartFleet(plan);
+  Name(2);
+  Run(seconds(6));
+  std::vector<simulation::SimHost*> all = fleet_->controller_hosts;
+  all.insert(all.end(), fleet_->gateway_hosts.begin(), fleet_->gateway_hosts.end());
+  for (simulation::SimHost* host : all) host->Crash();
+  Run(milliseconds(300));
+  for (simulation::SimHost* host : all) host->Start();
+  Run(seconds(26));
+  ExpectNoOutdatedStart(400, seconds(2));
+}
+
 TEST_P(RevisionBoundTest, HoldsForEachOfSeveralRevisionsInSuccession) {
   PlatformFleetPlan plan = SmallFleet();
   plan.load_time = seconds(4);
