A prompt that waits for its first token is cancelled before its worker's revision runs out

What callers saw: prompts run under old weights 12 s and more after the newer revision was acknowledged, when workers were slow. Cause: the gateway stopped dispatching 1.3 s before the deadline, whatever a worker takes; nothing ended a prompt that had been dispatched in time and still waited there. The rule judges the first token. Change: an attempt that has no first event 300 ms before its revision's deadline is cancelled (cause 'outdated'); it goes to another worker if it may be repeated, else its caller gets 502 at once, since it may have run. Prompts that began run on. Checked by a timer for each attempt that waits under an outdated revision, and whenever the fleet's state changes. What is left: a worker that goes on after its connection has closed. Unit tests: TrafficRequestTest.PromptThatWaitsUnderOutdatedRevisionIsCancelledAndRetried, PromptThatBeganInTimeRunsOnUnderOutdatedRevision, CancelledPromptThatMayHaveRunIsNotRepeated (the first and third fail without the cancellation).

--- a/src/posthatch/routing/request_outcome.cc
+++ b/src/posthatch/routing/request_outcome.cc
@@ -38,6 +38,8 @@
       return "foreign_answer";
     case DispatchFailure::kServerError:
       return "worker_error";
+    case DispatchFailure::kOutdated:
+      return "outdated";
   }
   return "unknown";
 }
@@ -52,6 +54,7 @@
     case DispatchFailure::kTruncated:
     case DispatchFailure::kMismatched:
     case DispatchFailure::kServerError:
+    case DispatchFailure::kOutdated:
       return true;
   }
   return true;
--- a/src/posthatch/routing/request_outcome.h
+++ b/src/posthatch/routing/request_outcome.h
@@ -25,6 +25,7 @@
   kTruncated,    // "broken": the response ended early or is too large
   kMismatched,   // "foreign_answer": the response belongs to another request
   kServerError,  // "worker_error": a status that may not or need not be passed on
+  kOutdated,     // "outdated": cancelled, since it may no longer begin under the worker's revision
 };
 const char* FailureLabel(DispatchFailure failure);
 
--- a/src/posthatch/routing/traffic_gateway.cc
+++ b/src/posthatch/routing/traffic_gateway.cc
@@ -150,6 +150,14 @@
 void TrafficGateway::UpdatePool() {
   refresh_timer_.Start(kRefreshInterval, [this] { UpdatePool(); });
   pool_.Update(view_->state(), inventory_.local_snapshot(), view_->InventoryAge());
+  CheckRevisionDeadlines();
+}
+
+void TrafficGateway::CheckRevisionDeadlines() {
+  std::vector<std::shared_ptr<TrafficRequest>> running;  // requests_ changes when one ends
+  running.reserve(requests_.size());
+  for (const auto& [key, request] : requests_) running.push_back(request);
+  for (const std::shared_ptr<TrafficRequest>& request : running) request->CheckRevisionDeadline();
 }
 
 void TrafficGateway::SendLocalReply(http::ResponseWriter* writer, LocalReplyReason reason,
--- a/src/posthatch/routing/traffic_gateway.h
+++ b/src/posthatch/routing/traffic_gateway.h
@@ -80,6 +80,7 @@
     return control::IndexOf(now, section) != control::IndexOf(indices_, section);
   }
   void UpdatePool();
+  void CheckRevisionDeadlines();
   void Retire(TrafficRequest* request) override;
   void DestroyLater(std::unique_ptr<http::Call> call) override;
   void Sweep();
--- a/src/posthatch/routing/traffic_metrics.h
+++ b/src/posthatch/routing/traffic_metrics.h
@@ -17,7 +17,7 @@
                    "Requests sent to workers: first, retry, resume", "kind"),
         failures(registry, "posthatch_traffic_dispatch_failures_total",
                  "Dispatches that brought no whole answer: unreachable, not_executed, misdirected, "
-                 "lost, broken, foreign_answer, worker_error",
+                 "lost, broken, foreign_answer, worker_error, outdated",
                  "cause"),
         prompt_tokens(registry, "posthatch_traffic_prompt_tokens_total",
                       "Tokens of dispatched prompts: asked, believed_missing, fetched", "kind"),
--- a/src/posthatch/routing/traffic_request-test.cc
+++ b/src/posthatch/routing/traffic_request-test.cc
@@ -130,6 +130,53 @@
   EXPECT_EQ(client_.calls.size(), before);
 }
 
+// Incident 34: a prompt that had been dispatched in time began after the deadline of its revision.
+TEST_F(TrafficRequestTest, PromptThatWaitsUnderOutdatedRevisionIsCancelledAndRetried) {
+  options_.revision_deadline = seconds(4);
+  Start();
+  const auto writer = Send("resume");
+  const std::string first = Last().Field("Instance");
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  for (control::Backend& backend : *view_.fleet.mutable_inventory()->mutable_backends()) {
+    if (backend.id() != first) backend.set_model_revision(2);
+  }
+  view_.Changed();
+  timers_.Advance(milliseconds(3500));
+  EXPECT_FALSE(client_.calls[0]->cancelled);
+  timers_.Advance(milliseconds(300));
+  EXPECT_TRUE(client_.calls[0]->cancelled);
+  ASSERT_EQ(client_.calls.size(), 2U);
+  EXPECT_EQ(Last().Field("Revision"), "2");
+  Head(200);
+  Last().Piece("id: 1\ndata: x\n\n");
+  Last().End();
+  EXPECT_TRUE(writer->finished);
+}
+
+TEST_F(TrafficRequestTest, PromptThatBeganInTimeRunsOnUnderOutdatedRevision) {
+  options_.revision_deadline = seconds(3);
+  Start();
+  Send("stream");
+  Head(200);
+  Last().Piece("id: 1\ndata: x\n\n");
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  view_.Changed();
+  timers_.Advance(milliseconds(3500));
+  EXPECT_FALSE(client_.calls[0]->cancelled);
+}
+
+TEST_F(TrafficRequestTest, CancelledPromptThatMayHaveRunIsNotRepeated) {
+  options_.revision_deadline = seconds(3);
+  Start();
+  const auto writer = Send("stream");
+  view_.fleet.mutable_revisions(0)->set_revision(2);
+  view_.Changed();
+  timers_.Advance(milliseconds(2800));
+  EXPECT_TRUE(client_.calls[0]->cancelled);
+  EXPECT_EQ(client_.calls.size(), 1U);
+  EXPECT_EQ(writer->whole.status, 502);
+}
+
 TEST_F(TrafficRequestTest, DeadlineRepliesTimeoutAtOnce) {
   const auto writer = Send("once");
   timers_.Advance(seconds(5));
--- a/src/posthatch/routing/traffic_request.cc
+++ b/src/posthatch/routing/traffic_request.cc
@@ -50,7 +50,8 @@
       trace_(context, &admitted_),
       prompt_(context, &admitted_),
       retries_(&admitted_.route, &context->switches),
-      deadline_timer_(context->runtime->timers) {
+      deadline_timer_(context->runtime->timers),
+      revision_timer_(context->runtime->timers) {
   runtime::Duration timeout = std::chrono::milliseconds(admitted_.route.timeout_ms());
   if (admitted_.call.time_left.has_value()) timeout = std::min(timeout, *admitted_.call.time_left);
   deadline_ = admitted_.received_at + timeout;
@@ -195,6 +196,17 @@
       attempt_.worker->backend.endpoint(),
       context_->format->MakeDispatch(admitted_.request, fields), MakeCallOptions(),
       MakeCallObserver());
+  CheckRevisionDeadline();
+}
+
+void TrafficRequest::CheckRevisionDeadline() {
+  const bool waits = !ended_ && attempt_.worker != nullptr && !attempt_.first_event_seen;
+  if (!waits || !admitted_.IsPrompt()) return;
+  const std::optional<runtime::Duration> time_left =
+      context_->pool->TimeToBegin(attempt_.worker->backend.model(), attempt_.revision);
+  if (!time_left.has_value()) return;
+  if (*time_left <= runtime::Duration::zero()) return OnAttemptFailed(DispatchFailure::kOutdated);
+  revision_timer_.Start(*time_left, [this] { CheckRevisionDeadline(); });
 }
 
 // Announces to all gateways that the worker is about to cache the shared segments, unless it has
@@ -340,6 +352,8 @@
     case DispatchFailure::kNotExecuted:
     case DispatchFailure::kMisdirected:
       return context_->pool->OnRejected(attempt_.worker.get());
+    case DispatchFailure::kOutdated:
+      return;
     case DispatchFailure::kLost:
     case DispatchFailure::kTruncated:
     case DispatchFailure::kMismatched:
@@ -415,6 +429,7 @@
   ReleaseWorker();
   ended_ = true;
   deadline_timer_.Cancel();
+  revision_timer_.Cancel();
   context_->metrics->responses.Increment(OutcomeLabel(outcome));
   trace_.Ended(outcome, retries_, stream_started_);
   context_->owner->Retire(this);
--- a/src/posthatch/routing/traffic_request.h
+++ b/src/posthatch/routing/traffic_request.h
@@ -32,6 +32,8 @@
   TrafficRequest& operator=(const TrafficRequest&) = delete;
 
   void Start();
+  // The times of model revisions may have changed: ends an attempt that must not begin any more.
+  void CheckRevisionDeadline();
 
  private:
   // One dispatch; its worker is released when it ends.
@@ -96,6 +98,7 @@
   RetryState retries_;
   runtime::MonotonicTime deadline_;
   runtime::Timer deadline_timer_;
+  runtime::Timer revision_timer_;  // runs while the attempt waits under an outdated revision
   bool ended_ = false;
   bool stream_started_ = false;  // the caller has got the head of a stream
   SseFramer events_;
--- a/src/posthatch/routing/worker_pool.cc
+++ b/src/posthatch/routing/worker_pool.cc
@@ -16,6 +16,9 @@
 // Workers of an older revision get no new work from so long before the deadline on: this gateway
 // may have learnt of the revision one session renewal later than its sender was acknowledged.
 constexpr runtime::Duration kRevisionSafetyMargin = std::chrono::milliseconds(1300);
+// A prompt that waits for its first token under an older revision is cancelled so long before the
+// deadline: the worker has to hear of it.
+constexpr runtime::Duration kCancellationMargin = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -201,6 +204,13 @@
   return runtime_->clock->Now() - *since;
 }
 
+std::optional<runtime::Duration> WorkerPool::TimeToBegin(const std::string& model,
+                                                         uint64_t revision) const {
+  const std::optional<runtime::Duration> outdated_for = OutdatedFor(model, revision);
+  if (!outdated_for.has_value()) return std::nullopt;
+  return options_.revision_deadline - kCancellationMargin - *outdated_for;
+}
+
 void WorkerPool::OnDispatched(Worker* worker, uint64_t pending_tokens) {
   ++worker->in_flight;
   worker->pending_tokens += pending_tokens;
--- a/src/posthatch/routing/worker_pool.h
+++ b/src/posthatch/routing/worker_pool.h
@@ -63,6 +63,9 @@
   // For how long `revision` of `model` has been outdated, as far as this gateway knows; nothing if
   // it is the newest.
   std::optional<runtime::Duration> OutdatedFor(const std::string& model, uint64_t revision) const;
+  // For how long yet a prompt that has been dispatched under `revision` may wait there for its
+  // first token; negative: it must be cancelled. Nothing if it is the newest.
+  std::optional<runtime::Duration> TimeToBegin(const std::string& model, uint64_t revision) const;
   bool IsPastRevisionDeadline(runtime::Duration outdated_for) const {
     return outdated_for > options_.revision_deadline;
   }
