A roll-out's pace follows its deadline

Cause: RolloutCoordinator had one pace whatever time was left: a canary alone for as long as it takes, then twice a fifth of the workers; a worker that never finished kept its place; controllers were never told the bound. With the old pace put back RolloutCoordinatorTest.CommandsAllBeforeDeadlineWhenLoadsAreSlow, NewLeaderMeetsDeadlineOfRevisionNamedBefore and four of RolloutPaceTest fail; with the old accounting of stuck workers too, StuckCanaryDoesNotHoldUpOthers. Change: rollout_pace.h computes, from the time that is left and the loads seen so far, how many workers may be in progress: as before while that is enough, more when the last worker would else start less than 2.5 s before the deadline, all at once then. A worker commanded 6 s ago frees its place. The deadline is that of the oldest revision still served, from RevisionTimeline, so a new leader continues it. Setting controller.revision_deadline_ms, filled from bounds.version_ms; RolloutStarted says the time left, posthatch_rollout_seconds_left too. Why it works: RolloutPaceTest.FollowedFromAnyMomentItStartsAllInTime starts 1 to 300 workers with loads of 0.1 to 20 s in time.

--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -54,6 +54,10 @@
         self.list_address = self._ip(9, 1) + ':8784'
         self.list = InstanceList(self.pool, self.list_address, 44)
         self._seeds = [0, 1, 2]
+        self._templates = {}
+        for role in ('controller', 'gateway'):
+            with open(os.path.join(options.deploy, f'{role}.toml.in'), encoding='utf-8') as file:
+                self._templates[role] = file.read()
         self._ready = set()
         self._replaced = 0
 
@@ -79,8 +83,7 @@
             'bounds': {'grace_s': 8, 'drain_ms': 3000, 'version_ms': 12000, 'version_all_ms': 17000,
                        'lease_ms': 3000, 'retry_budget_ratio': 0.2, 'budget_slack': 56, 'config_apply_ms': 2000},
         }
-        with open(os.path.join(ROOT, 'deploy', f'{role}.toml.in'), encoding='utf-8') as file:
-            return settings_template.fill(file.read(), fields)
+        return settings_template.fill(self._templates[role], fields)
 
     @staticmethod
     def _node(role, number):
@@ -253,7 +256,7 @@
         while waiting and len(running) < options.parallel:
             seed = waiting.pop(0)
             command = [sys.executable, __file__, '--program', options.program, '--one', str(seed)]
-            for name in ('seconds', 'controllers', 'gateways', 'workers', 'clients'):
+            for name in ('deploy', 'seconds', 'controllers', 'gateways', 'workers', 'clients'):
                 command += [f'--{name}', str(getattr(options, name))]
             if options.keep:
                 command += ['--keep', options.keep]
@@ -279,6 +282,7 @@
     parser.add_argument('--gateways', type=int, default=8)
     parser.add_argument('--workers', type=int, default=18)
     parser.add_argument('--clients', type=int, default=24)
+    parser.add_argument('--deploy', default=os.path.join(ROOT, 'deploy'), help='folder of the settings templates')
     parser.add_argument('--keep', help='folder that keeps settings, logs and disks')
     parser.add_argument('--one', type=int, help='plays this seed alone, in this process')
     options = parser.parse_args()
--- a/src/posthatch/rollout/rollout_coordinator-test.cc
+++ b/src/posthatch/rollout/rollout_coordinator-test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,11 +45,10 @@
   }
 };
 
-// A controller that leads, and workers that take `kLoadTime` to load.
+// A controller that leads, and workers that take `load_time_` to load.
 class RolloutCoordinatorTest : public testing::Test {
  protected:
   static constexpr int kWorkers = 10;
-  static constexpr runtime::Duration kLoadTime = milliseconds(700);
 
   RolloutCoordinatorTest() : world_(3) {
     controller_ = world_.AddHost("controller", "a", "10.0.0.1");
@@ -59,6 +59,7 @@
       RolloutCoordinator::Dependencies dependencies;
       dependencies.format = &format_;
       dependencies.fleet = [this]() -> const control::FleetState& { return fleet_; };
+      dependencies.revisions = &revision_timeline_;
       dependencies.may_command = [this] { return may_order_; };
       dependencies.publish = [this] { Publish(); };
       coordinator_ = std::make_shared<RolloutCoordinator>(runtime, options, dependencies);
@@ -104,7 +105,8 @@
     EXPECT_TRUE(MarkedLoading(id)) << "gateways must keep away before the worker is ordered";
     loading_[id] = std::stoull(request.target.substr(7));
     most_loading_ = std::max(most_loading_, loading_.size());
-    world_.At(kLoadTime, [this, id] {
+    if (never_loads_.contains(id)) return response;
+    world_.At(load_time_, [this, id] {
       revisions_[id] = loading_[id];
       loading_.erase(id);
     });
@@ -126,7 +128,11 @@
     *fleet_.mutable_inventory() = reading;
   }
 
-  void Name(uint64_t revision) { fleet_.mutable_revisions(0)->set_revision(revision); }
+  void Name(uint64_t revision) {
+    fleet_.mutable_revisions(0)->set_revision(revision);
+    revision_timeline_.Observe(fleet_, world_.Now());
+  }
+  size_t CommandedWorkers() const { return std::set(orders_.begin(), orders_.end()).size(); }
   bool AllServe(uint64_t revision) const {
     return std::all_of(revisions_.begin(), revisions_.end(),
                        [&](const auto& entry) { return entry.second == revision; });
@@ -136,12 +142,15 @@
   simulation::SimWorld world_;
   simulation::SimHost* controller_;
   control::FleetState fleet_;
+  control::RevisionTimeline revision_timeline_;
   std::shared_ptr<RolloutCoordinator> coordinator_;
   std::map<std::string, uint64_t> revisions_;
   std::map<std::string, uint64_t> loading_;
   std::vector<std::string> orders_;
   std::vector<std::string> tokens_;
   size_t most_loading_ = 0;
+  runtime::Duration load_time_ = milliseconds(700);
+  std::set<std::string> never_loads_;
   int order_status_ = 202;
   bool may_order_ = true;
   bool publishing_ = true;
@@ -237,6 +246,38 @@
   EXPECT_TRUE(AllServe(3));
 }
 
+// Incident 34: the last workers were commanded past the deadline when loads were slow.
+TEST_F(RolloutCoordinatorTest, CommandsAllBeforeDeadlineWhenLoadsAreSlow) {
+  load_time_ = seconds(5);
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  Name(2);
+  world_.RunFor(seconds(10));
+  EXPECT_EQ(CommandedWorkers(), static_cast<size_t>(kWorkers));
+}
+
+// Incident 34: a worker in progress that never finished kept its place for good.
+TEST_F(RolloutCoordinatorTest, StuckCanaryDoesNotHoldUpOthers) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  never_loads_ = {"w0"};
+  Name(2);
+  world_.RunFor(seconds(12));
+  EXPECT_EQ(CommandedWorkers(), static_cast<size_t>(kWorkers));
+  EXPECT_EQ(revisions_["w9"], 2U);
+}
+
+// A new leader continues the time of its predecessor.
+TEST_F(RolloutCoordinatorTest, NewLeaderMeetsDeadlineOfRevisionNamedBefore) {
+  load_time_ = seconds(3);
+  Name(2);
+  world_.RunFor(seconds(7));
+  coordinator_->OnLeadership(true, 8);
+  Publish();
+  world_.RunFor(seconds(4));
+  EXPECT_EQ(CommandedWorkers(), static_cast<size_t>(kWorkers));
+}
+
 TEST_F(RolloutCoordinatorTest, FencedLeaderBacksOff) {
   coordinator_->OnLeadership(true, 7);
   world_.RunFor(seconds(4));
--- a/src/posthatch/rollout/rollout_coordinator.cc
+++ b/src/posthatch/rollout/rollout_coordinator.cc
@@ -1,7 +1,6 @@
 #include "posthatch/rollout/rollout_coordinator.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -9,6 +8,7 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+constexpr double kMillisecondsPerSecond = 1000;
 constexpr size_t kMaxStatusBytes = size_t{1} << 20;
 // Between ticks while no worker is in progress.
 constexpr runtime::Duration kIdleTickInterval = std::chrono::milliseconds(200);
@@ -93,15 +93,52 @@
   StartNextWorkers();
 }
 
+runtime::Duration RolloutCoordinator::TimeLeft(const ModelSurvey& survey) const {
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  return options_.revision_deadline - (now - survey.outdated_since.value_or(now));
+}
+
 size_t RolloutCoordinator::MaxConcurrentWorkers(const std::string& model,
                                                 const ModelSurvey& survey) const {
+  RolloutStanding standing;
+  standing.workers = survey.workers;
+  standing.in_progress = survey.in_progress - survey.stuck;
+  standing.outdated = survey.outdated;
   const auto proven = proven_revisions_.find(model);
-  const bool is_proven =
+  standing.is_proven =
       proven != proven_revisions_.end() && proven->second >= survey.target_revision;
-  if (!is_proven) return 1;  // the canary
-  const auto loading = static_cast<size_t>(
-      std::floor(static_cast<double>(survey.workers) * options_.max_loading_fraction));
-  return 2 * std::max<size_t>(loading, 1);
+  standing.time_left = TimeLeft(survey);
+  standing.load_duration = survey.longest_in_progress;
+  const auto rollout = rollouts_.find(model);
+  if (rollout != rollouts_.end() && rollout->second.loads > 0) {
+    const auto loads = static_cast<int64_t>(rollout->second.loads);
+    standing.load_duration = std::max(standing.load_duration, rollout->second.loads_took / loads);
+  }
+  return MaxWorkersInProgress(options_.pace, standing);
+}
+
+runtime::Duration RolloutCoordinator::LoadingFor(const Progress& progress) const {
+  if (!progress.first_commanded_at.has_value()) return runtime::Duration::zero();
+  return runtime_->clock->Now() - *progress.first_commanded_at;
+}
+
+void RolloutCoordinator::SurveyProgress(const std::string& worker_id, ModelSurvey* model) const {
+  ++model->in_progress;
+  const auto found = active_.find(worker_id);
+  if (found == active_.end()) return;  // the previous leader commanded it
+  const runtime::Duration elapsed = LoadingFor(found->second);
+  if (elapsed >= options_.stuck_after) {
+    ++model->stuck;
+  } else {
+    model->longest_in_progress = std::max(model->longest_in_progress, elapsed);
+  }
+}
+
+void RolloutCoordinator::SurveyRevision(const control::Backend& worker, uint64_t revision,
+                                        ModelSurvey* model) const {
+  const auto since = dependencies_.revisions->OutdatedSince(worker.model(), revision);
+  if (!since.has_value()) return;
+  model->outdated_since = std::min(model->outdated_since.value_or(*since), *since);
 }
 
 RolloutCoordinator::Survey RolloutCoordinator::SurveyFleet() {
@@ -114,11 +151,12 @@
     ModelSurvey& model = survey.models[backend.model()];
     ++model.workers;
     const bool commanded_before = InLeaderHandover() && backend.recently_ordered();
+    const uint64_t revision = RevisionOf(backend);
+    if (revision < model.target_revision) SurveyRevision(backend, revision, &model);
     if (active_.contains(backend.id()) || (commanded_before && backend.loading())) {
-      ++model.in_progress;
+      SurveyProgress(backend.id(), &model);
       continue;
     }
-    const uint64_t revision = RevisionOf(backend);
     if (revision >= model.target_revision) {
       uint64_t& proven = proven_revisions_[backend.model()];
       proven = std::max(proven, revision);
@@ -133,18 +171,22 @@
 void RolloutCoordinator::ReportProgress(const Survey& survey) {
   size_t outdated = 0;
   size_t in_progress = 0;
+  runtime::Duration time_left = options_.revision_deadline;
   for (const auto& [name, model] : survey.models) {
     outdated += model.outdated;
     in_progress += model.in_progress;
     const size_t behind = model.outdated + model.in_progress;
     Rollout& rollout = rollouts_[name];
     if (behind > 0 && rollout.target != model.target_revision) {
-      rollout = {model.target_revision, runtime_->clock->Now(), false};
+      rollout = Rollout();
+      rollout.target = model.target_revision;
+      rollout.seen_at = runtime_->clock->Now();
       runtime_->trace->Event(runtime::Severity::kInfo, "RolloutStarted",
                              {{"model", name},
                               {"revision", model.target_revision},
                               {"outdated", behind},
-                              {"workers", model.workers}});
+                              {"workers", model.workers},
+                              {"time_left_ms", runtime::ToMilliseconds(TimeLeft(model))}});
     } else if (behind == 0 && rollout.target == model.target_revision && !rollout.finished) {
       rollout.finished = true;
       const runtime::Duration elapsed = runtime_->clock->Now() - rollout.seen_at;
@@ -153,9 +195,11 @@
                               {"revision", model.target_revision},
                               {"elapsed_ms", runtime::ToMilliseconds(elapsed)}});
     }
+    if (behind > 0) time_left = std::min(time_left, TimeLeft(model));
   }
   metrics_.outdated().Set(static_cast<double>(outdated));
   metrics_.in_progress().Set(static_cast<double>(in_progress));
+  metrics_.time_left().Set(runtime::ToMilliseconds(time_left) / kMillisecondsPerSecond);
 }
 
 void RolloutCoordinator::StartNextWorkers() {
@@ -164,14 +208,15 @@
   bool started = false;
   for (const control::Backend* backend : survey.outdated) {
     ModelSurvey& model = survey.models[backend->model()];
-    if (model.in_progress >= MaxConcurrentWorkers(backend->model(), model)) continue;
+    const size_t occupied = model.in_progress - model.stuck;
+    if (occupied >= MaxConcurrentWorkers(backend->model(), model)) continue;
     ++model.in_progress;
+    --model.outdated;
     Progress& progress = active_[backend->id()];
     progress.model = backend->model();
     progress.endpoint = backend->endpoint();
     progress.target = model.target_revision;
     progress.stage_started_at = runtime_->clock->Now();
-    progress.announced_at = progress.stage_started_at;
     started = true;
   }
   if (started) dependencies_.publish();
@@ -241,6 +286,9 @@
   progress->stage = Stage::kCommandSent;
   progress->stage_started_at = runtime_->clock->Now();
   commanded_at_[worker_id] = progress->stage_started_at;
+  if (!progress->first_commanded_at.has_value()) {
+    progress->first_commanded_at = progress->stage_started_at;
+  }
   runtime_->trace->Event(runtime::Severity::kInfo, "WeightLoadRequested",
                          {{"worker", worker_id},
                           {"model", progress->model},
@@ -298,13 +346,18 @@
 
 void RolloutCoordinator::FinishWorker(const std::string& worker_id) {
   const Progress& progress = active_.at(worker_id);
-  const runtime::Duration elapsed = runtime_->clock->Now() - progress.announced_at;
+  const runtime::Duration elapsed = LoadingFor(progress);
   runtime_->trace->Event(runtime::Severity::kInfo, "WeightLoadFinished",
                          {{"worker", worker_id},
                           {"model", progress.model},
                           {"revision", progress.target},
                           {"elapsed_ms", runtime::ToMilliseconds(elapsed)}});
   metrics_.finished().Increment();
+  Rollout& rollout = rollouts_[progress.model];
+  if (rollout.target == progress.target) {
+    ++rollout.loads;
+    rollout.loads_took += elapsed;
+  }
   active_.erase(worker_id);
   dependencies_.publish();
 }
--- a/src/posthatch/rollout/rollout_coordinator.h
+++ b/src/posthatch/rollout/rollout_coordinator.h
@@ -4,11 +4,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "posthatch/control/control.pb.h"
+#include "posthatch/control/state/revision_timeline.h"
 #include "posthatch/rollout/rollout_metrics.h"
+#include "posthatch/rollout/rollout_pace.h"
 #include "posthatch/rollout/worker_command_format.h"
 #include "posthatch/runtime/runtime.h"
 
@@ -27,16 +30,20 @@
   runtime::Duration call_timeout = std::chrono::milliseconds(600);
   // A worker that has not loaded by then gets its command again.
   runtime::Duration load_timeout = std::chrono::seconds(6);
-  // Workers that load at one time, as a fraction of all workers of the model; twice as many may be
-  // in progress, since a worker finishes its running requests first.
-  double max_loading_fraction = 0.2;
+  // A worker that was first commanded so long ago gives its place to another; it is polled and
+  // commanded on.
+  runtime::Duration stuck_after = std::chrono::seconds(6);
+  // From when a revision is named until no worker may begin a request under an older one.
+  runtime::Duration revision_deadline = std::chrono::seconds(12);
+  RolloutPaceOptions pace;
 };
 
-// Rolls model revisions out to workers, a few at a time: a canary first, and the others only once
-// it serves the new revision. Active on the leading controller only, whose term is the fencing
-// token of its commands. Keeps no state that must survive: a worker gets its command only once its
-// marks (loading, recently_ordered) are in the replicated inventory, so a new leader sees there how
-// far the rollout got and which workers the previous leader may have commanded.
+// Rolls model revisions out to workers, a few at a time: a canary first, and the others once it
+// serves the new revision, or once waiting would miss the deadline (rollout_pace.h). Active on the
+// leading controller only, whose term is the fencing token of its commands. Keeps no state that
+// must survive: a worker gets its command only once its marks (loading, recently_ordered) are in
+// the replicated inventory, so a new leader sees there how far the rollout got and which workers
+// the previous leader may have commanded.
 //
 // A worker's way: announced (marked, and drained of new requests) -> command sent -> loading
 // (polled for its status) -> finished. A command that is lost or rejected is sent again.
@@ -48,6 +55,8 @@
     const WorkerCommandFormat* format = nullptr;
     // The control state's fleet, as of the last applied command.
     std::function<const control::FleetState&()> fleet;
+    // When the revisions were named; outlives the coordinator.
+    const control::RevisionTimeline* revisions = nullptr;
     // Whether this controller may send commands now: it leads, and a majority confirms it.
     std::function<bool()> may_command;
     // Publishes the inventory again: the marks have changed.
@@ -78,7 +87,7 @@
     Stage stage = Stage::kAnnounced;
     runtime::MonotonicTime stage_started_at;
     runtime::MonotonicTime next_poll_at;  // while loading
-    runtime::MonotonicTime announced_at;
+    std::optional<runtime::MonotonicTime> first_commanded_at;
     uint64_t call_number = 0;  // of the running call; responses to others are ignored
     std::unique_ptr<http::Call> call;
   };
@@ -87,6 +96,8 @@
     uint64_t target = 0;
     runtime::MonotonicTime seen_at;
     bool finished = false;
+    size_t loads = 0;  // that have ended
+    runtime::Duration loads_took{0};
   };
 
   void Tick();
@@ -98,6 +109,10 @@
     size_t workers = 0;
     size_t in_progress = 0;
     size_t outdated = 0;  // and not in progress
+    size_t stuck = 0;     // of those in progress
+    // When the oldest revision that some worker still serves became outdated.
+    std::optional<runtime::MonotonicTime> outdated_since;
+    runtime::Duration longest_in_progress{0};  // of those that are not stuck
   };
   struct Survey {
     std::map<std::string, ModelSurvey> models;
@@ -108,8 +123,13 @@
   Survey SurveyFleet();
   // Tells operators when a roll-out begins and ends, and how far it is.
   void ReportProgress(const Survey& survey);
-  // How many of a model's workers may be in progress at one time.
+  void SurveyProgress(const std::string& worker_id, ModelSurvey* model) const;
+  void SurveyRevision(const control::Backend& worker, uint64_t revision, ModelSurvey* model) const;
+  // Since its first command; zero before it.
+  runtime::Duration LoadingFor(const Progress& progress) const;
+  // How many of a model's workers may be in progress at one time, without stuck ones.
   size_t MaxConcurrentWorkers(const std::string& model, const ModelSurvey& survey) const;
+  runtime::Duration TimeLeft(const ModelSurvey& survey) const;
   bool InLeaderHandover() const { return runtime_->clock->Now() < handover_until_; }
   bool RecentlyCommanded(const std::string& worker_id) const;
   // The worker's entry in the replicated inventory; null if there is none.
--- a/src/posthatch/rollout/rollout_metrics.h
+++ b/src/posthatch/rollout/rollout_metrics.h
@@ -21,12 +21,16 @@
         in_progress_(
             &util::AddGauge(Exposed(registry), "posthatch_rollout_workers_in_progress",
                             "Workers that are about to load a model revision, or load it")),
+        time_left_(&util::AddGauge(Exposed(registry), "posthatch_rollout_seconds_left",
+                                   "To the deadline of the oldest revision that a worker serves; "
+                                   "the whole time while none is outdated")),
         finished_(
             &util::AddCounter(Exposed(registry), "posthatch_rollout_loads_finished_total",
                               "Workers that serve the revision they were commanded to load")) {}
 
   prometheus::Gauge& outdated() { return *outdated_; }
   prometheus::Gauge& in_progress() { return *in_progress_; }
+  prometheus::Gauge& time_left() { return *time_left_; }
   prometheus::Counter& finished() { return *finished_; }
 
  private:
@@ -37,6 +41,7 @@
   const std::unique_ptr<prometheus::Registry> unexposed_;
   prometheus::Gauge* const outdated_;
   prometheus::Gauge* const in_progress_;
+  prometheus::Gauge* const time_left_;
   prometheus::Counter* const finished_;
 };
 
--- /dev/null
+++ b/src/posthatch/rollout/rollout_pace-test.cc
@@ -0,0 +1,76 @@
+#include "posthatch/rollout/rollout_pace.h"
+
+#include <gtest/gtest.h>
+
+namespace posthatch::rollout {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+RolloutStanding Standing(size_t outdated, runtime::Duration time_left,
+                         runtime::Duration load_duration) {
+  RolloutStanding standing;
+  standing.workers = 18;
+  standing.outdated = outdated;
+  standing.is_proven = true;
+  standing.time_left = time_left;
+  standing.load_duration = load_duration;
+  return standing;
+}
+
+TEST(RolloutPaceTest, OrdinaryWhileThereIsTime) {
+  EXPECT_EQ(MaxWorkersInProgress({}, Standing(17, seconds(10), seconds(2))), 6U);
+}
+
+TEST(RolloutPaceTest, UnprovenRevisionGoesToOneWorker) {
+  RolloutStanding standing = Standing(18, seconds(12), seconds(0));
+  standing.is_proven = false;
+  EXPECT_EQ(MaxWorkersInProgress({}, standing), 1U);
+}
+
+// Incident 34: with workers that load slowly the last ones were commanded past the deadline.
+TEST(RolloutPaceTest, RisesWithSlowLoads) {
+  // Two turns: at once, and when the first ones have ended.
+  EXPECT_EQ(MaxWorkersInProgress({}, Standing(16, milliseconds(6500), seconds(4))), 8U);
+}
+
+TEST(RolloutPaceTest, AllAtOnceBeforeDeadlineAndAfterIt) {
+  EXPECT_EQ(MaxWorkersInProgress({}, Standing(12, seconds(2), seconds(1))), 12U);
+  EXPECT_EQ(MaxWorkersInProgress({}, Standing(12, seconds(-5), seconds(1))), 12U);
+}
+
+// Incident 34: a canary that never finished kept all others waiting.
+TEST(RolloutPaceTest, DoesNotWaitForCanaryPastTheOrdinaryPace) {
+  RolloutStanding standing = Standing(17, seconds(7), seconds(5));
+  standing.in_progress = 1;
+  standing.is_proven = false;
+  EXPECT_GT(MaxWorkersInProgress({}, standing), 6U);
+}
+
+// Whatever the loads take, following the pace starts every worker in time.
+TEST(RolloutPaceTest, FollowedFromAnyMomentItStartsAllInTime) {
+  for (size_t workers = 1; workers <= 300; workers += 13) {
+    for (int load_ms = 100; load_ms <= 20000; load_ms += 700) {
+      const runtime::Duration load = milliseconds(load_ms);
+      runtime::Duration time_left = seconds(12);
+      std::vector<runtime::Duration> ends;  // time left when a started load ends
+      size_t outdated = workers;
+      while (outdated > 0 && time_left > runtime::Duration::zero()) {
+        std::erase_if(ends, [&](runtime::Duration end) { return end >= time_left; });
+        RolloutStanding standing = Standing(outdated, time_left, load);
+        standing.workers = workers;
+        standing.in_progress = ends.size();
+        const size_t places = MaxWorkersInProgress({}, standing);
+        for (; ends.size() < places && outdated > 0; --outdated) ends.push_back(time_left - load);
+        time_left -= milliseconds(50);
+      }
+      EXPECT_EQ(outdated, 0U) << workers << " workers, " << load_ms << " ms a load";
+      EXPECT_GE(time_left, milliseconds(2400))
+          << workers << " workers, " << load_ms << " ms a load";
+    }
+  }
+}
+
+}  // namespace
+}  // namespace posthatch::rollout
--- a/src/posthatch/server/controller_node.cc
+++ b/src/posthatch/server/controller_node.cc
@@ -53,6 +53,7 @@
   rollout::RolloutOptions options;
   options.issuer = settings_.node.node_id;
   options.handover_period = settings_.order_handover;
+  options.revision_deadline = settings_.revision_deadline;
   return options;
 }
 
@@ -60,6 +61,7 @@
   rollout::RolloutCoordinator::Dependencies dependencies;
   dependencies.format = formats_->worker_commands;
   dependencies.fleet = [this]() -> const control::FleetState& { return state_.fleet(); };
+  dependencies.revisions = &service_.revision_timeline();
   dependencies.may_command = [this] { return service_.leading() && replica_.HasQuorumNow(); };
   dependencies.publish = [this] { service_.RefreshInventory(); };
   return dependencies;
--- a/src/posthatch/server/settings/controller_table.cc
+++ b/src/posthatch/server/settings/controller_table.cc
@@ -65,6 +65,15 @@
        .help =
            "How long a new leading controller waits before it orders workers, so that two never "
            "order one by turns."},
+      {.table = "controller",
+       .name = "revision_deadline_ms",
+       .kind = SettingKind::kMilliseconds,
+       .roles = SettingRoles::kController,
+       .minimum = 100,
+       .maximum = 10 * kMinuteMs,
+       .target = Target<&ControllerSettings::revision_deadline>,
+       .help = "Routed traffic: from when a model revision is named until every worker must have "
+               "been commanded to load it; the same as the gateways' setting."},
   };
 }
 
