A refresh of the inventory that was due in a lost term publishes nothing

Cause: InventoryPublisher::Reset forgot the last reading but left its refresh timer running. With leadership back within 40 ms and the platform's inventory not read again by then, the timer published the empty reading: every worker left the fleet's state. Change: Reset cancels the timer. Why it works: a new term refreshes only what it has read itself; its first reading publishes.

--- a/src/posthatch/control/server/controller_service-test.cc
+++ b/src/posthatch/control/server/controller_service-test.cc
@@ -314,6 +314,19 @@
   EXPECT_TRUE(Session(0).LeaseValid());
 }
 
+// A refresh of the term before found no reading in the new one, and published an empty inventory.
+TEST_P(ControllerServiceTest, RefreshOfLostTermPublishesNothing) {
+  ASSERT_EQ(Session(0).state().inventory().backends_size(), 6);
+  fleet_.world.FindHost("inventory")->Crash();
+  fleet_.Controller(fleet_.controller_hosts[0])->service.RefreshInventory();
+  Elect(1);
+  fleet_.world.RunFor(milliseconds(10));
+  Elect(0);
+  fleet_.world.RunFor(seconds(2));
+  EXPECT_EQ(
+      fleet_.Controller(fleet_.controller_hosts[0])->state.fleet().inventory().backends_size(), 6);
+}
+
 TEST_P(ControllerServiceTest, RejectsProposalsBeyondLimit) {
   int rejected = 0;
   int done = 0;
--- a/src/posthatch/control/server/inventory_publisher.cc
+++ b/src/posthatch/control/server/inventory_publisher.cc
@@ -42,6 +42,7 @@
   is_current_ = false;
   last_reading_.Clear();
   refresh_pending_ = false;
+  refresh_timer_.Cancel();
 }
 
 uint32_t InventoryPublisher::InventoryAgeMs() const {
