A worker that was left behind does not hurry the next roll-out

Cause: the pace took the time left of the oldest revision that any worker still serves. One worker that can't be reached is overdue for good, so the next revision would have gone to all workers at once, without a canary. Change: each worker has its own deadline. One that is overdue (less than 2.5 s left) starts at once and occupies no place; the pace of the others is the most that the workers of any one deadline need together with those of earlier ones. Soonest first.

--- a/src/posthatch/rollout/rollout_coordinator-test.cc
+++ b/src/posthatch/rollout/rollout_coordinator-test.cc
@@ -267,6 +267,25 @@
   EXPECT_EQ(revisions_["w9"], 2U);
 }
 
+// It is overdue for good; the next revision goes out with a canary and a few at a time all the
+// same.
+TEST_F(RolloutCoordinatorTest, WorkerLeftBehindDoesNotHurryNextRevision) {
+  coordinator_->OnLeadership(true, 7);
+  world_.RunFor(seconds(4));
+  never_loads_ = {"w0"};
+  Name(2);
+  world_.RunFor(seconds(20));
+  most_loading_ = 0;
+  loading_.clear();
+  orders_.clear();
+  Name(3);
+  world_.RunFor(milliseconds(800));
+  EXPECT_LE(CommandedWorkers(), 2U) << "the canary, and the one that was left behind";
+  world_.RunFor(seconds(9));
+  EXPECT_EQ(CommandedWorkers(), static_cast<size_t>(kWorkers));
+  EXPECT_LE(most_loading_, 5U);
+}
+
 // A new leader continues the time of its predecessor.
 TEST_F(RolloutCoordinatorTest, NewLeaderMeetsDeadlineOfRevisionNamedBefore) {
   load_time_ = seconds(3);
--- a/src/posthatch/rollout/rollout_coordinator.cc
+++ b/src/posthatch/rollout/rollout_coordinator.cc
@@ -93,28 +93,28 @@
   StartNextWorkers();
 }
 
-runtime::Duration RolloutCoordinator::TimeLeft(const ModelSurvey& survey) const {
-  const runtime::MonotonicTime now = runtime_->clock->Now();
-  return options_.revision_deadline - (now - survey.outdated_since.value_or(now));
+runtime::Duration RolloutCoordinator::TimeLeft(const std::string& model, uint64_t revision) const {
+  const auto since = dependencies_.revisions->OutdatedSince(model, revision);
+  if (!since.has_value()) return options_.revision_deadline;
+  return options_.revision_deadline - (runtime_->clock->Now() - *since);
 }
 
 size_t RolloutCoordinator::MaxConcurrentWorkers(const std::string& model,
                                                 const ModelSurvey& survey) const {
   RolloutStanding standing;
   standing.workers = survey.workers;
-  standing.in_progress = survey.in_progress - survey.stuck;
-  standing.outdated = survey.outdated;
+  standing.places_occupied = survey.places_occupied;
+  standing.times_left = survey.times_left;
   const auto proven = proven_revisions_.find(model);
   standing.is_proven =
       proven != proven_revisions_.end() && proven->second >= survey.target_revision;
-  standing.time_left = TimeLeft(survey);
-  standing.load_duration = survey.longest_in_progress;
+  standing.load_duration = survey.longest_load;
   const auto rollout = rollouts_.find(model);
   if (rollout != rollouts_.end() && rollout->second.loads > 0) {
     const auto loads = static_cast<int64_t>(rollout->second.loads);
     standing.load_duration = std::max(standing.load_duration, rollout->second.loads_took / loads);
   }
-  return MaxWorkersInProgress(options_.pace, standing);
+  return MaxWorkersInProgress(options_.pace, std::move(standing));
 }
 
 runtime::Duration RolloutCoordinator::LoadingFor(const Progress& progress) const {
@@ -125,26 +125,22 @@
 void RolloutCoordinator::SurveyProgress(const std::string& worker_id, ModelSurvey* model) const {
   ++model->in_progress;
   const auto found = active_.find(worker_id);
-  if (found == active_.end()) return;  // the previous leader commanded it
-  const runtime::Duration elapsed = LoadingFor(found->second);
-  if (elapsed >= options_.stuck_after) {
-    ++model->stuck;
-  } else {
-    model->longest_in_progress = std::max(model->longest_in_progress, elapsed);
+  if (found == active_.end()) {  // the previous leader commanded it
+    ++model->places_occupied;
+    return;
   }
-}
-
-void RolloutCoordinator::SurveyRevision(const control::Backend& worker, uint64_t revision,
-                                        ModelSurvey* model) const {
-  const auto since = dependencies_.revisions->OutdatedSince(worker.model(), revision);
-  if (!since.has_value()) return;
-  model->outdated_since = std::min(model->outdated_since.value_or(*since), *since);
+  const runtime::Duration elapsed = LoadingFor(found->second);
+  if (found->second.overdue || elapsed >= options_.stuck_after) return;
+  ++model->places_occupied;
+  model->longest_load = std::max(model->longest_load, elapsed);
 }
 
 RolloutCoordinator::Survey RolloutCoordinator::SurveyFleet() {
   Survey survey;
   for (const control::ModelRevision& revision : dependencies_.fleet().revisions()) {
-    survey.models[revision.model()].target_revision = revision.revision();
+    ModelSurvey& model = survey.models[revision.model()];
+    model.target_revision = revision.revision();
+    model.least_time_left = options_.revision_deadline;
   }
   for (const control::Backend& backend : dependencies_.fleet().inventory().backends()) {
     if (backend.kind() != control::BACKEND_KIND_WORKER || backend.draining()) continue;
@@ -152,7 +148,8 @@
     ++model.workers;
     const bool commanded_before = InLeaderHandover() && backend.recently_ordered();
     const uint64_t revision = RevisionOf(backend);
-    if (revision < model.target_revision) SurveyRevision(backend, revision, &model);
+    const runtime::Duration time_left = TimeLeft(backend.model(), revision);
+    model.least_time_left = std::min(model.least_time_left, time_left);
     if (active_.contains(backend.id()) || (commanded_before && backend.loading())) {
       SurveyProgress(backend.id(), &model);
       continue;
@@ -162,7 +159,8 @@
       proven = std::max(proven, revision);
     } else {
       ++model.outdated;
-      if (revision > 0 && !commanded_before) survey.outdated.push_back(&backend);
+      if (!IsOverdue(options_.pace, time_left)) model.times_left.push_back(time_left);
+      if (revision > 0 && !commanded_before) survey.outdated.push_back({&backend, time_left});
     }
   }
   return survey;
@@ -186,7 +184,7 @@
                               {"revision", model.target_revision},
                               {"outdated", behind},
                               {"workers", model.workers},
-                              {"time_left_ms", runtime::ToMilliseconds(TimeLeft(model))}});
+                              {"time_left_ms", runtime::ToMilliseconds(model.least_time_left)}});
     } else if (behind == 0 && rollout.target == model.target_revision && !rollout.finished) {
       rollout.finished = true;
       const runtime::Duration elapsed = runtime_->clock->Now() - rollout.seen_at;
@@ -195,7 +193,7 @@
                               {"revision", model.target_revision},
                               {"elapsed_ms", runtime::ToMilliseconds(elapsed)}});
     }
-    if (behind > 0) time_left = std::min(time_left, TimeLeft(model));
+    time_left = std::min(time_left, model.least_time_left);
   }
   metrics_.outdated().Set(static_cast<double>(outdated));
   metrics_.in_progress().Set(static_cast<double>(in_progress));
@@ -205,23 +203,35 @@
 void RolloutCoordinator::StartNextWorkers() {
   Survey survey = SurveyFleet();
   ReportProgress(survey);
+  std::stable_sort(survey.outdated.begin(), survey.outdated.end(),
+                   [](const OutdatedWorker& left, const OutdatedWorker& right) {
+                     return left.time_left < right.time_left;
+                   });
+  std::map<std::string, size_t> places;
+  for (const auto& [name, model] : survey.models) places[name] = MaxConcurrentWorkers(name, model);
   bool started = false;
-  for (const control::Backend* backend : survey.outdated) {
-    ModelSurvey& model = survey.models[backend->model()];
-    const size_t occupied = model.in_progress - model.stuck;
-    if (occupied >= MaxConcurrentWorkers(backend->model(), model)) continue;
-    ++model.in_progress;
-    --model.outdated;
-    Progress& progress = active_[backend->id()];
-    progress.model = backend->model();
-    progress.endpoint = backend->endpoint();
-    progress.target = model.target_revision;
-    progress.stage_started_at = runtime_->clock->Now();
+  for (const OutdatedWorker& worker : survey.outdated) {
+    const std::string& name = worker.backend->model();
+    ModelSurvey& model = survey.models[name];
+    const bool overdue = IsOverdue(options_.pace, worker.time_left);
+    if (!overdue && model.places_occupied >= places[name]) continue;
+    if (!overdue) ++model.places_occupied;
+    StartWorker(*worker.backend, model.target_revision, overdue);
     started = true;
   }
   if (started) dependencies_.publish();
 }
 
+void RolloutCoordinator::StartWorker(const control::Backend& worker, uint64_t target,
+                                     bool overdue) {
+  Progress& progress = active_[worker.id()];
+  progress.model = worker.model();
+  progress.endpoint = worker.endpoint();
+  progress.target = target;
+  progress.overdue = overdue;
+  progress.stage_started_at = runtime_->clock->Now();
+}
+
 void RolloutCoordinator::Advance(const std::string& worker_id, Progress* progress) {
   const control::Backend* published = FindPublished(worker_id);
   if (published == nullptr) {
--- a/src/posthatch/rollout/rollout_coordinator.h
+++ b/src/posthatch/rollout/rollout_coordinator.h
@@ -88,6 +88,7 @@
     runtime::MonotonicTime stage_started_at;
     runtime::MonotonicTime next_poll_at;  // while loading
     std::optional<runtime::MonotonicTime> first_commanded_at;
+    bool overdue = false;      // when it was started
     uint64_t call_number = 0;  // of the running call; responses to others are ignored
     std::unique_ptr<http::Call> call;
   };
@@ -103,20 +104,24 @@
   void Tick();
   // Starts as many outdated workers as may be in progress.
   void StartNextWorkers();
+  struct OutdatedWorker {
+    const control::Backend* backend = nullptr;
+    runtime::Duration time_left{0};
+  };
   // What stands in the replicated inventory of one model.
   struct ModelSurvey {
     uint64_t target_revision = 0;
     size_t workers = 0;
     size_t in_progress = 0;
-    size_t outdated = 0;  // and not in progress
-    size_t stuck = 0;     // of those in progress
-    // When the oldest revision that some worker still serves became outdated.
-    std::optional<runtime::MonotonicTime> outdated_since;
-    runtime::Duration longest_in_progress{0};  // of those that are not stuck
+    size_t places_occupied = 0;  // of those in progress; not by stuck or overdue ones
+    size_t outdated = 0;         // and not in progress
+    std::vector<runtime::Duration> times_left;  // of outdated workers that are not overdue
+    runtime::Duration least_time_left{0};       // of all that have not finished
+    runtime::Duration longest_load{0};          // under way, of those that occupy a place
   };
   struct Survey {
     std::map<std::string, ModelSurvey> models;
-    std::vector<const control::Backend*> outdated;  // workers that may be started, in its order
+    std::vector<OutdatedWorker> outdated;  // that may be started, in the inventory's order
   };
 
   // Also records which revisions are proven.
@@ -124,12 +129,13 @@
   // Tells operators when a roll-out begins and ends, and how far it is.
   void ReportProgress(const Survey& survey);
   void SurveyProgress(const std::string& worker_id, ModelSurvey* model) const;
-  void SurveyRevision(const control::Backend& worker, uint64_t revision, ModelSurvey* model) const;
+  // Until no request may begin under `revision`; the whole time while it is the newest.
+  runtime::Duration TimeLeft(const std::string& model, uint64_t revision) const;
   // Since its first command; zero before it.
   runtime::Duration LoadingFor(const Progress& progress) const;
-  // How many of a model's workers may be in progress at one time, without stuck ones.
+  // How many of a model's workers may occupy places at one time.
   size_t MaxConcurrentWorkers(const std::string& model, const ModelSurvey& survey) const;
-  runtime::Duration TimeLeft(const ModelSurvey& survey) const;
+  void StartWorker(const control::Backend& worker, uint64_t target, bool overdue);
   bool InLeaderHandover() const { return runtime_->clock->Now() < handover_until_; }
   bool RecentlyCommanded(const std::string& worker_id) const;
   // The worker's entry in the replicated inventory; null if there is none.
--- a/src/posthatch/rollout/rollout_pace.cc
+++ b/src/posthatch/rollout/rollout_pace.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace posthatch::rollout {
 namespace {
@@ -15,25 +16,39 @@
   return 2 * std::max<size_t>(loading, 1);
 }
 
-// With so many places, each free again after one load, the last worker starts within `time_left`
-// less the reserve.
-size_t PaceForDeadline(const RolloutPaceOptions& options, const RolloutStanding& standing) {
-  const size_t unfinished = standing.outdated + standing.in_progress;
-  const runtime::Duration time_to_start = standing.time_left - options.reserve;
-  if (time_to_start <= runtime::Duration::zero()) return unfinished;
+// So many places that workers which become overdue after `time_to_start` start before, if each
+// place is free again after one load.
+size_t PlacesNeeded(size_t workers, runtime::Duration time_to_start, double load_ms) {
+  const double turns = 1 + runtime::ToMilliseconds(time_to_start) / load_ms;
+  return static_cast<size_t>(std::ceil(static_cast<double>(workers) / turns));
+}
+
+// The most that the workers of any deadline need, together with those of earlier ones.
+size_t PaceForDeadlines(const RolloutPaceOptions& options, RolloutStanding standing) {
+  std::sort(standing.times_left.begin(), standing.times_left.end());
   const double load_ms =
       runtime::ToMilliseconds(std::max(standing.load_duration, kMinLoadDuration));
-  const double turns = 1 + runtime::ToMilliseconds(time_to_start) / load_ms;
-  return static_cast<size_t>(std::ceil(static_cast<double>(unfinished) / turns));
+  size_t unfinished = standing.places_occupied;
+  size_t needed = 0;
+  for (const runtime::Duration time_left : standing.times_left) {
+    ++unfinished;
+    needed = std::max(needed, PlacesNeeded(unfinished, time_left - options.reserve, load_ms));
+  }
+  return needed;
 }
 
 }  // namespace
 
-size_t MaxWorkersInProgress(const RolloutPaceOptions& options, const RolloutStanding& standing) {
+bool IsOverdue(const RolloutPaceOptions& options, runtime::Duration time_left) {
+  return time_left <= options.reserve;
+}
+
+size_t MaxWorkersInProgress(const RolloutPaceOptions& options, RolloutStanding standing) {
   const size_t ordinary = OrdinaryPace(options, standing.workers);
-  const size_t needed = PaceForDeadline(options, standing);
+  const bool is_proven = standing.is_proven;
+  const size_t needed = PaceForDeadlines(options, std::move(standing));
   if (needed > ordinary) return needed;
-  return standing.is_proven ? ordinary : 1;
+  return is_proven ? ordinary : 1;
 }
 
 }  // namespace posthatch::rollout
--- a/src/posthatch/rollout/rollout_pace.h
+++ b/src/posthatch/rollout/rollout_pace.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "posthatch/runtime/clock.h"
 
@@ -15,19 +16,23 @@
   runtime::Duration reserve = std::chrono::milliseconds(2500);
 };
 
-// How a model's roll-out stands.
+// How a model's roll-out stands. Overdue workers (IsOverdue) are left out: they start at once.
 struct RolloutStanding {
-  size_t workers = 0;                  // all of the model
-  size_t in_progress = 0;              // announced or commanded, and not given up as stuck
-  size_t outdated = 0;                 // not started yet
+  size_t workers = 0;          // all of the model
+  size_t places_occupied = 0;  // by workers in progress
+  // Time to the deadline of each worker that has not been started.
+  std::vector<runtime::Duration> times_left;
   bool is_proven = false;              // some worker serves the target revision
-  runtime::Duration time_left{0};      // to the deadline of the oldest revision among them
   runtime::Duration load_duration{0};  // from the first command to the end, as seen so far
 };
 
-// How many workers may be in progress at one time: one while the revision is unproven, then a
-// fraction of all, and more once that pace would not start the last worker in time. Stateless; any
-// thread.
-size_t MaxWorkersInProgress(const RolloutPaceOptions& options, const RolloutStanding& standing);
+// Whether a worker must be started whatever else is in progress. It can't serve much longer, so
+// that waiting would save nothing.
+bool IsOverdue(const RolloutPaceOptions& options, runtime::Duration time_left);
+
+// How many workers may be in progress at one time, beside overdue ones: one while the revision is
+// unproven, then a fraction of all, and more once that pace would not start each worker before it
+// is overdue. Stateless; any thread.
+size_t MaxWorkersInProgress(const RolloutPaceOptions& options, RolloutStanding standing);
 
 }  // namespace posthatch::rollout
