Ages of revisions are written to the log for a minute after the last was named

What callers saw: nothing; found while reviewing. Cause: the leader repeated the ages each second while any worker was outdated. A worker that can't be reached stays outdated, so the log would have grown by an entry a second for as long. Change: repeated while the newest revision is younger than 60 s, the same bound as for grants. An older age decides nothing any more.

--- a/src/posthatch/control/server/inventory_publisher.cc
+++ b/src/posthatch/control/server/inventory_publisher.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "posthatch/control/server/section_encoder.h"
 #include "posthatch/control/state/fleet_sections.h"
 #include "posthatch/control/state/inventory_delta.h"
 #include "posthatch/control/state/inventory_state.h"
@@ -75,7 +76,9 @@
 }
 
 bool InventoryPublisher::NeedsNewerAges() const {
-  if (runtime_->clock->Now() - ages_proposed_at_ < kAgesInterval) return false;
+  const runtime::MonotonicTime now = runtime_->clock->Now();
+  if (now - ages_proposed_at_ < kAgesInterval) return false;
+  if (now - revisions_->newest_named_at() >= kAgesMatterFor) return false;
   std::map<std::string, uint64_t> newest;
   for (const ModelRevision& named : state_->fleet().revisions()) {
     newest[named.model()] = named.revision();
--- a/src/posthatch/control/server/section_encoder.cc
+++ b/src/posthatch/control/server/section_encoder.cc
@@ -1,12 +1,6 @@
 #include "posthatch/control/server/section_encoder.h"
 
 namespace posthatch::control {
-namespace {
-
-// Longer than any deadline of a revision that is set in practice.
-constexpr runtime::Duration kRepeatAgesFor = std::chrono::seconds(60);
-
-}  // namespace
 
 void EncodeChangedSections(const ControlState& state, const SectionIndices& acked_versions,
                            FleetState* changed,
@@ -20,7 +14,7 @@
 
 void EncodeRevisionAges(const RevisionTimeline& revisions, runtime::MonotonicTime now,
                         FleetState* changed) {
-  const bool any_is_new = now - revisions.newest_named_at() < kRepeatAgesFor;
+  const bool any_is_new = now - revisions.newest_named_at() < kAgesMatterFor;
   if (any_is_new || !changed->revisions().empty()) {
     revisions.SaveAges(now, changed->mutable_revision_ages());
   }
--- a/src/posthatch/control/server/section_encoder.h
+++ b/src/posthatch/control/server/section_encoder.h
@@ -9,6 +9,10 @@
 
 namespace posthatch::control {
 
+// Longer than any deadline of a model revision that is set in practice: the age of one that was
+// named longer ago need not be repeated.
+inline constexpr runtime::Duration kAgesMatterFor = std::chrono::seconds(60);
+
 // Fills `changed` and `changed_sections` of a grant or push for a gateway that has acknowledged the
 // sections of `acked_versions`: the newer ones, as deltas where the base is known and the delta is
 // the smaller message, else complete.
