--- a/src/posthatch/server/controller_node.cc
+++ b/src/posthatch/server/controller_node.cc
@@ -53,7 +53,7 @@
   rollout::RolloutOptions options;
   options.issuer = settings_.node.node_id;
   options.handover_period = settings_.order_handover;
-  options.revision_deadline = settings_.revision_deadline;
+  options.revision_deadline = settings_.rollout_deadline;
   return options;
 }
 
--- a/src/posthatch/server/settings/controller_table.cc
+++ b/src/posthatch/server/settings/controller_table.cc
@@ -66,14 +66,14 @@
            "How long a new leading controller waits before it orders workers, so that two never "
            "order one by turns."},
       {.table = "controller",
-       .name = "revision_deadline_ms",
+       .name = "rollout_deadline_ms",
        .kind = SettingKind::kMilliseconds,
        .roles = SettingRoles::kController,
        .minimum = 100,
        .maximum = 10 * kMinuteMs,
-       .target = Target<&ControllerSettings::revision_deadline>,
+       .target = Target<&ControllerSettings::rollout_deadline>,
        .help = "Routed traffic: from when a model revision is named until every worker must have "
-               "been commanded to load it; the same as the gateways' setting."},
+               "been commanded to load it; the same as the gateways' revision_deadline_ms."},
   };
 }
 
--- a/src/posthatch/server/settings/node_settings.h
+++ b/src/posthatch/server/settings/node_settings.h
@@ -65,7 +65,7 @@
   runtime::Duration session_lease = std::chrono::seconds(4);
   runtime::Duration inventory_poll_interval = std::chrono::milliseconds(500);
   runtime::Duration order_handover = std::chrono::seconds(3);
-  runtime::Duration revision_deadline = std::chrono::seconds(12);
+  runtime::Duration rollout_deadline = std::chrono::seconds(12);
 };
 
 }  // namespace posthatch::server
