--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -50,7 +50,7 @@
         self.controllers = []
         self.gateways = []
         self.workers = []
-        self.pool = Pool(self.history, self.clock, self.rng, Engine())
+        self.pool = Pool(self.history, self.clock, self.rng, Engine(), options.workers)
         self.list_address = self._ip(9, 1) + ':8784'
         self.list = InstanceList(self.pool, self.list_address, 44)
         self._seeds = [0, 1, 2]
--- a/scripts/soak/workers.py
+++ b/scripts/soak/workers.py
@@ -9,7 +9,7 @@
 
 LIST_LAG_S = 0.8
 REPORT_LAG_S = 0.2
-PARALLEL_LOADS = 3  # beyond it, loads slow each other
+PARALLEL_LOADS_SHARE = 0.2  # of the workers; beyond it, loads slow each other (3 of 18, 28 of 140)
 
 
 @dataclasses.dataclass
@@ -24,12 +24,13 @@
 class Pool:
     """What the workers of a run share."""
 
-    def __init__(self, history: History, clock, rng: random.Random, engine: Engine):
+    def __init__(self, history: History, clock, rng: random.Random, engine: Engine, workers: int):
         self.history = history
         self.clock = clock
         self.rng = rng
         self.engine = engine
         self.loading = 0
+        self.parallel_loads = max(3, int(workers * PARALLEL_LOADS_SHARE))
         self.named: dict[str, int] = {}  # newest revision that the operator has sent, by model
         # Whether an order also turns away requests that read their prompt but have no token yet.
         self.order_stops_prefills = rng.random() < 0.5
@@ -145,7 +146,7 @@
     async def _load(self):
         await self._idle.wait()
         self.pool.loading += 1
-        crowding = max(1.0, self.pool.loading / PARALLEL_LOADS)
+        crowding = max(1.0, self.pool.loading / self.pool.parallel_loads)
         await asyncio.sleep(self.pool.engine.load_s * crowding * self.slowness)
         self.pool.loading -= 1
         self.revision = self._ordered
