Log when an operator's call was read, and when at the latest it may have been sent

The log had OperatorChangeCompleted only: whether a late order had waited in the socket of a frozen process, in a backoff of LeaderClient or on the way to a peer could not be told apart.

http::Request::sent_after is a lower bound of when the caller sent a request: its connection was accepted, or the previous response on it had ended. Both HTTP servers set it; in the simulator a frozen process accepts a waiting connection at its thaw, as with a real kernel. The new event OperatorRequestReceived has the call's request id and this age, so that the time between reading and OperatorChangeCompleted shows the rest.

Tests: HttpServerTest.BoundsWhenRequestWasSent, SimHttpTest.FrozenServerAcceptsAndRespondsAfterThaw.

--- a/src/posthatch/control/admin/operator_api.cc
+++ b/src/posthatch/control/admin/operator_api.cc
@@ -33,7 +33,7 @@
       writer->SendResponse(format_->RenderMalformed(parsed.error));
       return true;
     case OperatorRequest::Kind::kChange:
-      HandleChange(std::move(parsed.command), std::move(writer));
+      HandleChange(std::move(parsed.command), request.sent_after, std::move(writer));
       return true;
     case OperatorRequest::Kind::kReadConfiguration:
       HandleRead(std::move(writer));
@@ -42,10 +42,18 @@
   return false;
 }
 
-void OperatorApi::HandleChange(Command command, std::shared_ptr<http::ResponseWriter> writer) {
+void OperatorApi::HandleChange(Command command, runtime::MonotonicTime sent_after,
+                               std::shared_ptr<http::ResponseWriter> writer) {
   // Each call gets a new request id: resends are recognised by the command's content.
   command.set_request_id(
       absl::StrCat("op-", absl::Hex(runtime_->transport->incarnation()), "-", ++last_change_id_));
+  runtime_->trace->Event(
+      runtime::Severity::kInfo, "OperatorRequestReceived",
+      {{"request_id", command.request_id()},
+       {"kind", static_cast<int>(command.command_case())},
+       {"evacuation", command.set_evacuation().evacuation().name()},
+       {"lifted", command.set_evacuation().lifted()},
+       {"sent_within_ms", runtime::ToMilliseconds(runtime_->clock->Now() - sent_after)}});
   control_client_->Propose(
       command, options_.change_timeout, /*until_in_force=*/false,
       [this, command,
--- a/src/posthatch/control/admin/operator_api.h
+++ b/src/posthatch/control/admin/operator_api.h
@@ -32,7 +32,8 @@
   bool HandleRequest(const http::Request& request, std::shared_ptr<http::ResponseWriter> writer);
 
  private:
-  void HandleChange(Command command, std::shared_ptr<http::ResponseWriter> writer);
+  void HandleChange(Command command, runtime::MonotonicTime sent_after,
+                    std::shared_ptr<http::ResponseWriter> writer);
   void HandleRead(std::shared_ptr<http::ResponseWriter> writer);
 
   runtime::Runtime* const runtime_;
--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -37,6 +37,10 @@
   std::string body;
   // Identifies the caller's connection: equal for requests on one persistent connection.
   uint64_t connection_id = 0;
+  // When the connection was accepted or the previous response on it ended: the caller sent the
+  // request later. A connection that waited while this process was stopped counts as accepted only
+  // afterwards. The clock's epoch if unknown.
+  runtime::MonotonicTime sent_after{};
 };
 
 struct Response {
--- a/src/posthatch/net/beast_http_server-test.cc
+++ b/src/posthatch/net/beast_http_server-test.cc
@@ -198,6 +198,39 @@
   EXPECT_EQ(connections.front(), connections.back());
 }
 
+TEST_F(HttpServerTest, BoundsWhenRequestWasSent) {
+  std::vector<runtime::MonotonicTime> sent_after;
+  handler_ = [&sent_after](const http::Request& request,
+                           const std::shared_ptr<http::ResponseWriter>& writer) {
+    sent_after.push_back(request.sent_after);
+    writer->SendResponse({.status = 200, .headers = {}, .body = "echo:" + request.body + ";"});
+  };
+  Listen();
+  const auto now = [this] { return runtime_->runtime()->clock->Now(); };
+  const auto exchange = [this](RawSocket* socket, const std::string& bytes, const char* end) {
+    socket->Send(runtime_.get(), bytes);
+    socket->ReadUntil(runtime_.get(), end);
+  };
+  const runtime::MonotonicTime connecting = now();
+  RawSocket socket = Connect();
+  runtime_->RunUntil([] { return false; }, std::chrono::milliseconds(50));
+  const runtime::MonotonicTime connected = now();
+  // Two pipelined requests: the second was sent before the end of the first response.
+  exchange(&socket,
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n1"
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n2",
+           "echo:2;");
+  const runtime::MonotonicTime responded = now();
+  runtime_->RunUntil([] { return false; }, std::chrono::milliseconds(50));
+  exchange(&socket, "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n3", "echo:3;");
+  ASSERT_EQ(sent_after.size(), 3u);
+  EXPECT_GE(sent_after[0], connecting);
+  EXPECT_LE(sent_after[0], connected);
+  EXPECT_EQ(sent_after[1], sent_after[0]);
+  EXPECT_GT(sent_after[2], connected);
+  EXPECT_LE(sent_after[2], responded);
+}
+
 TEST_F(HttpServerTest, AbortLeavesChunkedBodyUnterminated) {
   handler_ = [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
     writer->StartStream({});
--- a/src/posthatch/net/http_server_connection.cc
+++ b/src/posthatch/net/http_server_connection.cc
@@ -29,6 +29,7 @@
 HttpServerConnection::~HttpServerConnection() { stream_->Close(); }
 
 void HttpServerConnection::Start() {
+  sent_after_ = BootNow();
   stream_->StartAccepted();
   stream_->SetDeadlineAfter(context_->limits.header_timeout);
   stream_->ResumeReading();
@@ -108,6 +109,7 @@
   ++exchange_;
   HttpRequestReader::ParsedRequest parsed = reader_.TakeRequest();
   parsed.request.connection_id = connection_id_;
+  parsed.request.sent_after = sent_after_;
   encoder_.emplace(stream_.get(), parsed);
   const auto handler = context_->handler;
   (*handler)(std::move(parsed.request),
@@ -150,6 +152,8 @@
   if (read_ended_ && stream_->queued_bytes() == 0) return Close();
   if (!encoder_->keep_alive() || !MayKeepAlive()) return Linger();
   phase_ = Phase::kIdle;
+  // A pipelined request was sent before the end of this response.
+  if (reader_.unparsed_bytes() == 0) sent_after_ = BootNow();
   UpdateWriteDeadline();
   stream_->ResumeReading();
   if (reader_.unparsed_bytes() > 0) ParseRequests();
--- a/src/posthatch/simulation/sim_http-test.cc
+++ b/src/posthatch/simulation/sim_http-test.cc
@@ -214,9 +214,13 @@
   world_.RunFor(seconds(10));
   EXPECT_TRUE(requests_.empty());
   EXPECT_EQ(observed.events, "");
+  const runtime::MonotonicTime thawed = world_.Now();
   server_->Thaw();
   world_.RunFor(seconds(1));
   EXPECT_EQ(observed.events, "h200 body end");
+  // As with a real kernel: the process can't tell when the waiting connection was made.
+  ASSERT_EQ(requests_.size(), 1U);
+  EXPECT_GE(requests_[0].sent_after, thawed);
 }
 
 TEST_P(SimHttpTest, FrozenClientGetsTimeoutOrResponseAfterThaw) {
--- a/src/posthatch/simulation/sim_http_server.cc
+++ b/src/posthatch/simulation/sim_http_server.cc
@@ -43,6 +43,8 @@
   const auto server_connection = std::make_shared<SimServerConnection>(this, connection);
   connections_[id] = server_connection;
   connection->OnAccepted(host_, server_connection);
+  // A frozen process accepts the connection after its thaw, when it reads the first request.
+  if (!host_->frozen()) server_connection->OnAccepted();
   if (connections_.size() > limits_.max_connections) server_connection->Close();
   return process_id_;
 }
--- a/src/posthatch/simulation/sim_server_connection.cc
+++ b/src/posthatch/simulation/sim_server_connection.cc
@@ -71,8 +71,12 @@
                                          std::shared_ptr<HttpConnection> connection)
     : server_(server), connection_(std::move(connection)), idle_timer_(server->timers()) {}
 
+void SimServerConnection::OnAccepted() { sent_after_ = server_->core()->queue.now(); }
+
 void SimServerConnection::OnRequest(http::Request request) {
   if (closed_ || running_exchange_ != 0) return;
+  if (sent_after_ == runtime::MonotonicTime()) OnAccepted();
+  request.sent_after = sent_after_;
   idle_timer_.Cancel();
   running_exchange_ = ++last_exchange_;
   stream_started_ = false;
@@ -151,6 +155,7 @@
 void SimServerConnection::EndExchange() {
   const auto self = shared_from_this();
   running_exchange_ = 0;
+  sent_after_ = server_->core()->queue.now();
   const std::function<void()> released = std::move(on_caller_disconnected_);
   on_caller_disconnected_ = nullptr;
   if (close_requested_ || server_->draining()) {
--- a/src/posthatch/simulation/sim_server_connection.h
+++ b/src/posthatch/simulation/sim_server_connection.h
@@ -23,6 +23,9 @@
   void OnRequest(http::Request request) override;
   void OnClosed() override;
 
+  // The process accepts the connection, which the kernel has established.
+  void OnAccepted();
+
   // Calls of the response writer of `exchange`; ignored unless that exchange is in progress.
   void SendResponse(uint64_t exchange, http::Response response);
   void StartStream(uint64_t exchange, http::Response head);
@@ -44,6 +47,9 @@
 
   SimHttpServer* const server_;  // outlives this object's use: Shutdown closes all connections
   const std::shared_ptr<HttpConnection> connection_;
+  // Of the next request, see http::Request; the epoch until the process has accepted the
+  // connection.
+  runtime::MonotonicTime sent_after_{};
   runtime::Timer idle_timer_;
   uint64_t last_exchange_ = 0;
   uint64_t running_exchange_ = 0;  // the exchange in progress; 0: none
