A handler that asks late still learns that its caller has disconnected

ResponseWriter::OnCallerDisconnected did nothing if the caller's connection had been reset, or in the simulator closed, before the callback was set: only a handler that asked at once was told.

Both servers now run the callback soon after it is set. A reset is remembered with the number of the exchange; the simulator's writer knows whether its response has ended.

Tests: HttpServerTest.EarlierDisconnectIsReported (closed, reset), SimHttpTest.EarlierCancelIsReported.

--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -68,8 +68,8 @@
   virtual size_t buffered_bytes() const = 0;
   // Runs `callback` once, when the buffered bytes are below half of max_buffered_bytes.
   virtual void OnWritable(std::function<void()> callback) = 0;
-  // Runs `callback` if the caller disconnects before the end of the response. A reference to the
-  // writer in the callback is released when the response ends.
+  // Runs `callback` if the caller disconnects, or has disconnected, before the end of the response.
+  // A reference to the writer in the callback is released when the response ends.
   virtual void OnCallerDisconnected(std::function<void()> callback) = 0;
 };
 
--- a/src/posthatch/net/beast_http_server-test.cc
+++ b/src/posthatch/net/beast_http_server-test.cc
@@ -336,6 +336,28 @@
   EXPECT_EQ(server_->open_connections(), 0u);
 }
 
+// A handler may ask late whether the caller is still there.
+TEST_F(HttpServerTest, EarlierDisconnectIsReported) {
+  std::shared_ptr<http::ResponseWriter> writer;
+  handler_ = [&writer](const http::Request&, const std::shared_ptr<http::ResponseWriter>& given) {
+    writer = given;
+  };
+  Listen();
+  for (const bool reset : {false, true}) {
+    RawSocket socket = Connect();
+    socket.Send(runtime_.get(), kValidRequest);
+    ASSERT_TRUE(runtime_->RunUntil([&] { return writer != nullptr; }, std::chrono::seconds(5)));
+    reset ? socket.Reset() : socket.Close();
+    RunFor(runtime_.get(), std::chrono::milliseconds(50));
+    bool disconnected = false;
+    writer->OnCallerDisconnected([&disconnected] { disconnected = true; });
+    EXPECT_FALSE(disconnected);
+    RunFor(runtime_.get(), std::chrono::milliseconds(50));
+    EXPECT_TRUE(disconnected) << (reset ? "reset" : "closed");
+    writer = nullptr;
+  }
+}
+
 TEST_F(HttpServerTest, DisconnectCallbackIsReleasedAfterResponse) {
   std::weak_ptr<http::ResponseWriter> writer_observer;
   handler_ = [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& writer) {
--- a/src/posthatch/net/http_server_connection.cc
+++ b/src/posthatch/net/http_server_connection.cc
@@ -184,6 +184,10 @@
 }
 
 void HttpServerConnection::OnCallerDisconnected(uint64_t exchange, std::function<void()> callback) {
+  if (exchange == disconnected_exchange_) {
+    boost::asio::post(*context_->environment->io_context, std::move(callback));
+    return;
+  }
   if (!Running(exchange)) return;
   on_caller_disconnected_ = std::move(callback);
   if (!read_ended_) return;
@@ -237,6 +241,7 @@
   const auto self = shared_from_this();
   const auto on_caller_disconnected = std::exchange(on_caller_disconnected_, nullptr);
   const bool responding = phase_ == Phase::kResponding;
+  if (responding) disconnected_exchange_ = exchange_;
   Close();
   if (responding && on_caller_disconnected) on_caller_disconnected();
 }
--- a/src/posthatch/net/http_server_connection.h
+++ b/src/posthatch/net/http_server_connection.h
@@ -111,6 +111,7 @@
 
   // Number and state of the exchange in progress.
   uint64_t exchange_ = 0;
+  uint64_t disconnected_exchange_ = 0;          // the exchange during which the caller disconnected
   std::optional<HttpResponseEncoder> encoder_;  // set while kResponding and kAborting
   std::function<void()> on_writable_;
   std::function<void()> on_caller_disconnected_;
--- a/src/posthatch/net/raw_socket-test.cc
+++ b/src/posthatch/net/raw_socket-test.cc
@@ -57,6 +57,12 @@
       std::chrono::seconds(10));
 }
 
+void RawSocket::Reset() {
+  const linger reset_on_close{.l_onoff = 1, .l_linger = 0};
+  setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
+  Close();
+}
+
 void RawSocket::ShutdownSend() const { shutdown(descriptor_, SHUT_WR); }
 
 void RawSocket::Close() {
--- a/src/posthatch/net/raw_socket-test.h
+++ b/src/posthatch/net/raw_socket-test.h
@@ -24,6 +24,8 @@
   void Send(AsioRuntime* runtime, std::string_view bytes);
   void ShutdownSend() const;
   void Close();
+  // Closes with a reset.
+  void Reset();
 
   // Runs `runtime` until `text` is received, the connection ends or `limit` has passed; returns
   // everything received so far.
--- a/src/posthatch/simulation/sim_http-test.cc
+++ b/src/posthatch/simulation/sim_http-test.cc
@@ -207,6 +207,19 @@
   EXPECT_EQ(observed.events, "");
 }
 
+TEST_P(SimHttpTest, EarlierCancelIsReported) {
+  Observed observed;
+  auto call = Call(&observed, "/wait");
+  world_.RunFor(milliseconds(100));
+  call = nullptr;
+  world_.RunFor(seconds(1));
+  int disconnected = 0;
+  writer_->OnCallerDisconnected([&disconnected] { ++disconnected; });
+  EXPECT_EQ(disconnected, 0);
+  world_.RunFor(milliseconds(1));
+  EXPECT_EQ(disconnected, 1);
+}
+
 TEST_P(SimHttpTest, FrozenServerAcceptsAndRespondsAfterThaw) {
   server_->Freeze();
   Observed observed;
--- a/src/posthatch/simulation/sim_server_connection.cc
+++ b/src/posthatch/simulation/sim_server_connection.cc
@@ -12,13 +12,16 @@
 
 class SimResponseWriter : public http::ResponseWriter {
  public:
-  SimResponseWriter(std::weak_ptr<SimServerConnection> connection, uint64_t exchange)
-      : connection_(std::move(connection)), exchange_(exchange) {}
+  // `timers` outlives the process's callbacks.
+  SimResponseWriter(std::weak_ptr<SimServerConnection> connection, uint64_t exchange,
+                    runtime::TimerService* timers)
+      : connection_(std::move(connection)), exchange_(exchange), timers_(timers) {}
   ~SimResponseWriter() override {
     if (const auto connection = connection_.lock()) connection->Abort(exchange_);
   }
 
   void SendResponse(http::Response response) override {
+    ended_ = true;
     if (const auto connection = connection_.lock()) {
       connection->SendResponse(exchange_, std::move(response));
     }
@@ -34,9 +37,11 @@
     }
   }
   void FinishStream() override {
+    ended_ = true;
     if (const auto connection = connection_.lock()) connection->FinishStream(exchange_);
   }
   void Abort() override {
+    ended_ = true;
     if (const auto connection = connection_.lock()) connection->Abort(exchange_);
   }
   size_t buffered_bytes() const override {
@@ -49,14 +54,19 @@
     }
   }
   void OnCallerDisconnected(std::function<void()> callback) override {
-    if (const auto connection = connection_.lock()) {
+    const auto connection = connection_.lock();
+    if (connection != nullptr && connection->Running(exchange_)) {
       connection->OnCallerDisconnected(exchange_, std::move(callback));
+    } else if (!ended_) {
+      timers_->Schedule(runtime::Duration::zero(), std::move(callback));
     }
   }
 
  private:
   const std::weak_ptr<SimServerConnection> connection_;
   const uint64_t exchange_;
+  runtime::TimerService* const timers_;
+  bool ended_ = false;  // the response, unless the caller disconnected before
 };
 
 size_t HeaderBytes(const http::Request& request) {
@@ -86,7 +96,8 @@
     RejectRequest(kContentTooLarge);
   } else {
     server_->Handle(std::move(request),
-                    std::make_shared<SimResponseWriter>(weak_from_this(), running_exchange_));
+                    std::make_shared<SimResponseWriter>(weak_from_this(), running_exchange_,
+                                                        server_->timers()));
   }
 }
 
--- a/src/posthatch/simulation/sim_server_connection.h
+++ b/src/posthatch/simulation/sim_server_connection.h
@@ -40,8 +40,10 @@
   void CloseWhenIdle();
   void Close();
 
- private:
+  // Whether `exchange` is in progress.
   bool Running(uint64_t exchange) const { return exchange == running_exchange_ && !closed_; }
+
+ private:
   void EndExchange();
   void RejectRequest(int status);
 
