LeaderClient sends nothing once the time of a command has passed

A process that was frozen within a backoff sent a command after its thaw, however long ago its caller had been given up. The timer now checks the deadline and finishes the operation as the resend timer does.

--- a/src/posthatch/control/client/leader_client.cc
+++ b/src/posthatch/control/client/leader_client.cc
@@ -88,6 +88,11 @@
 void LeaderClient::OnResendTimeout(uint64_t operation_id) {
   Operation* operation = operations_.at(operation_id).get();
   locator_->MarkUnavailable(operation->target);
+  SendUnlessTimedOut(operation_id);
+}
+
+void LeaderClient::SendUnlessTimedOut(uint64_t operation_id) {
+  const Operation* operation = operations_.at(operation_id).get();
   if (runtime_->clock->Now() < operation->deadline) {
     SendOperation(operation_id);
     return;
@@ -106,7 +111,8 @@
                            [this, operation_id] { OnResendTimeout(operation_id); });
     return;
   }
-  operation->timer.Start(delay, [this, operation_id] { SendOperation(operation_id); });
+  // The process may be stopped during the backoff.
+  operation->timer.Start(delay, [this, operation_id] { SendUnlessTimedOut(operation_id); });
 }
 
 void LeaderClient::OnProposeResponse(const std::string& from_endpoint,
--- a/src/posthatch/control/client/leader_client.h
+++ b/src/posthatch/control/client/leader_client.h
@@ -63,6 +63,8 @@
   void Start(std::unique_ptr<Operation> operation, runtime::Duration timeout);
   void SendOperation(uint64_t operation_id);
   void OnResendTimeout(uint64_t operation_id);
+  // Sends the operation, or finishes it if its timeout has passed.
+  void SendUnlessTimedOut(uint64_t operation_id);
   void ScheduleSend(uint64_t operation_id, runtime::Duration delay);
   // Handles the rejection of `call` by a controller that isn't the leader: resends after a backoff.
   void OnRejected(uint64_t call, const std::string& from_endpoint, const std::string& hint);
