A late copy of an evacuation order is not applied after a later order

Cause: an order has neither a number nor an id, so a late copy of Finish is a new order for every controller. A frozen controller read it after its thaw and had it applied at log index 8, after the Begin of index 7. Evidence: ProcessPauseDetected, 0.3 ms later OperatorRequestReceived from a connection accepted 0.5 ms before, 0.5 ms later OperatorChangeCompleted; so the copy had waited in the socket, not in LeaderClient nor on its way.

Change: each name of an evacuation has a version, the log index of the last order that was applied to it, with or without effect. EvacuationProposer proposes an order with the newest version of a moment at which its caller was surely still waiting, and the state machine applies it only if that is still the newest. An operator sends its next order after it has left all copies of this one, so a late copy meets a newer version wherever it waited. The moment: now, if the call was sent less than 0.5 s ago; else before it was sent; else the conflict's, if the connection is still open 0.2 s later; else 503, which is always allowed. ArrivalEstimator notices pauses of this process, after which a connection's time of acceptance says nothing.

--- a/src/posthatch/control/admin/operator_api.cc
+++ b/src/posthatch/control/admin/operator_api.cc
@@ -15,13 +15,15 @@
 }  // namespace
 
 OperatorApi::OperatorApi(runtime::Runtime* runtime, OperatorApiOptions options,
-                         const OperatorFormat* format, ControlClient* control_client,
-                         QueryClient* query_client)
+                         const OperatorFormat* format, const EvacuationSet* evacuations,
+                         ControlClient* control_client, QueryClient* query_client)
     : runtime_(runtime),
       options_(options),
       format_(format),
       control_client_(control_client),
-      query_client_(query_client) {}
+      query_client_(query_client),
+      arrivals_(runtime, options.arrivals),
+      evacuation_proposer_(runtime, options.evacuations, evacuations, &arrivals_, control_client) {}
 
 bool OperatorApi::HandleRequest(const http::Request& request,
                                 std::shared_ptr<http::ResponseWriter> writer) {
@@ -33,7 +35,7 @@
       writer->SendResponse(format_->RenderMalformed(parsed.error));
       return true;
     case OperatorRequest::Kind::kChange:
-      HandleChange(std::move(parsed.command), request.sent_after, std::move(writer));
+      HandleChange(std::move(parsed.command), request, std::move(writer));
       return true;
     case OperatorRequest::Kind::kReadConfiguration:
       HandleRead(std::move(writer));
@@ -42,9 +44,9 @@
   return false;
 }
 
-void OperatorApi::HandleChange(Command command, runtime::MonotonicTime sent_after,
+void OperatorApi::HandleChange(Command command, const http::Request& request,
                                std::shared_ptr<http::ResponseWriter> writer) {
-  // Each call gets a new request id: resends are recognised by the command's content.
+  // Each call gets a new request id, since a resend and a new order look alike.
   command.set_request_id(
       absl::StrCat("op-", absl::Hex(runtime_->transport->incarnation()), "-", ++last_change_id_));
   runtime_->trace->Event(
@@ -53,25 +55,34 @@
        {"kind", static_cast<int>(command.command_case())},
        {"evacuation", command.set_evacuation().evacuation().name()},
        {"lifted", command.set_evacuation().lifted()},
-       {"sent_within_ms", runtime::ToMilliseconds(runtime_->clock->Now() - sent_after)}});
-  control_client_->Propose(
-      command, options_.change_timeout, /*until_in_force=*/false,
-      [this, command,
-       writer = std::move(writer)](const absl::StatusOr<CommandResult>& proposal_result) {
-        if (!proposal_result.ok()) {
-          writer->SendResponse(format_->RenderUnavailable());
-          return;
-        }
-        CommandResult result = *proposal_result;
-        if (AlreadyLifted(command, result)) result.set_code(CommandResult::OK);
-        runtime_->trace->Event(runtime::Severity::kInfo, "OperatorChangeCompleted",
-                               {{"request_id", command.request_id()},
-                                {"kind", static_cast<int>(command.command_case())},
-                                {"code", static_cast<int>(result.code())},
-                                {"version", result.version()},
-                                {"index", result.log_index()}});
-        writer->SendResponse(format_->RenderResult(command, result));
-      });
+       {"sent_within_ms", runtime::ToMilliseconds(runtime_->clock->Now() - request.sent_after)}});
+  const auto respond = [this, command,
+                        writer](const absl::StatusOr<CommandResult>& proposal_result) {
+    Respond(command, proposal_result, writer.get());
+  };
+  if (command.has_set_evacuation()) {
+    evacuation_proposer_.Propose(command, request, writer, respond);
+  } else {
+    control_client_->Propose(command, options_.change_timeout, /*until_in_force=*/false, respond);
+  }
+}
+
+void OperatorApi::Respond(const Command& command,
+                          const absl::StatusOr<CommandResult>& proposal_result,
+                          http::ResponseWriter* writer) {
+  if (!proposal_result.ok()) {
+    writer->SendResponse(format_->RenderUnavailable());
+    return;
+  }
+  CommandResult result = *proposal_result;
+  if (AlreadyLifted(command, result)) result.set_code(CommandResult::OK);
+  runtime_->trace->Event(runtime::Severity::kInfo, "OperatorChangeCompleted",
+                         {{"request_id", command.request_id()},
+                          {"kind", static_cast<int>(command.command_case())},
+                          {"code", static_cast<int>(result.code())},
+                          {"version", result.version()},
+                          {"index", result.log_index()}});
+  writer->SendResponse(format_->RenderResult(command, result));
 }
 
 void OperatorApi::HandleRead(std::shared_ptr<http::ResponseWriter> writer) {
--- a/src/posthatch/control/server/controller_host.h
+++ b/src/posthatch/control/server/controller_host.h
@@ -24,6 +24,8 @@
   virtual void AnnotateInventory(Inventory* inventory) = 0;
   // Called after the service started or stopped acting as the leader.
   virtual void OnLeadershipChange(bool is_leader, uint64_t term) = 0;
+  // Called after a command changed a section of the control state, and after a restore.
+  virtual void OnSectionsChanged() = 0;
 };
 
 }  // namespace posthatch::control
--- a/src/posthatch/control/server/controller_service.cc
+++ b/src/posthatch/control/server/controller_service.cc
@@ -98,6 +98,7 @@
 void ControllerService::OnSectionsChanged() {
   revision_timeline_.Observe(state_->fleet(), runtime_->clock->Now());
   pushes_.Schedule();
+  host_->OnSectionsChanged();
 }
 
 void ControllerService::OnMessage(const ControlPeer& sender, const ControlMessage& message) {
--- a/src/posthatch/control/server/static_controller_host-test.h
+++ b/src/posthatch/control/server/static_controller_host-test.h
@@ -20,6 +20,7 @@
   std::optional<std::string> ControllersView() const override { return std::nullopt; }
   void AnnotateInventory(Inventory*) override {}
   void OnLeadershipChange(bool, uint64_t) override {}
+  void OnSectionsChanged() override {}
 
  private:
   const LeaderLocator::Endpoints controllers_;
--- a/src/posthatch/control/state/control_state.cc
+++ b/src/posthatch/control/state/control_state.cc
@@ -32,13 +32,21 @@
   }
 }
 
-// Hash of everything but the request id, which is equal for a resend.
+// Hash of everything but the request id and the expected version of an evacuation, which a proposer
+// renews after a conflict: equal for a resend.
 std::string ContentHash(const Command& command) {
   Command content = command;
   content.clear_request_id();
+  if (content.has_set_evacuation()) content.mutable_set_evacuation()->clear_expected_version();
   return ToHex(FingerprintOf(SerializeDeterministically(content)));
 }
 
+// Whether the command had no effect and its proposer may send it again under the same request id,
+// with another expected version.
+bool MayBeProposedAgain(const Command& command, const CommandResult& result) {
+  return command.has_set_evacuation() && result.code() == CommandResult::VERSION_CONFLICT;
+}
+
 CommandResult Reject(const std::string& error) {
   CommandResult result;
   result.set_code(CommandResult::INVALID);
@@ -73,7 +81,9 @@
   if (requests_.Find(command.request_id(), hash, &result)) return result;
   result = Dispatch(index, command);
   result.set_log_index(index);
-  requests_.Record(command.request_id(), hash, result);
+  if (!MayBeProposedAgain(command, result)) {
+    requests_.Record(command.request_id(), hash, result);
+  }
   return result;
 }
 
@@ -198,7 +208,7 @@
 }
 
 CommandResult ControlState::ApplyEvacuation(uint64_t index, const SetEvacuation& command) {
-  CommandResult result = evacuations_.Apply(command);
+  CommandResult result = evacuations_.Apply(index, command);
   if (result.code() != CommandResult::OK) return result;
   fleet_.clear_evacuations();
   evacuations_.Save(fleet_.mutable_evacuations());
@@ -259,6 +269,7 @@
   requests_.Save(&snapshot);
   history_.Save(snapshot.mutable_history());
   traffic_.Save(snapshot.mutable_traffic());
+  evacuations_.SaveVersions(&snapshot);
   return SerializeDeterministically(snapshot);
 }
 
@@ -270,7 +281,7 @@
   history_.Restore(parsed.history());
   isolation_.Restore(parsed.fleet().isolation());
   revisions_.Restore(parsed.fleet().revisions());
-  evacuations_.Restore(parsed.fleet().evacuations());
+  evacuations_.Restore(parsed);
   inventory_.Restore(parsed.fleet().inventory());
   leases_.Restore(parsed.fleet().leases());
   deliveries_.Restore(parsed);
--- a/src/posthatch/control/state/control_state.h
+++ b/src/posthatch/control/state/control_state.h
@@ -54,6 +54,7 @@
   const FleetState& fleet() const { return fleet_; }
   const ConfigurationHistory& history() const { return history_; }
   const WorkerLeaseTable& worker_leases() const { return leases_; }
+  const EvacuationSet& evacuations() const { return evacuations_; }
   // The traffic configuration in force, including the entries' sources.
   const TrafficConfiguration& traffic() const { return traffic_.newest(); }
   // Recent changes of the inventory and traffic sections, for messages to gateways.
--- a/src/posthatch/server/controller_node.cc
+++ b/src/posthatch/server/controller_node.cc
@@ -43,8 +43,8 @@
       leave_timer_(runtime->timers) {
   if (formats_ == nullptr) return;
   operator_api_ = std::make_unique<control::OperatorApi>(runtime, control::OperatorApiOptions{},
-                                                         formats_->operators, service_.client(),
-                                                         service_.client());
+                                                         formats_->operators, &state_.evacuations(),
+                                                         service_.client(), service_.client());
   rollouts_ = std::make_unique<rollout::RolloutCoordinator>(runtime, MakeRolloutOptions(),
                                                             MakeRolloutDependencies());
 }
@@ -97,6 +97,10 @@
   if (rollouts_ != nullptr) rollouts_->OnLeadership(is_leader, term);
 }
 
+void ControllerNode::OnSectionsChanged() {
+  if (operator_api_ != nullptr) operator_api_->OnStateChanged();
+}
+
 absl::Status ControllerNode::Start() {
   replica_.SetFailureListener([this](const absl::Status& status) {
     // The replica has stopped permanently: this process forwards reads to the leader and is not
--- a/src/posthatch/server/controller_node.h
+++ b/src/posthatch/server/controller_node.h
@@ -56,6 +56,7 @@
   std::optional<std::string> ControllersView() const override;
   void AnnotateInventory(control::Inventory* inventory) override;
   void OnLeadershipChange(bool is_leader, uint64_t term) override;
+  void OnSectionsChanged() override;
 
   control::ControllerServiceOptions MakeServiceOptions() const;
   rollout::RolloutOptions MakeRolloutOptions() const;
--- a/src/posthatch/server/platform_fleet-test.h
+++ b/src/posthatch/server/platform_fleet-test.h
@@ -261,6 +261,13 @@
     }
     return nullptr;
   }
+  // The controller on `host`; null if it isn't running.
+  std::shared_ptr<const ControllerNode> Controller(const simulation::SimHost* host) const {
+    const auto found = controllers_.find(host);
+    if (!host->running() || found == controllers_.end()) return nullptr;
+    return found->second.lock();
+  }
+  simulation::SimHost* operator_host() const { return operator_; }
   // Partitions the controllers in `side` from the other controllers.
   void PartitionControllers(const std::set<const simulation::SimHost*>& side) {
     for (const simulation::SimHost* left : controller_hosts) {
