Soak: evacuation orders in quick series around faults of the controllers

The soak knew no evacuations, so that a late copy of an order could not show. Each run now has an operator that evacuates a zone, sends Finish and Begin in quick series while controllers are frozen (also in series), killed and terminated, the first copy of a Finish mostly to one that is frozen, over new and persistent connections, and then watches the zone beyond its bound.

Rules: EVAC counts the requests that were dispatched while a zone had to be empty; EVAC orders: none refused, each acknowledged within ack_ms in a stable core. rules_test.py feeds histories that break each.

--- a/scripts/soak/history.py
+++ b/scripts/soak/history.py
@@ -12,6 +12,8 @@
     first_token_at: float | None = None  # for an application service: when the request ran
     revision: int = 0  # model revision of the worker at the first token
     model: str = ''
+    zone: str = ''  # of the worker
+    misdirected: bool = False  # the worker responded 421
 
 
 @dataclasses.dataclass
@@ -48,6 +50,17 @@
     acknowledged_by: str = ''
 
 
+@dataclasses.dataclass
+class EvacuationOrder:
+    """An operator's order to evacuate a zone, or to end that."""
+    zone: str
+    begin: bool
+    sent_at: float
+    acknowledged_at: float | None = None
+    copies: int = 0
+    refused: bool = False
+
+
 @dataclasses.dataclass
 class Probe:
     """A request to one gateway on the route that a configuration added."""
@@ -70,6 +83,7 @@
         self.calls: list[Call] = []
         self.events: list[ProcessEvent] = []
         self.changes: list[Change] = []
+        self.evacuation_orders: list[EvacuationOrder] = []
         self.probes: list[Probe] = []
         self.drains: list[Drain] = []
         self.worker_faults: list[tuple[float, float, str]] = []  # start, end, description
--- a/scripts/soak/rules.py
+++ b/scripts/soak/rules.py
@@ -14,6 +14,8 @@
     drain: float = 3.0
     grace: float = 8.0
     loss_slack: float = 0.2
+    evacuate: float = 5.0
+    ack: float = 4.0
 
 
 @dataclasses.dataclass
@@ -98,6 +100,8 @@
         check_single_execution(history, calls),
         check_rejections(history, calls),
         check_drain(history, bounds, connectivity, calls),
+        check_evacuations(history, bounds, unstable, connectivity, calls),
+        check_evacuation_orders(history, bounds, unstable),
         check_lost_requests(history, bounds),
         check_unexpected_ends(history),
     ]
@@ -212,6 +216,54 @@
     return Verdict('DRAIN', cases, violations)
 
 
+def check_evacuations(history, bounds, unstable, connectivity, calls):
+    """EVAC: no request arrives in a zone that was evacuated for longer than the bound, until an order to end the
+    evacuation is sent. The cases are the requests that were dispatched while a zone had to be empty."""
+    cases, violations = 0, []
+    for zone, begun, ended in evacuated_periods(history):
+        for dispatch in history.dispatches:
+            if not begun < dispatch.at < ended:
+                continue
+            core_was_unstable = any(left < dispatch.at and right > begun for left, right in unstable)
+            bound = bounds.evacuate + (bounds.max_stretch if core_was_unstable else 0)
+            gateway = calls[dispatch.request_id].gateway
+            if dispatch.at - begun <= bound or not connectivity.is_connected(gateway, dispatch.at):
+                continue
+            cases += 1
+            if dispatch.zone == zone and not dispatch.misdirected:
+                violations.append(f'{dispatch.request_id} from {gateway} at {dispatch.worker_id} in {zone}, '
+                                  f'{dispatch.at - begun:.2f} s after its evacuation was acknowledged ({begun:.2f})')
+    return Verdict('EVAC', cases, violations)
+
+
+def evacuated_periods(history):
+    """Returns zone, acknowledgement and end of each evacuation: from the acknowledgement of the first order to
+    begin until the next order to end it is sent, which may come into force though it isn't acknowledged."""
+    periods = []
+    for zone in sorted({order.zone for order in history.evacuation_orders}):
+        begun = None
+        for order in (o for o in history.evacuation_orders if o.zone == zone):
+            if order.begin and begun is None:
+                begun = order.acknowledged_at
+            elif not order.begin and begun is not None:
+                periods.append((zone, begun, order.sent_at))
+                begun = None
+        if begun is not None:
+            periods.append((zone, begun, history.ended_at))
+    return periods
+
+
+def check_evacuation_orders(history, bounds, unstable):
+    """EVAC orders: none is refused, and while the core is stable each is acknowledged within `ack`."""
+    violations = [f'{order.zone}: refused at {order.sent_at:.2f}' for order in history.evacuation_orders
+                  if order.refused]
+    for order in history.evacuation_orders:
+        end = min(order.acknowledged_at or history.ended_at, order.sent_at + bounds.ack + 1)
+        if max(stable_stretches(order.sent_at, end, unstable), default=0) > bounds.ack:
+            violations.append(f'{order.zone}: sent at {order.sent_at:.2f}, acknowledged {order.acknowledged_at}')
+    return Verdict('EVAC orders', len(history.evacuation_orders), violations)
+
+
 def check_lost_requests(history, bounds):
     """LOST: around a SIGTERM without other faults, no request that a gateway read is left without a response."""
     other_faults = [e for e in history.events if e.kind in ('kill', 'freeze', 'thaw', 'ended_by_itself')]
--- a/scripts/soak/rules_test.py
+++ b/scripts/soak/rules_test.py
@@ -4,7 +4,7 @@
 
 import rules
 import settings_template
-from history import Call, Change, Dispatch, Drain, History, ProcessEvent, Probe
+from history import Call, Change, Dispatch, Drain, EvacuationOrder, History, ProcessEvent, Probe
 
 BOUNDS = rules.Bounds()
 
@@ -137,6 +137,62 @@
         self.assertEqual(len(judged(recorded, 'ENDED BY ITSELF').violations), 1)
 
 
+class EvacuationTest(unittest.TestCase):
+    @staticmethod
+    def dispatch(recorded, at, zone='z1', **fields):
+        request_id = f'r{len(recorded.calls)}'
+        recorded.calls.append(Call(request_id, 'edge-0', 'stream', at, True))
+        recorded.dispatches.append(Dispatch(request_id, 'w', 'llm', at, zone=zone, **fields))
+
+    @staticmethod
+    def order(recorded, begin, sent_at, acknowledged_at):
+        recorded.evacuation_orders.append(EvacuationOrder('z1', begin, sent_at, acknowledged_at))
+
+    def test_request_after_the_bound_is_a_violation(self):
+        recorded = history()
+        self.order(recorded, True, 9, 10)
+        self.dispatch(recorded, 14.9)
+        self.dispatch(recorded, 15.1)
+        self.dispatch(recorded, 15.2, 'z2')
+        self.dispatch(recorded, 15.3, misdirected=True)
+        verdict = judged(recorded, 'EVAC')
+        self.assertEqual((verdict.cases, len(verdict.violations)), (3, 1))
+
+    def test_an_order_to_end_it_allows_requests_once_it_is_sent(self):
+        recorded = history()
+        self.order(recorded, True, 9, 10)
+        self.order(recorded, False, 16, None)
+        self.dispatch(recorded, 15.5)
+        self.dispatch(recorded, 16.1)
+        self.assertEqual(len(judged(recorded, 'EVAC').violations), 1)
+
+    def test_a_series_counts_from_its_last_order(self):
+        recorded = history()
+        self.order(recorded, True, 9, 10)
+        self.order(recorded, False, 16, 16.1)
+        self.order(recorded, True, 17, 17.1)
+        self.dispatch(recorded, 22)
+        self.dispatch(recorded, 22.2)
+        self.assertEqual(len(judged(recorded, 'EVAC').violations), 1)
+
+    def test_an_unstable_core_extends_the_bound(self):
+        recorded = history()
+        recorded.events.append(ProcessEvent('core-1', True, 11, 'thaw'))
+        self.order(recorded, True, 9, 10)
+        self.dispatch(recorded, 19.9)
+        self.dispatch(recorded, 20.1)
+        self.assertEqual(len(judged(recorded, 'EVAC').violations), 1)
+
+    def test_orders_refused_or_not_acknowledged(self):
+        recorded = history()
+        self.order(recorded, True, 9, 12.9)
+        self.assertEqual(judged(recorded, 'EVAC orders').violations, [])
+        self.order(recorded, False, 20, 24.1)
+        self.assertEqual(len(judged(recorded, 'EVAC orders').violations), 1)
+        recorded.evacuation_orders.append(EvacuationOrder('z1', True, 30, refused=True))
+        self.assertEqual(len(judged(recorded, 'EVAC orders').violations), 3)
+
+
 class StableStretchesTest(unittest.TestCase):
     def test_half_of_the_core_down_is_unstable(self):
         recorded = history()
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -22,6 +22,7 @@
 
 import settings_template
 from callers import Callers, Operator
+from evacuations import EvacuationOperator, EvacuationSeries
 from faults import Faults
 from history import History
 from processes import ManagedProcess
@@ -32,6 +33,8 @@
 ZONES = ['z1', 'z2', 'z3', 'z4']
 INTERNAL_PORT, CONTROL_PORT, FRONT_PORT, READINESS_PORT, WORKER_PORT = 7340, 8783, 8782, 8789, 8080
 SETTLE_S = 10
+# How long an evacuation is watched beyond its bounds.
+HOLD_MARGIN_S = 3
 # Longest stall of the soak's event loop with which the times that it records are still reliable.
 TOLERATED_STALL_S = 0.5
 
@@ -191,6 +194,7 @@
         clients.append(asyncio.ensure_future(callers.probe(lambda: self.operator.acknowledged_version)))
         faults = Faults(self, self.rng, self.options.seconds)
         series = [asyncio.ensure_future(one) for one in faults.draw()]
+        series.append(asyncio.ensure_future(self._evacuate(controller_addresses)))
         await asyncio.sleep(self.options.seconds)
         await asyncio.wait(series, timeout=SETTLE_S)
         await asyncio.sleep(SETTLE_S)
@@ -198,6 +202,14 @@
         await asyncio.wait(clients, timeout=SETTLE_S + 2)
         await self._finish(background, faults, series)
 
+    async def _evacuate(self, controller_addresses):
+        # A generator of its own: the other faults of a seed stay as they were without evacuations.
+        rng = random.Random(f'evacuations-{self.seed}')
+        hold_s = self.bounds.evacuate + self.bounds.max_stretch + HOLD_MARGIN_S
+        async with EvacuationOperator(self.history, self.clock, rng, controller_addresses) as operator:
+            series = EvacuationSeries(self, rng, self.clock() + self.options.seconds - hold_s, hold_s)
+            await series.execute(ZONES[:2], operator)
+
     async def _wait_until_ready(self):
         deadline = time.monotonic() + 30
         while len(self._ready) < self.options.gateways and time.monotonic() < deadline:
--- a/scripts/soak/workers.py
+++ b/scripts/soak/workers.py
@@ -164,7 +164,7 @@
 
     async def _run(self, request, body):
         dispatch = Dispatch(request.headers.get('Request-Id', ''), self.id, self.service, self.pool.clock(),
-                            model=self.model)
+                            model=self.model, zone=self.zone)
         self.pool.history.dispatches.append(dispatch)
         async with self._slots:
             if not self.model:
@@ -186,6 +186,7 @@
 
     async def _run_prompt(self, request, dispatch):
         rejection = self._admission_rejection(request)
+        dispatch.misdirected = rejection is not None and rejection.status == 421
         if rejection is not None or _disconnected(request):
             return rejection or self._rejection(request, 503)
         counted = not self.pool.order_rejects_prefills
@@ -198,6 +199,7 @@
             if not counted:
                 rejection = self._admission_rejection(request)
                 if rejection is not None:
+                    dispatch.misdirected = rejection.status == 421
                     return rejection
                 self._change_running(1)
                 counted = True
