--- a/src/posthatch/control/admin/admin_api-test.cc
+++ b/src/posthatch/control/admin/admin_api-test.cc
@@ -3,15 +3,16 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include <optional>
-
 #include "posthatch/control/admin/admin_changes.h"
 #include "posthatch/control/inventory/inventory_poller.h"
 #include "posthatch/control/server/state_views.h"
+#include "posthatch/test_support/fake_trace-test.h"
+#include "posthatch/test_support/fake_writer-test.h"
 
 namespace posthatch::control {
 namespace {
 
+using test_support::FakeWriter;
 using testing::HasSubstr;
 using testing::IsEmpty;
 
@@ -19,26 +20,6 @@
 constexpr const char* kTokenHash =
     "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
 
-class RecordingWriter : public http::ResponseWriter {
- public:
-  void SendResponse(http::Response sent) override { response = std::move(sent); }
-  void StartStream(http::Response) override {}
-  void WriteChunk(std::string) override {}
-  void FinishStream() override {}
-  void Abort() override {}
-  size_t buffered_bytes() const override { return 0; }
-  void OnWritable(std::function<void()>) override {}
-  void OnCallerDisconnected(std::function<void()>) override {}
-
-  std::optional<http::Response> response;
-};
-
-class NullTrace : public runtime::TraceSink {
- public:
-  void Event(runtime::Severity, std::string_view,
-             std::initializer_list<runtime::TraceField>) override {}
-};
-
 // Responds synchronously with the result that the test has set.
 class FixedClient : public ControlClient, public QueryClient {
  public:
@@ -70,13 +51,13 @@
                  &client_);
     http::Request request{method, target, {}, body, 0};
     if (!token.empty()) request.headers.Add("Authorization", "Bearer " + token);
-    auto writer = std::make_shared<RecordingWriter>();
+    auto writer = std::make_shared<FakeWriter>();
     EXPECT_TRUE(api.HandleRequest(request, writer));
-    EXPECT_TRUE(writer->response.has_value());
-    return writer->response.value_or(http::Response{});
+    EXPECT_EQ(writer->responses, 1);
+    return writer->sent_response;
   }
 
-  NullTrace trace_;
+  test_support::FakeTrace trace_;
   runtime::Runtime runtime_;
   FixedClient client_;
 };
@@ -142,8 +123,7 @@
   AdminApi api(&runtime_, {}, &client_, &client_);
   for (const char* target : {"/v1/completions", "/admin/v1/log-level", "/admin/v1/index",
                              "/admin/v1/", "/admin/v2/configuration", "/admin/v1/leases/x"}) {
-    EXPECT_FALSE(
-        api.HandleRequest({"GET", target, {}, "", 0}, std::make_shared<RecordingWriter>()));
+    EXPECT_FALSE(api.HandleRequest({"GET", target, {}, "", 0}, std::make_shared<FakeWriter>()));
   }
 }
 
--- a/src/posthatch/control/admin/evacuation_proposer-test.cc
+++ b/src/posthatch/control/admin/evacuation_proposer-test.cc
@@ -9,6 +9,7 @@
 
 #include "posthatch/control/state/commands-test.h"
 #include "posthatch/test_support/fake_timers-test.h"
+#include "posthatch/test_support/fake_trace-test.h"
 #include "posthatch/test_support/fake_writer-test.h"
 
 namespace posthatch::control {
@@ -18,17 +19,9 @@
 using std::chrono::seconds;
 using test_support::FakeClock;
 using test_support::FakeTimers;
+using test_support::FakeTrace;
 using test_support::FakeWriter;
 
-class RecordingTrace : public runtime::TraceSink {
- public:
-  void Event(runtime::Severity, std::string_view type,
-             std::initializer_list<runtime::TraceField>) override {
-    events.emplace_back(type);
-  }
-  std::vector<std::string> events;
-};
-
 // The leader: applies commands to its own set `delay` after they were proposed.
 class FakeLeader : public ControlClient {
  public:
@@ -100,7 +93,7 @@
 
   FakeClock clock_;
   FakeTimers timers_{&clock_};
-  RecordingTrace trace_;
+  FakeTrace trace_;
   prometheus::Registry metrics_;
   runtime::Runtime runtime_;
   FakeLeader leader_{&timers_};
--- a/src/posthatch/index/fake_parts-test.h
+++ b/src/posthatch/index/fake_parts-test.h
@@ -9,6 +9,7 @@
 #include "posthatch/invalidation/channel_names.h"
 #include "posthatch/invalidation/fake_runtime-test.h"
 #include "posthatch/invalidation/object_trust.h"
+#include "posthatch/test_support/fake_trace-test.h"
 
 // Fakes of what the index depends on.
 namespace posthatch::index {
@@ -100,19 +101,13 @@
   std::vector<StartedCall> calls;
 };
 
-class NullTrace : public runtime::TraceSink {
- public:
-  void Event(runtime::Severity, std::string_view,
-             std::initializer_list<runtime::TraceField>) override {}
-};
-
 struct IndexFakes : invalidation::FakeRuntime {
   IndexFakes() {
     runtime.http_client = &http;
     runtime.trace = &trace;
   }
   FakeHttpClient http;
-  NullTrace trace;
+  test_support::FakeTrace trace;
 };
 
 }  // namespace posthatch::index
--- a/src/posthatch/routing/traffic_fixture-test.h
+++ b/src/posthatch/routing/traffic_fixture-test.h
@@ -7,6 +7,7 @@
 #include "gtest/gtest.h"
 #include "posthatch/gateway/gateway_fakes-test.h"
 #include "posthatch/routing/traffic_gateway.h"
+#include "posthatch/test_support/fake_trace-test.h"
 
 // A traffic gateway with fake dependencies, for tests.
 namespace posthatch::routing {
@@ -95,12 +96,6 @@
   }
 };
 
-class NullTraceSink : public runtime::TraceSink {
- public:
-  void Event(runtime::Severity, std::string_view,
-             std::initializer_list<runtime::TraceField>) override {}
-};
-
 // Services "llm" (workers w1, w2 in zone a, w3 in zone b, model "m") and "app" (s1, s2); routes
 // once, often, stream and resume on host "h"; tenant "one" with key "key-one".
 class TrafficTest : public testing::Test {
@@ -229,7 +224,7 @@
   runtime::Random random_{7};
   gateway::FakeHttpClient client_;
   FakeTransport transport_;
-  NullTraceSink trace_;
+  test_support::FakeTrace trace_;
   prometheus::Registry registry_;
   runtime::Runtime runtime_;
   gateway::FakeFleetView view_;
