--- a/src/posthatch/control/admin/arrival_estimator.h
+++ b/src/posthatch/control/admin/arrival_estimator.h
@@ -16,7 +16,7 @@
   runtime::Duration accept_time = std::chrono::seconds(1);
 };
 
-// What a process knows about the time at which a caller sent a request.
+// Estimate of when a caller sent a request.
 struct Arrival {
   // The caller sent the request after this time, and before the process read it.
   runtime::MonotonicTime sent_after;
--- a/src/posthatch/control/admin/evacuation_proposer.h
+++ b/src/posthatch/control/admin/evacuation_proposer.h
@@ -56,14 +56,14 @@
   void Propose(Command command, const http::Request& request,
                std::shared_ptr<http::ResponseWriter> writer, Done done);
 
-  // To be called after changes of the control state.
+  // Must be called after the control state has changed.
   void OnStateChanged();
 
  private:
   struct Order {
     Command command;
     std::shared_ptr<http::ResponseWriter> writer;
-    runtime::MonotonicTime sent_after;  // of http::Request
+    runtime::MonotonicTime sent_after;  // http::Request::sent_after of the call
     runtime::MonotonicTime deadline;
     Done done;
     bool caller_left = false;
--- a/src/posthatch/control/admin/operator_api.cc
+++ b/src/posthatch/control/admin/operator_api.cc
@@ -35,7 +35,7 @@
       writer->SendResponse(format_->RenderMalformed(parsed.error));
       return true;
     case OperatorRequest::Kind::kChange:
-      HandleChange(std::move(parsed.command), request, std::move(writer));
+      HandleChange(std::move(parsed.command), request, writer);
       return true;
     case OperatorRequest::Kind::kReadConfiguration:
       HandleRead(std::move(writer));
@@ -45,7 +45,7 @@
 }
 
 void OperatorApi::HandleChange(Command command, const http::Request& request,
-                               std::shared_ptr<http::ResponseWriter> writer) {
+                               const std::shared_ptr<http::ResponseWriter>& writer) {
   // Each call gets a new request id, since a resend and a new order look alike.
   command.set_request_id(
       absl::StrCat("op-", absl::Hex(runtime_->transport->incarnation()), "-", ++last_change_id_));
--- a/src/posthatch/control/admin/operator_api.h
+++ b/src/posthatch/control/admin/operator_api.h
@@ -36,12 +36,12 @@
   // Responds to an operator's request, synchronously or later; returns false and does nothing for
   // other requests.
   bool HandleRequest(const http::Request& request, std::shared_ptr<http::ResponseWriter> writer);
-  // To be called after changes of the control state.
+  // Must be called after the control state has changed.
   void OnStateChanged() { evacuation_proposer_.OnStateChanged(); }
 
  private:
   void HandleChange(Command command, const http::Request& request,
-                    std::shared_ptr<http::ResponseWriter> writer);
+                    const std::shared_ptr<http::ResponseWriter>& writer);
   void Respond(const Command& command, const absl::StatusOr<CommandResult>& proposal_result,
                http::ResponseWriter* writer);
   void HandleRead(std::shared_ptr<http::ResponseWriter> writer);
--- a/src/posthatch/net/http_server_connection.h
+++ b/src/posthatch/net/http_server_connection.h
@@ -107,7 +107,7 @@
   bool parsing_requests_ = false;  // guards against recursion through the handler
   bool read_ended_ = false;
   uint64_t lingered_bytes_ = 0;
-  runtime::MonotonicTime sent_after_;  // of the next request, see http::Request
+  runtime::MonotonicTime sent_after_;  // value of http::Request::sent_after for the next request
 
   // Number and state of the exchange in progress.
   uint64_t exchange_ = 0;
