--- a/src/posthatch/gateway/gateway_fakes-test.h
+++ b/src/posthatch/gateway/gateway_fakes-test.h
@@ -31,6 +31,7 @@
   http::CallObserver observer;
   bool cancelled = false;
   bool paused = false;
+  http::ConnectionUse connection;
   int cached_blocks = 0;  // X-Worker-Cached-Blocks in its response heads
 
   std::string Field(std::string_view name) const { return std::string(request.headers.Get(name)); }
@@ -87,6 +88,7 @@
     call->request = std::move(request);
     call->options = options;
     call->observer = std::move(observer);
+    call->connection = {calls.size() + 1, 1};
     calls.push_back(call);
     return std::make_unique<Handle>(call);
   }
@@ -103,6 +105,7 @@
     ~Handle() override { call_->cancelled = true; }
     void StopReading() override { call_->paused = true; }
     void ResumeReading() override { call_->paused = false; }
+    http::ConnectionUse connection_use() const override { return call_->connection; }
 
    private:
     const std::shared_ptr<FakeCall> call_;
--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -146,6 +146,12 @@
   double max_idle_fraction = 0.75;
 };
 
+// The place of a call among the calls on its connection.
+struct ConnectionUse {
+  uint64_t connection_id = 0;  // unique among the client's connections; 0: no connection
+  uint64_t call_number = 0;    // 1 for the first call on the connection
+};
+
 // A call in progress. Destroying the handle cancels it: the connection is closed, so that the back
 // end can stop. StopReading stops reading from the back end until ResumeReading.
 class Call {
@@ -153,6 +159,8 @@
   virtual ~Call() = default;
   virtual void StopReading() = 0;
   virtual void ResumeReading() = 0;
+  // Of this call, also after its end.
+  virtual ConnectionUse connection_use() const = 0;
 };
 
 class HttpClient {
--- a/src/posthatch/net/beast_http_client-test.cc
+++ b/src/posthatch/net/beast_http_client-test.cc
@@ -65,6 +65,15 @@
     return outcome;
   }
 
+  double SurplusResponses() const {
+    for (const prometheus::MetricFamily& family : runtime_->runtime()->metrics->Collect()) {
+      if (family.name == "posthatch_http_client_surplus_responses_total") {
+        return family.metric.front().counter.value;
+      }
+    }
+    return -1;
+  }
+
   static void ExpectError(const Outcome& outcome, absl::StatusCode code,
                           http::CallProgress progress) {
     ASSERT_TRUE(outcome.error.has_value());
@@ -259,6 +268,41 @@
   EXPECT_TRUE(first.ended);
   server.ReadToEnd(runtime_.get());
   EXPECT_TRUE(server.ended());
+  EXPECT_EQ(SurplusResponses(), 1);
+}
+
+TEST_F(HttpClientTest, BytesOnIdleConnectionCloseIt) {
+  RawListener listener;
+  Outcome first;
+  const auto call = Start(listener.endpoint(), &first);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  server.Send(runtime_.get(), response);
+  WaitUntilFinished(first);
+  server.Send(runtime_.get(), response);
+  server.ReadToEnd(runtime_.get());
+  EXPECT_TRUE(server.ended());
+  EXPECT_EQ(SurplusResponses(), 1);
+}
+
+TEST_F(HttpClientTest, TellsTheConnectionOfACall) {
+  RawListener listener;
+  Outcome first;
+  const auto call = Start(listener.endpoint(), &first);
+  RawSocket server = listener.Accept(runtime_.get());
+  server.ReadUntil(runtime_.get(), "body");
+  server.Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  WaitUntilFinished(first);
+  Outcome pooled;
+  const auto second = Start(listener.endpoint(), &pooled);
+  Outcome unpooled;
+  const auto third = Start(listener.endpoint(), &unpooled);
+  EXPECT_EQ(call->connection_use().call_number, 1U);
+  EXPECT_EQ(second->connection_use().call_number, 2U);
+  EXPECT_EQ(second->connection_use().connection_id, call->connection_use().connection_id);
+  EXPECT_EQ(third->connection_use().call_number, 1U);
+  EXPECT_NE(third->connection_use().connection_id, call->connection_use().connection_id);
 }
 
 TEST_F(HttpClientTest, StoppedReadingAppliesBackpressureWithoutTimeout) {
--- a/src/posthatch/net/beast_http_client.cc
+++ b/src/posthatch/net/beast_http_client.cc
@@ -15,8 +15,10 @@
 // Handle of a running call.
 class BeastCall : public http::Call {
  public:
-  explicit BeastCall(std::shared_ptr<HttpClientConnection> connection, uint64_t call)
-      : connection_(std::move(connection)), call_(call) {}
+  BeastCall(std::shared_ptr<HttpClientConnection> connection, uint64_t call)
+      : connection_(std::move(connection)),
+        call_(call),
+        use_{connection_->id(), connection_->calls_begun()} {}
   ~BeastCall() override {
     if (Running()) connection_->Cancel();
   }
@@ -26,12 +28,14 @@
   void ResumeReading() override {
     if (Running()) connection_->ResumeReading();
   }
+  http::ConnectionUse connection_use() const override { return use_; }
 
  private:
   bool Running() const { return connection_->running_call() == call_; }
 
   const std::shared_ptr<HttpClientConnection> connection_;
   const uint64_t call_;
+  const http::ConnectionUse use_;
 };
 
 absl::Status CheckRequest(const http::Request& request) {
@@ -64,7 +68,14 @@
                               .Help("Idle connections in the pool")
                               .Register(*metrics)
                               .Add({})),
-        pool_(options, &idle_connections_) {}
+        surplus_responses_(
+            prometheus::BuildCounter()
+                .Name("posthatch_http_client_surplus_responses_total")
+                .Help("Connections closed because the server sent more than was asked for, such "
+                      "as a response for the second time")
+                .Register(*metrics)
+                .Add({})),
+        pool_(options, &idle_connections_, &surplus_responses_) {}
 
   std::unique_ptr<http::Call> Start(const std::string& endpoint, http::Request request,
                                     http::CallOptions options,
@@ -78,7 +89,8 @@
     }
     (connection == nullptr ? calls_new_ : calls_pooled_).Increment();
     if (connection == nullptr) {
-      connection = std::make_shared<HttpClientConnection>(environment_, endpoint, &pool_);
+      connection = std::make_shared<HttpClientConnection>(environment_, ++last_connection_,
+                                                          endpoint, &pool_);
     }
     const uint64_t call = ++last_call_;
     if (status.ok()) {
@@ -99,7 +111,9 @@
   prometheus::Counter& calls_new_;
   prometheus::Counter& calls_pooled_;
   prometheus::Gauge& idle_connections_;
+  prometheus::Counter& surplus_responses_;
   uint64_t last_call_ = 0;
+  uint64_t last_connection_ = 0;
   IdleConnectionPool pool_;
 };
 
--- a/src/posthatch/net/http_client_connection.cc
+++ b/src/posthatch/net/http_client_connection.cc
@@ -42,9 +42,10 @@
 
 }  // namespace
 
-HttpClientConnection::HttpClientConnection(IoEnvironment* environment, std::string endpoint,
-                                           HttpConnectionPool* pool)
+HttpClientConnection::HttpClientConnection(IoEnvironment* environment, uint64_t id,
+                                           std::string endpoint, HttpConnectionPool* pool)
     : environment_(environment),
+      id_(id),
       endpoint_(std::move(endpoint)),
       pool_(pool),
       stream_(std::make_shared<TcpStream>(environment, TcpSocket(*environment->io_context),
@@ -64,8 +65,7 @@
   paused_ = false;
   StartParser();
   Send(request);
-  if (first_call_) {
-    first_call_ = false;
+  if (++calls_begun_ == 1) {
     phase_ = Phase::kConnecting;
     stream_->SetDeadlineAfter(options_.connect_timeout);
     stream_->Connect(address);
@@ -160,7 +160,8 @@
 
 void HttpClientConnection::OnBytes(std::string_view bytes) {
   const auto self = shared_from_this();
-  if (phase_ == Phase::kIdle) {  // bytes received without a request
+  if (phase_ == Phase::kIdle) {
+    pool_->OnSurplusBytes();
     pool_->OnConnectionClosed(this);
     stream_->Close();
     return;
@@ -195,7 +196,10 @@
     break;
   }
   if (parser_->is_done()) {
-    if (!bytes.empty()) options_.fresh_connection = true;  // more than one response: not reusable
+    if (!bytes.empty()) {
+      pool_->OnSurplusBytes();
+      options_.fresh_connection = true;  // more than one response: not reusable
+    }
     return Finish();
   }
   if (bytes.size() > kMaxUnparsedBytes) return Fail(absl::DataLossError("answer: line too long"));
--- a/src/posthatch/net/http_client_connection.h
+++ b/src/posthatch/net/http_client_connection.h
@@ -20,6 +20,8 @@
   virtual bool ReturnToPool(const std::shared_ptr<HttpClientConnection>& connection) = 0;
   // Called when a connection of the pool was closed: removes it from the pool.
   virtual void OnConnectionClosed(HttpClientConnection* connection) = 0;
+  // Called when the server has sent bytes that no request asked for.
+  virtual void OnSurplusBytes() = 0;
 
  protected:
   ~HttpConnectionPool() = default;
@@ -30,7 +32,9 @@
 class HttpClientConnection final : public TcpStream::Owner,
                                    public std::enable_shared_from_this<HttpClientConnection> {
  public:
-  HttpClientConnection(IoEnvironment* environment, std::string endpoint, HttpConnectionPool* pool);
+  // `id` is unique among the client's connections.
+  HttpClientConnection(IoEnvironment* environment, uint64_t id, std::string endpoint,
+                       HttpConnectionPool* pool);
   ~HttpClientConnection();
 
   // Starts a call on a connection that is idle or new; a new one first connects to `address`.
@@ -63,6 +67,9 @@
   bool IdleWithin(double fraction, runtime::MonotonicTime now) const {
     return now - idle_since_ < idle_lifetime_ * fraction;
   }
+  uint64_t id() const { return id_; }
+  // Number of calls begun on this connection.
+  uint64_t calls_begun() const { return calls_begun_; }
   const std::string& endpoint() const { return endpoint_; }
 
   void OnConnected() override;
@@ -93,12 +100,13 @@
   http::CallProgress Progress() const;
 
   IoEnvironment* const environment_;
+  const uint64_t id_;
   const std::string endpoint_;
   HttpConnectionPool* pool_;
   std::shared_ptr<TcpStream> stream_;
   Phase phase_ = Phase::kIdle;
   uint64_t running_call_ = 0;
-  bool first_call_ = true;  // no call has begun yet: Begin connects
+  uint64_t calls_begun_ = 0;  // the first call connects
   bool paused_ = false;
   bool head_request_ = false;
   uint64_t written_at_start_ = 0;         // bytes written to the stream before this call
--- a/src/posthatch/net/idle_connection_pool.h
+++ b/src/posthatch/net/idle_connection_pool.h
@@ -7,6 +7,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "posthatch/net/beast_http_client.h"
 #include "posthatch/net/http_client_connection.h"
+#include "prometheus/counter.h"
 #include "prometheus/gauge.h"
 
 namespace posthatch::net {
@@ -16,9 +17,13 @@
 // connections. Event loop thread only.
 class IdleConnectionPool final : public HttpConnectionPool {
  public:
-  // `idle_connections` is the gauge of pooled connections and outlives the pool.
-  IdleConnectionPool(const HttpClientOptions& options, prometheus::Gauge* idle_connections)
-      : options_(options), idle_connections_(idle_connections) {}
+  // `idle_connections` is the gauge of pooled connections, `surplus_responses` counts the
+  // connections whose server sent bytes that no request asked for; both outlive the pool.
+  IdleConnectionPool(const HttpClientOptions& options, prometheus::Gauge* idle_connections,
+                     prometheus::Counter* surplus_responses)
+      : options_(options),
+        idle_connections_(idle_connections),
+        surplus_responses_(surplus_responses) {}
   ~IdleConnectionPool();
   IdleConnectionPool(const IdleConnectionPool&) = delete;
   IdleConnectionPool& operator=(const IdleConnectionPool&) = delete;
@@ -32,10 +37,12 @@
 
   bool ReturnToPool(const std::shared_ptr<HttpClientConnection>& connection) override;
   void OnConnectionClosed(HttpClientConnection* connection) override;
+  void OnSurplusBytes() override { surplus_responses_->Increment(); }
 
  private:
   const HttpClientOptions options_;
   prometheus::Gauge* const idle_connections_;
+  prometheus::Counter* const surplus_responses_;
   absl::flat_hash_map<std::string, std::vector<std::shared_ptr<HttpClientConnection>>> connections_;
 };
 
--- a/src/posthatch/rollout/rollout_coordinator.cc
+++ b/src/posthatch/rollout/rollout_coordinator.cc
@@ -10,6 +10,9 @@
 constexpr int kStatusOk = 200;
 constexpr double kMillisecondsPerSecond = 1000;
 constexpr size_t kMaxStatusBytes = size_t{1} << 20;
+// Values of the field `source` of WeightLoadFinished.
+constexpr std::string_view kCommandResponse = "command";
+constexpr std::string_view kStatusResponse = "status";
 // Interval between ticks while no worker is in progress.
 constexpr runtime::Duration kIdleTickInterval = std::chrono::milliseconds(200);
 
@@ -316,7 +319,7 @@
   if (result == WorkerCommandResult::kAlreadyServed) {
     WorkerStatus status;
     status.revision = active_.at(worker_id).target;
-    return OnStatus(worker_id, status);
+    return OnStatus(worker_id, status, kCommandResponse);
   }
   if (result == WorkerCommandResult::kWrongIncarnation) {
     active_.erase(worker_id);
@@ -341,26 +344,28 @@
               if (response == nullptr || response->status != kStatusOk) return;
               const absl::StatusOr<WorkerStatus> status =
                   dependencies_.format->ParseStatus(response->body, model);
-              if (status.ok()) OnStatus(worker_id, *status);
+              if (status.ok()) OnStatus(worker_id, *status, kStatusResponse);
             });
 }
 
-void RolloutCoordinator::OnStatus(const std::string& worker_id, const WorkerStatus& status) {
+void RolloutCoordinator::OnStatus(const std::string& worker_id, const WorkerStatus& status,
+                                  std::string_view source) {
   Progress& progress = active_.at(worker_id);
   if (status.busy || status.revision < progress.target) return;
   revisions_[worker_id] = std::max(revisions_[worker_id], status.revision);
   uint64_t& proven = proven_revisions_[progress.model];
   proven = std::max(proven, status.revision);
-  FinishWorker(worker_id);
+  FinishWorker(worker_id, source);
 }
 
-void RolloutCoordinator::FinishWorker(const std::string& worker_id) {
+void RolloutCoordinator::FinishWorker(const std::string& worker_id, std::string_view source) {
   const Progress& progress = active_.at(worker_id);
   const runtime::Duration elapsed = TimeSinceFirstCommand(progress);
   runtime_->trace->Event(runtime::Severity::kInfo, "WeightLoadFinished",
                          {{"worker", worker_id},
                           {"model", progress.model},
                           {"revision", progress.target},
+                          {"source", source},
                           {"elapsed_ms", runtime::ToMilliseconds(elapsed)}});
   metrics_.finished().Increment();
   Rollout& rollout = rollouts_[progress.model];
--- a/src/posthatch/rollout/rollout_coordinator.h
+++ b/src/posthatch/rollout/rollout_coordinator.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "posthatch/control/control.pb.h"
@@ -148,8 +149,9 @@
   void StartCall(const std::string& worker_id, Progress* progress, http::Request request,
                  std::function<void(const http::Response*)> done);
   void OnCommandResult(const std::string& worker_id, WorkerCommandResult result);
-  void OnStatus(const std::string& worker_id, const WorkerStatus& status);
-  void FinishWorker(const std::string& worker_id);
+  // `source`, for the log: which response told the status.
+  void OnStatus(const std::string& worker_id, const WorkerStatus& status, std::string_view source);
+  void FinishWorker(const std::string& worker_id, std::string_view source);
   uint64_t RevisionOf(const control::Backend& worker) const;
 
   runtime::Runtime* const runtime_;
--- a/src/posthatch/routing/call_format.h
+++ b/src/posthatch/routing/call_format.h
@@ -51,6 +51,7 @@
 // Classification of a response by its head.
 struct ResponseClassification {
   bool matches_request = true;  // whether it is the response to this call
+  bool has_request_id = true;   // whether it bears the id of any call
   Execution execution = Execution::kUnknown;
   bool misdirected = false;  // the address belongs to another incarnation or revision
   uint64_t revision = 0;     // model revision that the worker serves; 0: not given
--- a/src/posthatch/routing/request_trace.h
+++ b/src/posthatch/routing/request_trace.h
@@ -19,9 +19,14 @@
   RequestTrace(const TrafficContext* context, const AdmittedCall* admitted)
       : context_(context), admitted_(admitted) {}
 
-  // `attempt` increases with each dispatch of the request.
+  // `attempt` increases with each dispatch of the request; `connection` is its place on the
+  // worker's connection.
   void Dispatched(uint64_t attempt, const DispatchFields& fields, const PromptShape& shape,
-                  const Placement& placement) const;
+                  const Placement& placement, const http::ConnectionUse& connection) const;
+  // A response head was received that is a rejection or belongs to another request.
+  void ResponseHead(uint64_t attempt, const http::Response& head,
+                    const ResponseClassification& classification, const Worker& worker,
+                    const http::ConnectionUse& connection) const;
   // The first event of a stream came `elapsed` after the dispatch.
   void FirstEvent(const Placement& placement, runtime::Duration elapsed) const;
   // The first event of a prompt came after the deadline of `revision`, which has been outdated for
--- a/src/posthatch/routing/retry_state-test.cc
+++ b/src/posthatch/routing/retry_state-test.cc
@@ -26,7 +26,7 @@
   const RoutingSwitches switches;
   RetryState retries(&route, &switches);
   EXPECT_FALSE(retries.HasReachedWorker());
-  retries.RecordFailure(GetParam().failure, "w1");
+  retries.RecordFailure({.failure = GetParam().failure, .worker_id = "w1"});
   EXPECT_EQ(retries.MayRetry(/*stream_started=*/false), GetParam().may_retry);
   EXPECT_STREQ(retries.last_failure(), FailureLabel(GetParam().failure));
   EXPECT_THAT(retries.attempted_workers(), testing::ElementsAre("w1"));
@@ -61,7 +61,7 @@
   RetryState retries(&route, &switches);
   EXPECT_TRUE(retries.MayRetry(/*stream_started=*/false, /*unrecorded_executions=*/1));
   EXPECT_FALSE(retries.MayRetry(/*stream_started=*/false, /*unrecorded_executions=*/2));
-  retries.RecordFailure(DispatchFailure::kLost, "w1");
+  retries.RecordFailure({.failure = DispatchFailure::kLost, .worker_id = "w1"});
   EXPECT_FALSE(retries.MayRetry(/*stream_started=*/false, /*unrecorded_executions=*/1));
   EXPECT_EQ(retries.possible_executions(), 1U);
 }
--- a/src/posthatch/routing/retry_state.cc
+++ b/src/posthatch/routing/retry_state.cc
@@ -1,6 +1,7 @@
 #include "posthatch/routing/retry_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace posthatch::routing {
 namespace {
@@ -18,14 +19,18 @@
   return route_->kind() == control::STREAMING && route_->resumable();
 }
 
-void RetryState::RecordFailure(DispatchFailure failure, const std::string& worker_id) {
-  last_failure_ = FailureLabel(failure);
-  if (MayHaveExecuted(failure)) {
+void RetryState::RecordFailure(FailedDispatch dispatch) {
+  if (MayHaveExecuted(dispatch.failure)) {
     ++possible_executions_;
-  } else if (failure != DispatchFailure::kUnreachable) {
+  } else if (dispatch.failure != DispatchFailure::kUnreachable) {
     ++unexecuted_attempts_;
   }
-  attempted_workers_.push_back(worker_id);
+  attempted_workers_.push_back(dispatch.worker_id);
+  failed_dispatches_.push_back(std::move(dispatch));
+}
+
+const char* RetryState::last_failure() const {
+  return failed_dispatches_.empty() ? "" : FailureLabel(failed_dispatches_.back().failure);
 }
 
 bool RetryState::MayRetry(bool stream_started, uint32_t unrecorded_executions) const {
--- a/src/posthatch/routing/retry_state.h
+++ b/src/posthatch/routing/retry_state.h
@@ -5,11 +5,21 @@
 #include <vector>
 
 #include "posthatch/control/control.pb.h"
+#include "posthatch/http/http.h"
 #include "posthatch/routing/request_outcome.h"
 #include "posthatch/routing/routing_switches.h"
+#include "posthatch/runtime/clock.h"
 
 namespace posthatch::routing {
 
+// A dispatch that failed, for the retry policy and for the log.
+struct FailedDispatch {
+  DispatchFailure failure = DispatchFailure::kLost;
+  std::string worker_id;
+  http::ConnectionUse connection{};
+  runtime::Duration elapsed{0};  // from the dispatch to its failure
+};
+
 // The failed dispatches of one request, and whether another one may follow them. Invariant: a
 // request that is not idempotent is dispatched again only while no dispatch of it may have run. The
 // request itself checks its deadline, the fleet's retry budget (RetryBudget) and whether a worker
@@ -25,8 +35,7 @@
   // Whether the request's stream may be resumed at another worker.
   bool IsResumable() const;
 
-  // A dispatch to `worker_id` has failed.
-  void RecordFailure(DispatchFailure failure, const std::string& worker_id);
+  void RecordFailure(FailedDispatch dispatch);
   // A dispatch was abandoned and may have run.
   void RecordPossibleExecution() { ++possible_executions_; }
 
@@ -40,8 +49,10 @@
   bool HasReachedWorker() const { return possible_executions_ + unexecuted_attempts_ > 0; }
   // Worker ids of the failed dispatches, in order; may contain duplicates.
   const std::vector<std::string>& attempted_workers() const { return attempted_workers_; }
+  // In the order in which they failed.
+  const std::vector<FailedDispatch>& failed_dispatches() const { return failed_dispatches_; }
   // Label of the newest failure; empty if there is none.
-  const char* last_failure() const { return last_failure_; }
+  const char* last_failure() const;
 
  private:
   const control::TrafficRoute* const route_;
@@ -49,7 +60,7 @@
   uint32_t possible_executions_ = 0;
   uint32_t unexecuted_attempts_ = 0;  // reached a worker and provably have not run
   std::vector<std::string> attempted_workers_;
-  const char* last_failure_ = "";
+  std::vector<FailedDispatch> failed_dispatches_;
 };
 
 }  // namespace posthatch::routing
--- a/src/posthatch/routing/traffic_request-test.cc
+++ b/src/posthatch/routing/traffic_request-test.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "gmock/gmock.h"
 #include "posthatch/routing/traffic_fixture-test.h"
 
 namespace posthatch::routing {
@@ -49,6 +50,25 @@
   EXPECT_TRUE(writer->sent_response.headers.Has("Retry"));
 }
 
+TEST_F(TrafficRequestTest, TraceTellsConnectionOfEachRejection) {
+  const auto writer = Send("once");
+  const std::string first = Last().Field("Instance");
+  const std::string connection = std::to_string(Last().connection.connection_id);
+  Head(503, "", /*rejected=*/true);
+  EXPECT_EQ(trace_.Field("UnusableResponse", "connection"), connection);
+  EXPECT_EQ(trace_.Field("UnusableResponse", "matches_request"), "true");
+  for (int i = 0; i < 10 && writer->responses == 0; ++i) Head(503, "", /*rejected=*/true);
+  EXPECT_THAT(trace_.Field("RequestRefusedAfterDispatch", "failures"),
+              testing::StartsWith(first + " " + connection + "/1 not_executed"));
+}
+
+TEST_F(TrafficRequestTest, TraceTellsResponsesOfOtherRequests) {
+  const auto writer = Send("once");
+  Head(200, "someone-else");
+  EXPECT_EQ(trace_.Field("UnusableResponse", "matches_request"), "false");
+  EXPECT_EQ(trace_.Field("RequestRefusedAfterDispatch", "failures"), "");
+}
+
 TEST_F(TrafficRequestTest, RejectionAfterPossibleExecutionIsNotUnavailable) {
   const auto writer = Send("often");
   Last().Error(CallProgress::kSent);
--- a/src/posthatch/routing/traffic_request.cc
+++ b/src/posthatch/routing/traffic_request.cc
@@ -190,7 +190,6 @@
   attempt_.worker = placement.worker;
   attempt_.placement = std::move(placement);
   attempt_.revision = fields.expected_revision;
-  trace_.Dispatched(attempt_number_, fields, prompt_.shape(), attempt_.placement);
   if (admitted_.IsPrompt()) AnnouncePrefill();
   context_->pool->OnDispatched(attempt_.worker.get(), attempt_.placement.uncached_tokens);
   attempt_.prefill_pending = true;
@@ -199,6 +198,8 @@
       attempt_.worker->backend.endpoint(),
       context_->format->MakeDispatch(admitted_.request, fields), MakeCallOptions(),
       MakeCallObserver());
+  trace_.Dispatched(attempt_number_, fields, prompt_.shape(), attempt_.placement,
+                    attempt_.call->connection_use());
   CheckRevisionDeadline();
 }
 
@@ -232,6 +233,8 @@
 void TrafficRequest::OnHead(const http::Response& head) {
   const ResponseClassification classification =
       context_->format->ClassifyResponse(admitted_.call, head);
+  trace_.ResponseHead(attempt_number_, head, classification, *attempt_.worker,
+                      attempt_.call->connection_use());
   if (!classification.matches_request) return OnAttemptFailed(DispatchFailure::kMismatched);
   WorkerPool* pool = context_->pool;
   const bool wrong_worker = !classification.instance_id.empty() &&
@@ -368,7 +371,8 @@
 void TrafficRequest::OnAttemptFailed(DispatchFailure failure) {
   context_->metrics->failures.Increment(FailureLabel(failure));
   ReportFailureToPool(failure);
-  retries_.RecordFailure(failure, attempt_.worker->backend.id());
+  retries_.RecordFailure({failure, attempt_.worker->backend.id(), attempt_.call->connection_use(),
+                          context_->runtime->clock->Now() - attempt_.started_at});
   ReleaseWorker();
   sse_framer_.DiscardPartial();
   if (MayRetry(/*unrecorded_executions=*/0)) return DispatchAttempt();
--- a/src/posthatch/simulation/http_connection.cc
+++ b/src/posthatch/simulation/http_connection.cc
@@ -58,6 +58,7 @@
   const size_t bytes = request.target.size() + request.body.size();
   const uint64_t digest = Digest(request.body, Digest(request.target, id_));
   request.connection_id = id_;
+  ++requests_sent_;
   request_pipe_->Push(bytes, digest,
                       [weak = weak_from_this(), request = std::move(request)]() mutable {
                         const auto self = weak.lock();
--- a/src/posthatch/simulation/http_connection.h
+++ b/src/posthatch/simulation/http_connection.h
@@ -34,6 +34,8 @@
   HttpConnection(WorldCore* core, HostExecutor* client, std::string endpoint);
 
   uint64_t id() const { return id_; }
+  // Number of requests sent on this connection.
+  uint64_t requests_sent() const { return requests_sent_; }
 
   // Client's side. Connect ends with a call of OnConnected or OnClosed.
   void Connect(std::shared_ptr<ClientEnd> end);
@@ -74,6 +76,7 @@
   std::shared_ptr<Pipe> response_pipe_;  // null until accepted
   std::shared_ptr<ClientEnd> client_end_;
   std::shared_ptr<ServerEnd> server_end_;
+  uint64_t requests_sent_ = 0;
   bool client_closed_ = false;
   bool server_closed_ = false;
 };
--- a/src/posthatch/simulation/sim_call.cc
+++ b/src/posthatch/simulation/sim_call.cc
@@ -20,11 +20,13 @@
 void SimCall::Begin() {
   if (!options_.fresh_connection) connection_ = client_->TakeIdle(endpoint_);
   if (connection_ != nullptr) {
+    use_ = {connection_->id(), connection_->requests_sent() + 1};
     connection_->set_client_end(shared_from_this());
     SendRequest();
     return;
   }
   connection_ = client_->NewConnection(endpoint_);
+  use_ = {connection_->id(), 1};
   connection_->Connect(shared_from_this());
   timer_.Start(options_.connect_timeout,
                [this] { Fail(absl::DeadlineExceededError("connect timed out")); });
--- a/src/posthatch/simulation/sim_call.h
+++ b/src/posthatch/simulation/sim_call.h
@@ -22,6 +22,7 @@
   void Cancel();
   void StopReading();
   void ResumeReading();
+  http::ConnectionUse connection_use() const { return use_; }
 
   void OnConnected() override;
   void OnHead(const http::Response& head) override;
@@ -45,6 +46,7 @@
   const http::CallOptions options_;
   http::CallObserver observer_;
   std::shared_ptr<HttpConnection> connection_;
+  http::ConnectionUse use_;
   // Limits the wait for the connection, then for the status line, then for each chunk of the body.
   runtime::Timer timer_;
   runtime::MonotonicTime last_chunk_at_{};
--- a/src/posthatch/simulation/sim_http_client.cc
+++ b/src/posthatch/simulation/sim_http_client.cc
@@ -20,6 +20,9 @@
   void ResumeReading() override {
     if (call_ != nullptr) call_->ResumeReading();
   }
+  http::ConnectionUse connection_use() const override {
+    return call_ == nullptr ? http::ConnectionUse() : call_->connection_use();
+  }
 
  private:
   const std::shared_ptr<SimCall> call_;  // null if the client's process had ended
