Simulator: HTTP servers can send a response a second time, late

SimHost::SetResponseCopies: a share of a host's complete responses is followed by copies, each after a random delay, in the place of the next response on that connection; never within a stream. A client that gets a response without a call in progress closes the connection, as the real one does. Without copies nothing is drawn, so that the traces of all scenarios stay as they were.

--- a/src/posthatch/simulation/host_runtime.cc
+++ b/src/posthatch/simulation/host_runtime.cc
@@ -3,13 +3,14 @@
 namespace posthatch::simulation {
 
 HostRuntime::HostRuntime(WorldCore* core, HostExecutor* host, SimClock* clock, SimDisk* disk,
-                         const DiskSpeed* disk_speed, const std::string& internal_endpoint)
+                         const DiskSpeed* disk_speed, const ResponseCopies* response_copies,
+                         const std::string& internal_endpoint)
     : random_(core->random()),
       timers_(&core->queue, host),
       transport_(core, host, internal_endpoint, core->random()),
       file_system_(core, host, disk, disk_speed),
       http_client_(core, host, clock, &timers_),
-      http_servers_(core, host, &timers_),
+      http_servers_(core, host, &timers_, response_copies),
       trace_(core, host->name()) {
   runtime_.clock = clock;
   runtime_.timers = &timers_;
--- a/src/posthatch/simulation/host_runtime.h
+++ b/src/posthatch/simulation/host_runtime.h
@@ -20,7 +20,8 @@
 class HostRuntime {
  public:
   HostRuntime(WorldCore* core, HostExecutor* host, SimClock* clock, SimDisk* disk,
-              const DiskSpeed* disk_speed, const std::string& internal_endpoint);
+              const DiskSpeed* disk_speed, const ResponseCopies* response_copies,
+              const std::string& internal_endpoint);
 
   runtime::Runtime* runtime() { return &runtime_; }
   // Stops the services; called when the process ends, before its object is destroyed.
--- a/src/posthatch/simulation/http_connection.cc
+++ b/src/posthatch/simulation/http_connection.cc
@@ -81,6 +81,8 @@
                            self->response_pipe_->Reset();
                          } else if (const auto end = self->client_end_) {
                            action(end.get(), &content);
+                         } else {
+                           self->CloseClient();  // bytes that no request asked for
                          }
                        });
 }
@@ -113,6 +115,17 @@
   SendEnd();
 }
 
+void HttpConnection::SendResponseAtOnce(http::Response response) {
+  const size_t bytes = response.body.size() + 1;
+  const uint64_t digest = Digest(response.body, id_ + static_cast<uint64_t>(response.status));
+  PushToClient(bytes, digest, std::move(response), [](ClientEnd* end, http::Response* content) {
+    std::string body = std::exchange(content->body, {});
+    end->OnHead(*content);
+    if (!body.empty()) end->OnChunk(std::move(body));
+    end->OnEnd();
+  });
+}
+
 void HttpConnection::CloseClient() {
   if (client_closed_) return;
   client_closed_ = true;
--- a/src/posthatch/simulation/http_connection.h
+++ b/src/posthatch/simulation/http_connection.h
@@ -53,6 +53,8 @@
   void SendChunk(std::string chunk);
   void SendEnd();
   void SendResponse(http::Response response);
+  // Like SendResponse, but the client receives all of it at the same time.
+  void SendResponseAtOnce(http::Response response);
   void CloseServer();
   size_t response_buffered_bytes() const;
   void NotifyWritable(size_t threshold, Callback callback);
--- a/src/posthatch/simulation/sim_host_impl.cc
+++ b/src/posthatch/simulation/sim_host_impl.cc
@@ -33,7 +33,7 @@
   MixProcessEvent("start");
   executor_.StartProcess(core_->NextId());
   runtime_ = std::make_unique<HostRuntime>(core_, &executor_, &clock_, &disk_, &disk_speed_,
-                                           internal_endpoint_);
+                                           &response_copies_, internal_endpoint_);
   executor_.Run(executor_.process_id(), HostExecutor::CallbackType::kNetwork,
                 [this] { process_ = boot_(runtime_->runtime()); });
 }
--- a/src/posthatch/simulation/sim_host_impl.h
+++ b/src/posthatch/simulation/sim_host_impl.h
@@ -39,6 +39,7 @@
   void JumpWallClock(runtime::Duration delta) override { clock_.JumpWall(delta); }
   void SetDiskDelay(runtime::Duration per_sync) override { disk_speed_.per_sync = per_sync; }
   void SetDiskFull(bool full) override { disk_.set_full(full); }
+  void SetResponseCopies(const ResponseCopies& copies) override { response_copies_ = copies; }
 
   uint32_t number() const { return executor_.number(); }
   HostExecutor* executor() { return &executor_; }
@@ -56,6 +57,7 @@
   SimClock clock_;
   SimDisk disk_;
   DiskSpeed disk_speed_;
+  ResponseCopies response_copies_;
   Boot boot_;
   std::unique_ptr<HostRuntime> runtime_;  // null unless a process is running
   // Runtimes of ended processes are kept, since pointers to them may remain; they ignore calls.
--- a/src/posthatch/simulation/sim_http_server.cc
+++ b/src/posthatch/simulation/sim_http_server.cc
@@ -28,11 +28,13 @@
 }  // namespace
 
 SimHttpServer::SimHttpServer(WorldCore* core, HostExecutor* host, runtime::TimerService* timers,
-                             std::string endpoint, http::ServerLimits limits, http::Handler handler)
+                             const ResponseCopies* response_copies, std::string endpoint,
+                             http::ServerLimits limits, http::Handler handler)
     : core_(core),
       host_(host),
       process_id_(host->process_id()),
       timers_(timers),
+      response_copies_(response_copies),
       endpoint_(std::move(endpoint)),
       limits_(limits),
       handler_(std::move(handler)) {}
@@ -89,8 +91,8 @@
   const size_t colon = endpoint.rfind(':');
   if (colon == std::string::npos) return absl::InvalidArgumentError("endpoint without a port");
   const std::string bound = endpoint.substr(colon) == ":0" ? PickPort(endpoint) : endpoint;
-  auto server =
-      std::make_shared<SimHttpServer>(core_, host_, timers_, bound, limits, std::move(handler));
+  auto server = std::make_shared<SimHttpServer>(core_, host_, timers_, response_copies_, bound,
+                                                limits, std::move(handler));
   if (!core_->network.AddServer(bound, host_, server.get())) {
     return absl::AlreadyExistsError(absl::StrCat("address in use: ", bound));
   }
--- a/src/posthatch/simulation/sim_http_server.h
+++ b/src/posthatch/simulation/sim_http_server.h
@@ -8,6 +8,7 @@
 #include "posthatch/http/http.h"
 #include "posthatch/simulation/http_connection.h"
 #include "posthatch/simulation/sim_server_connection.h"
+#include "posthatch/simulation/sim_world.h"
 
 namespace posthatch::simulation {
 
@@ -16,7 +17,8 @@
 class SimHttpServer : public std::enable_shared_from_this<SimHttpServer> {
  public:
   SimHttpServer(WorldCore* core, HostExecutor* host, runtime::TimerService* timers,
-                std::string endpoint, http::ServerLimits limits, http::Handler handler);
+                const ResponseCopies* response_copies, std::string endpoint,
+                http::ServerLimits limits, http::Handler handler);
 
   // Accepts like the kernel, also while the process is frozen. Returns the id of the accepting
   // process, or 0 to refuse.
@@ -31,6 +33,7 @@
   void Handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
   void Remove(uint64_t connection_id) { connections_.erase(connection_id); }
   const http::ServerLimits& limits() const { return limits_; }
+  const ResponseCopies& response_copies() const { return *response_copies_; }
   bool draining() const { return draining_; }
   runtime::TimerService* timers() const { return timers_; }
   WorldCore* core() const { return core_; }
@@ -40,6 +43,7 @@
   HostExecutor* const host_;
   const uint64_t process_id_;
   runtime::TimerService* const timers_;
+  const ResponseCopies* const response_copies_;
   const std::string endpoint_;
   const http::ServerLimits limits_;
   http::Handler handler_;
@@ -51,8 +55,13 @@
 // end of its process, and Listen then fails.
 class SimHttpServerFactory : public http::HttpServerFactory {
  public:
-  SimHttpServerFactory(WorldCore* core, HostExecutor* host, runtime::TimerService* timers)
-      : core_(core), host_(host), process_id_(host->process_id()), timers_(timers) {}
+  SimHttpServerFactory(WorldCore* core, HostExecutor* host, runtime::TimerService* timers,
+                       const ResponseCopies* response_copies)
+      : core_(core),
+        host_(host),
+        process_id_(host->process_id()),
+        timers_(timers),
+        response_copies_(response_copies) {}
 
   // Errors: AlreadyExists if the endpoint is in use, InvalidArgument without a port. Port 0 picks a
   // free one.
@@ -68,6 +77,7 @@
   HostExecutor* const host_;
   const uint64_t process_id_;
   runtime::TimerService* const timers_;
+  const ResponseCopies* const response_copies_;
   std::map<std::string, std::weak_ptr<SimHttpServer>> servers_;
 };
 
--- a/src/posthatch/simulation/sim_server_connection.cc
+++ b/src/posthatch/simulation/sim_server_connection.cc
@@ -119,10 +119,28 @@
 
 void SimServerConnection::SendResponse(uint64_t exchange, http::Response response) {
   if (!Running(exchange) || stream_started_) return;
+  DrawCopies(response, runtime::Duration::zero());
   connection_->SendResponse(std::move(response));
   EndExchange();
 }
 
+void SimServerConnection::DrawCopies(const http::Response& response,
+                                     runtime::Duration since_response) {
+  const ResponseCopies& copies = server_->response_copies();
+  if (copies.share <= 0 || !server_->core()->random.Chance(copies.share)) return;
+  const runtime::Duration delay =
+      since_response + server_->core()->random.Between(copies.min_delay, copies.max_delay);
+  server_->timers()->Schedule(delay, [weak = weak_from_this(), response] {
+    if (const auto self = weak.lock()) self->SendCopy(response);
+  });
+  DrawCopies(response, delay);
+}
+
+void SimServerConnection::SendCopy(const http::Response& response) {
+  const bool within_stream = running_exchange_ != 0 && stream_started_;
+  if (!closed_ && !within_stream) connection_->SendResponseAtOnce(response);
+}
+
 void SimServerConnection::StartStream(uint64_t exchange, http::Response head) {
   if (!Running(exchange) || stream_started_) return;
   stream_started_ = true;
--- a/src/posthatch/simulation/sim_server_connection.h
+++ b/src/posthatch/simulation/sim_server_connection.h
@@ -44,6 +44,9 @@
   bool Running(uint64_t exchange) const { return exchange == running_exchange_ && !closed_; }
 
  private:
+  // Draws whether copies of `response` follow it, and when.
+  void DrawCopies(const http::Response& response, runtime::Duration since_response);
+  void SendCopy(const http::Response& response);
   void EndExchange();
   void RejectRequest(int status);
 
--- a/src/posthatch/simulation/sim_world.h
+++ b/src/posthatch/simulation/sim_world.h
@@ -28,6 +28,14 @@
   double reordering = 0.0;   // probability per datagram
 };
 
+// Responses that an HTTP server sends too often: a copy of a complete response follows it, in the
+// place of the response to the next request on the connection.
+struct ResponseCopies {
+  double share = 0.0;  // probability that a copy follows a response, and that another follows it
+  runtime::Duration min_delay = std::chrono::microseconds(100);
+  runtime::Duration max_delay = std::chrono::milliseconds(5);
+};
+
 class SimWorld {
  public:
   static constexpr uint16_t kDefaultInternalPort = 7000;
@@ -121,6 +129,8 @@
   virtual void JumpWallClock(runtime::Duration delta) = 0;
   virtual void SetDiskDelay(runtime::Duration per_sync) = 0;  // default 1 ms
   virtual void SetDiskFull(bool full) = 0;
+  // Applies to the HTTP servers of this host.
+  virtual void SetResponseCopies(const ResponseCopies& copies) = 0;
 };
 
 }  // namespace posthatch::simulation
