--- a/src/posthatch/server/platform_fleet-test.h
+++ b/src/posthatch/server/platform_fleet-test.h
@@ -18,6 +18,7 @@
 #include "posthatch/routing/traffic_fixture-test.h"
 #include "posthatch/server/controller_node.h"
 #include "posthatch/server/platform_gateway_node.h"
+#include "posthatch/server/service_instances-test.h"
 #include "posthatch/simulation/sim_world.h"
 
 // A complete fleet for routed traffic in the simulator: the deployed processes (ControllerNode,
@@ -121,9 +122,12 @@
   int gateways = 100;
   int zones = 6;
   int workers = 40;
+  int service_instances = 0;
   // Time in which a worker loads weights, and prefills one prompt; it prefills one at a time.
   runtime::Duration load_time = milliseconds(1100);
   runtime::Duration prefill_time = milliseconds(40);
+  // Time that a worker takes to respond with its status.
+  runtime::Duration status_time{0};
 };
 
 // Start of a prompt at a worker, which then sends the first token.
@@ -136,8 +140,10 @@
 
 class PlatformFleet {
  public:
-  PlatformFleet(uint64_t seed, const PlatformFleetPlan& plan) : world(seed), plan_(plan) {
+  PlatformFleet(uint64_t seed, const PlatformFleetPlan& plan)
+      : world(seed), instances(&world), plan_(plan) {
     for (int i = 0; i < plan.workers; ++i) AddWorker(i);
+    for (int i = 0; i < plan.service_instances; ++i) instances.Add(i, ZoneOf(i), &inventory_);
     AddInventory();
     for (int i = 0; i < plan.controllers; ++i) AddController(i);
     for (int i = 0; i < plan.gateways; ++i) AddGateway(i);
@@ -183,6 +189,7 @@
     prompts->set_resumable(true);
     prompts->set_max_attempts(2);
     prompts->set_timeout_ms(10'000);
+    if (plan_.service_instances > 0) AddServiceRoute(configuration);
     Send(absl::StrCat("change ", version), command,
          [this, version] { acknowledged[version] = world.Now(); });
   }
@@ -203,6 +210,23 @@
       world.RunFor(runtime::Duration(seconds(1)) / per_second);
     }
   }
+  // Runs for `duration`, while callers send `per_second` requests a second to the service's
+  // instances, each to a random gateway.
+  void RunWithServiceRequests(runtime::Duration duration, int per_second) {
+    const runtime::MonotonicTime until = world.Now() + duration;
+    while (world.Now() < until) {
+      SendServiceRequest();
+      world.RunFor(runtime::Duration(seconds(1)) / per_second);
+    }
+  }
+  // Ids of the service's requests that were answered with "not run, and will not run".
+  std::vector<std::string> RejectedServiceRequests() const {
+    std::vector<std::string> rejected;
+    for (const auto& [id, writer] : service_writers_) {
+      if (writer->sent_response.status == 503) rejected.push_back(id);
+    }
+    return rejected;
+  }
   // Describes each prompt that started on an old revision although a newer one had been
   // acknowledged for more than `bound` of uninterrupted time in which the controllers were stable.
   std::vector<std::string> OutdatedStarts(runtime::Duration bound) const {
@@ -237,7 +261,8 @@
   size_t OutdatedWorkers(uint64_t revision) const {
     size_t outdated = 0;
     for (const control::Backend& backend : inventory_.backends()) {
-      if (backend.model_revision() < revision) ++outdated;
+      const bool is_worker = backend.kind() == control::BACKEND_KIND_WORKER;
+      if (is_worker && backend.model_revision() < revision) ++outdated;
     }
     return outdated;
   }
@@ -288,8 +313,10 @@
   }
 
   simulation::SimWorld world;
+  ServiceInstances instances;
   std::vector<simulation::SimHost*> controller_hosts;
   std::vector<simulation::SimHost*> gateway_hosts;
+  std::vector<simulation::SimHost*> worker_hosts;
   std::map<uint64_t, runtime::MonotonicTime> acknowledged;           // keyed by version
   std::map<uint64_t, runtime::MonotonicTime> revision_acknowledged;  // keyed by revision
   std::vector<PromptStart> prompt_starts;
@@ -317,22 +344,50 @@
     runtime::MonotonicTime prefills_end;  // when its last prefill ends
   };
 
-  void SendPrompt() {
-    const simulation::SimHost* host = gateway_hosts[world.random()->Uniform(gateway_hosts.size())];
-    const auto found = gateways_.find(host);
-    if (!host->running() || found == gateways_.end()) return;
-    const std::shared_ptr<PlatformGatewayNode> node = found->second.lock();
-    if (node == nullptr || !node->Ready()) return;
+  // A random gateway; null if that one isn't ready.
+  std::shared_ptr<PlatformGatewayNode> RandomGateway(const simulation::SimHost** host) {
+    *host = gateway_hosts[world.random()->Uniform(gateway_hosts.size())];
+    const auto found = gateways_.find(*host);
+    if (!(*host)->running() || found == gateways_.end()) return nullptr;
+    std::shared_ptr<PlatformGatewayNode> node = found->second.lock();
+    return node != nullptr && node->Ready() ? node : nullptr;
+  }
+  static http::Request MakeCallerRequest(const std::string& target, const std::string& id) {
     http::Request request;
     request.method = "POST";
-    request.target = "/prompt/x";
+    request.target = target;
     request.headers.Add("Host", "h");
-    request.headers.Add("Id", absl::StrCat(host->name(), "/", ++prompts_sent_));
+    request.headers.Add("Id", id);
+    return request;
+  }
+  void SendPrompt() {
+    const simulation::SimHost* host = nullptr;
+    const std::shared_ptr<PlatformGatewayNode> node = RandomGateway(&host);
+    if (node == nullptr) return;
+    http::Request request =
+        MakeCallerRequest("/prompt/x", absl::StrCat(host->name(), "/", ++prompts_sent_));
     request.headers.Add("Prompt-Model", "m");
     auto writer = std::make_shared<gateway::FakeWriter>();
     node->HandleHttp(std::move(request), writer);
     writers_.push_back(std::move(writer));
   }
+  void SendServiceRequest() {
+    const simulation::SimHost* host = nullptr;
+    const std::shared_ptr<PlatformGatewayNode> node = RandomGateway(&host);
+    if (node == nullptr) return;
+    const std::string id = absl::StrCat(host->name(), "/once-", service_writers_.size());
+    auto writer = std::make_shared<gateway::FakeWriter>();
+    node->HandleHttp(MakeCallerRequest("/once/x", id), writer);
+    service_writers_[id] = std::move(writer);
+  }
+  static void AddServiceRoute(control::TrafficConfiguration* configuration) {
+    configuration->add_services()->set_name(ServiceInstances::kService);
+    control::TrafficRoute* route = configuration->add_routes();
+    *route = configuration->routes(0);
+    route->set_name("once");
+    route->set_path_prefix("/once/");
+    route->mutable_targets(0)->set_service(ServiceInstances::kService);
+  }
 
   static http::Response NotExecuted(const http::Request& request, int status) {
     http::Response response;
@@ -479,6 +534,7 @@
   void AddWorker(int number) {
     simulation::SimHost* host = world.AddHost(absl::StrCat("w", 100 + number), ZoneOf(number),
                                               absl::StrCat("10.2.0.", number + 1));
+    worker_hosts.push_back(host);
     control::Backend* backend = inventory_.add_backends();
     backend->set_id(host->name());
     backend->set_kind(control::BACKEND_KIND_WORKER);
@@ -510,10 +566,10 @@
     if (absl::StartsWith(request.target, "/order/")) {
       response.status = HandleLoadCommand(std::stoull(request.target.substr(7)), worker);
     }
-    if (request.target == "/report") {
-      response.body = std::to_string(worker->loading ? 0 : worker->backend->model_revision());
-    }
-    writer->SendResponse(response);
+    if (request.target != "/report") return writer->SendResponse(response);
+    response.body = std::to_string(worker->loading ? 0 : worker->backend->model_revision());
+    worker->runtime->timers->Schedule(plan_.status_time,
+                                      [writer, response] { writer->SendResponse(response); });
   }
   // Handles a command to load `revision`; returns the status of the response.
   int HandleLoadCommand(uint64_t revision, WorkerModel* worker) {
@@ -544,6 +600,7 @@
   control::Inventory inventory_;
   std::map<std::string, WorkerModel> workers_;
   std::vector<std::shared_ptr<gateway::FakeWriter>> writers_;
+  std::map<std::string, std::shared_ptr<gateway::FakeWriter>> service_writers_;  // by request id
   uint64_t prompts_sent_ = 0;
   simulation::SimHost* operator_ = nullptr;
   std::map<std::string, PendingCommand> pending_commands_;
