Soak: workers that shed load and send answers twice

REFUSED and TWICE now also judge streams that may not be resumed; before, only the service's requests.

--- a/scripts/soak/history.py
+++ b/scripts/soak/history.py
@@ -21,7 +21,7 @@
     """A client's request to a gateway."""
     request_id: str
     gateway: str
-    kind: str  # 'stream', 'once', 'probe'
+    kind: str  # 'once', 'stream', 'resume', 'probe'
     sent_at: float
     reused_connection: bool
     ended_at: float | None = None
@@ -29,6 +29,9 @@
     complete: bool = False
     detail: str = ''
 
+    def is_idempotent(self):
+        return self.kind in ('resume', 'probe')
+
 
 @dataclasses.dataclass
 class ProcessEvent:
@@ -87,6 +90,8 @@
         self.probes: list[Probe] = []
         self.drains: list[Drain] = []
         self.worker_faults: list[tuple[float, float, str]] = []  # start, end, description
+        self.rejections = 0  # requests that an overloaded worker rejected
+        self.copies = 0  # answers that a worker sent once more
         self.worst_stall_s = 0.0  # longest stall of the soak's event loop
         self.ended_at = 0.0
         self.final_revisions: dict[str, tuple[str, int, float]] = {}  # worker id -> model, revision, start time
--- a/scripts/soak/rules.py
+++ b/scripts/soak/rules.py
@@ -188,14 +188,14 @@
 def check_single_execution(history, calls):
     """TWICE: a request that is not idempotent runs at most once."""
     runs = collections.Counter(d.request_id for d in history.dispatches
-                               if d.first_token_at is not None and calls[d.request_id].kind == 'once')
+                               if d.first_token_at is not None and not calls[d.request_id].is_idempotent())
     return Verdict('TWICE', len(runs), [f'{r} ran {n} times' for r, n in runs.items() if n > 1])
 
 
 def check_rejections(history, calls):
-    """REFUSED: status 429, 503, 408 or 421 guarantees that the request did not run and won't."""
+    """REFUSED: status 429, 503, 408 or 421 guarantees that a request that is not idempotent did not run and won't."""
     ran = {d.request_id for d in history.dispatches if d.first_token_at is not None}
-    promised = [c for c in calls.values() if c.status in (429, 503, 408, 421) and c.kind == 'once']
+    promised = [c for c in calls.values() if c.status in (429, 503, 408, 421) and not c.is_idempotent()]
     return Verdict('REFUSED', len(promised),
                    [f'{c.request_id} got {c.status} but ran' for c in promised if c.request_id in ran])
 
--- a/scripts/soak/rules_test.py
+++ b/scripts/soak/rules_test.py
@@ -116,6 +116,15 @@
         recorded.dispatches.append(Dispatch('r', 'a', 'app', 5, 5))
         self.assertEqual(len(judged(recorded, 'REFUSED').violations), 1)
 
+    def test_streams_are_idempotent_only_if_they_may_be_resumed(self):
+        for kind, violations in (('stream', 1), ('resume', 0)):
+            recorded = history()
+            recorded.calls.append(Call('r', 'edge-0', kind, 5, True, 5.1, 503))
+            for _ in range(2):
+                recorded.dispatches.append(Dispatch('r', 'w', 'llm', 5, 5, 1, 'm0'))
+            self.assertEqual(len(judged(recorded, 'TWICE').violations), violations)
+            self.assertEqual(len(judged(recorded, 'REFUSED').violations), violations)
+
     def test_sent_to_a_draining_worker(self):
         recorded = history()
         recorded.drains.append(Drain('w', 10))
--- a/scripts/soak/run.py
+++ b/scripts/soak/run.py
@@ -4,7 +4,7 @@
 changes, drawn from a seed. rules.py checks what clients, workers and operator observed.
 
 Usage: scripts/soak/run.py --program build/release/posthatch-platform --seeds 1-3 [--parallel 2] [--seconds 36]
-       [--controllers 5] [--gateways 8] [--workers 18] [--keep FOLDER]
+       [--controllers 5] [--gateways 8] [--workers 18] [--no-overload] [--keep FOLDER]
 Exit 0: no run broke a rule; 1: a run did; 2: a run could not be judged.
 """
 import argparse
@@ -25,6 +25,7 @@
 from evacuations import EvacuationOperator, EvacuationSeries
 from faults import Faults
 from history import History
+from overload import OverloadPhases
 from processes import ManagedProcess
 from rules import Bounds, judge
 from workers import Engine, InstanceList, Pool, Worker
@@ -53,7 +54,10 @@
         self.controllers = []
         self.gateways = []
         self.workers = []
-        self.pool = Pool(self.history, self.clock, self.rng, Engine(), options.workers)
+        # Generators of their own: the other draws of a seed stay as they were without overload and evacuations.
+        overload_rng = random.Random(f'overload-{seed}')
+        self.overload = OverloadPhases(self, overload_rng, options.overload)
+        self.pool = Pool(self.history, self.clock, self.rng, overload_rng, Engine(), options.workers)
         self.instance_list_address = self._ip(9, 1) + ':8784'
         self.instance_list = InstanceList(self.pool, self.instance_list_address, 44)
         self._seed_controllers = [0, 1, 2]
@@ -109,7 +113,7 @@
     async def _start_workers(self):
         for number in range(self.options.workers):
             await self._add_worker(f'i-{number}', 'llm', self._ip(30, number), number, 'm0')
-        for number in range(4):
+        for number in range(self.overload.service_instances):
             await self._add_worker(f'a-{number}', 'app', self._ip(40, number), number, '')
         await self.instance_list.start()
 
@@ -195,6 +199,7 @@
         faults = Faults(self, self.rng, self.options.seconds)
         series = [asyncio.ensure_future(one) for one in faults.draw()]
         series.append(asyncio.ensure_future(self._evacuate(controller_addresses)))
+        series.append(asyncio.ensure_future(self.overload.execute(self.clock() + self.options.seconds)))
         await asyncio.sleep(self.options.seconds)
         await asyncio.wait(series, timeout=SETTLE_S)
         await asyncio.sleep(SETTLE_S)
@@ -203,7 +208,6 @@
         await self._finish(background, faults, series)
 
     async def _evacuate(self, controller_addresses):
-        # A generator of its own: the other faults of a seed stay as they were without evacuations.
         rng = random.Random(f'evacuations-{self.seed}')
         hold_s = self.bounds.evacuate + self.bounds.max_stretch + HOLD_MARGIN_S
         async with EvacuationOperator(self.history, self.clock, rng, controller_addresses) as operator:
@@ -238,6 +242,9 @@
         lines = [f'seed {self.seed}: {len(calls)} calls, {complete} complete, '
                  f'{len([e for e in self.history.events if e.kind == "start"])} starts, longest stall '
                  f'{self.history.worst_stall_s:.2f} s; ' + '; '.join(self.schedule)]
+        if self.overload.drawn:
+            lines[0] += (f'; overload of {self.overload.service_instances} instances: {self.history.rejections} '
+                         f'rejections, {self.history.copies} copies of answers')
         lines.append('  cases: ' + ', '.join(f'{v.rule} {v.cases}' for v in verdicts))
         for verdict in broken:
             lines.append(f'  {verdict.rule} BROKEN: {len(verdict.violations)} cases')
@@ -271,6 +278,8 @@
             command = [sys.executable, __file__, '--program', options.program, '--one', str(seed)]
             for name in ('deploy', 'seconds', 'controllers', 'gateways', 'workers', 'clients'):
                 command += [f'--{name}', str(getattr(options, name))]
+            if not options.overload:
+                command.append('--no-overload')
             if options.keep:
                 command += ['--keep', options.keep]
             running[seed] = subprocess.Popen(command)
@@ -305,6 +314,8 @@
     parser.add_argument('--workers', type=int, default=18)
     parser.add_argument('--clients', type=int, default=24)
     parser.add_argument('--deploy', default=os.path.join(ROOT, 'deploy'), help='folder of the settings templates')
+    parser.add_argument('--no-overload', dest='overload', action='store_false',
+                        help='no phases in which workers reject requests and send answers twice')
     parser.add_argument('--keep', help='folder in which settings, logs and data folders are kept')
     parser.add_argument('--one', type=int, help='runs this seed alone, in this process')
     options = parser.parse_args()
--- a/scripts/soak/workers.py
+++ b/scripts/soak/workers.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from answer_copies import AnswerCopies
 from history import Dispatch, Drain, History
 
 LIST_LAG_S = 0.8
@@ -24,10 +25,12 @@
 class Pool:
     """State that all workers of a run share."""
 
-    def __init__(self, history: History, clock, rng: random.Random, engine: Engine, workers: int):
+    def __init__(self, history: History, clock, rng: random.Random, overload_rng: random.Random, engine: Engine,
+                 workers: int):
         self.history = history
         self.clock = clock
         self.rng = rng
+        self.overload_rng = overload_rng  # of rejections and of copies of answers
         self.engine = engine
         self.loading = 0
         self.parallel_loads = max(3, int(workers * PARALLEL_LOADS_SHARE))
@@ -49,6 +52,8 @@
         self.revision = revision
         self.slowness = 1.0
         self.hanging_prompt_share = 0.0
+        self.rejected_share = 0.0  # of the requests: answered 503, not executed
+        self.copies = AnswerCopies(pool.history, pool.overload_rng)
         self.draining = False
         self.started_at = pool.clock()
         self._slots = asyncio.Semaphore(pool.engine.slots if model else 6)
@@ -89,6 +94,12 @@
         return entry
 
     async def _handle(self, request):
+        response = await self._answer(request)
+        if isinstance(response, web.Response):
+            self.copies.draw(request.transport, response)
+        return response
+
+    async def _answer(self, request):
         target = request.headers.get('Target-Instance')
         if target is not None and target != self.id:
             return web.Response(status=421, headers=self._identity(request))
@@ -166,6 +177,9 @@
         dispatch = Dispatch(request.headers.get('Request-Id', ''), self.id, self.service, self.pool.clock(),
                             model=self.model, zone=self.zone)
         self.pool.history.dispatches.append(dispatch)
+        if self.rejected_share > 0 and self.pool.overload_rng.random() < self.rejected_share:
+            self.pool.history.rejections += 1
+            return self._rejection(request, 503)
         async with self._slots:
             if not self.model:
                 return await self._run_once(request, dispatch, body)
@@ -205,7 +219,8 @@
                 counted = True
             dispatch.first_token_at = self.pool.clock()
             dispatch.revision = self.revision
-            return await self._stream(request)
+            with self.copies.streaming(request.transport):
+                return await self._stream(request)
         finally:
             if counted:
                 self._change_running(-1)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,8 +41,8 @@
 
 echo "== soak of real processes, two seeds (after ${SECONDS} s)"
 scripts/soak/rules_test.py
-# Both seeds violated the VERSION rule (model revisions) before incident 34 was fixed.
-scripts/soak/run.py --program build/release/posthatch-platform --seeds 5,13 --parallel 2
+# Both seeds violated the VERSION rule (model revisions) before incident 34 was fixed, without overload.
+scripts/soak/run.py --program build/release/posthatch-platform --seeds 5,13 --parallel 2 --no-overload
 
 echo "== short suite under ASan + UBSan (after ${SECONDS} s)"
 cmake --preset asan-ubsan >/dev/null
