A request is dispatched over each connection at most once

Cause: a worker may send its rejection a second time, late. All dispatches of a request bear the caller's id, and the next dispatch to a worker takes the connection that was used last. So if a request came back to a worker that had rejected it (few instances, few eligible workers), the copy was taken for the response to the second dispatch, which then ran unobserved while the request was dispatched once more, or answered as not run. The class of fault: a response is attributed to a call by its place on the connection and by an id that several calls share.

Change: http::PooledConnectionRules::excluded; a request excludes the connections of all its earlier dispatches. No time is involved, since none bounds how late a copy is. Why it is safe: on a connection, responses with the request's id can then only be to its one dispatch there; copies of copies, requests in between, and other incarnations at the address (a new connection) change nothing in that. A connection is not closed for it: other requests, whose ids differ, use it on.

--- a/src/posthatch/fleettest/response_dropping_client.h
+++ b/src/posthatch/fleettest/response_dropping_client.h
@@ -25,8 +25,9 @@
   std::unique_ptr<http::Call> Start(const std::string& endpoint, http::Request request,
                                     http::CallOptions options,
                                     http::CallObserver observer) override;
-  bool HasPooledConnection(const std::string& endpoint, double share) const override {
-    return client_->HasPooledConnection(endpoint, share);
+  bool HasPooledConnection(const std::string& endpoint,
+                           const http::PooledConnectionRules& rules) const override {
+    return client_->HasPooledConnection(endpoint, rules);
   }
   uint64_t dropped_responses() const { return dropped_responses_; }
 
--- a/src/posthatch/gateway/gateway_fakes-test.h
+++ b/src/posthatch/gateway/gateway_fakes-test.h
@@ -92,7 +92,8 @@
     calls.push_back(call);
     return std::make_unique<Handle>(call);
   }
-  bool HasPooledConnection(const std::string& endpoint, double) const override {
+  bool HasPooledConnection(const std::string& endpoint,
+                           const http::PooledConnectionRules&) const override {
     return pooled_endpoints.contains(endpoint);
   }
   std::vector<std::shared_ptr<FakeCall>> calls;
--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -128,6 +128,18 @@
   std::function<void(CallError)> on_error;
 };
 
+// Which pooled connections a call may use.
+struct PooledConnectionRules {
+  // Only those that have been idle for less than this fraction of the time for which their server
+  // keeps idle connections. Lower where a request must not be lost to a connection that was just
+  // closed.
+  double max_idle_fraction = 0.75;
+  // None of these (ConnectionUse::connection_id). A server may send a response again, late, in the
+  // place of the next one on the connection: a call excludes the connections of earlier calls whose
+  // response could be taken for its own.
+  std::vector<uint64_t> excluded;
+};
+
 struct CallOptions {
   runtime::Duration connect_timeout = std::chrono::milliseconds(500);
   // Longest time until the status line; zero for no limit.
@@ -135,15 +147,14 @@
   // Longest time without a body byte; zero for no limit.
   runtime::Duration body_idle_timeout = std::chrono::seconds(30);
   size_t max_body_bytes = 64UL * 1024 * 1024;
-  // Use a new connection even if a pooled one is idle: the peer may already have closed a pooled
-  // one, and a non-idempotent request must not be sent on it.
+  // Use a connection of its own: a new one that is closed after the response. For calls whose
+  // response could be taken for that of any other call on the connection, and where the peer may
+  // have closed a pooled connection on which the request must not be lost.
   bool fresh_connection = false;
   // Accept a response without length or chunks as complete when the server closes its side (RFC
   // 9112, 6.3). Off: such a response is an error, since a truncated one can look the same.
   bool accept_close_delimited = false;
-  // Reuse a pooled connection only within this fraction of the time for which its server keeps idle
-  // connections. Lower where a request must not be lost to a connection that was just closed.
-  double max_idle_fraction = 0.75;
+  PooledConnectionRules pooled_connections;
 };
 
 // The place of a call among the calls on its connection.
@@ -169,8 +180,9 @@
   // Sends `request` to "ip:port". No callback runs before Start returns.
   virtual std::unique_ptr<Call> Start(const std::string& endpoint, Request request,
                                       CallOptions options, CallObserver observer) = 0;
-  // Whether a call to "ip:port" would use a pooled connection now, with that max_idle_fraction.
-  virtual bool HasPooledConnection(const std::string& endpoint, double max_idle_fraction) const = 0;
+  // Whether a call to "ip:port" under these rules would use a pooled connection now.
+  virtual bool HasPooledConnection(const std::string& endpoint,
+                                   const PooledConnectionRules& rules) const = 0;
 };
 
 }  // namespace posthatch::http
--- a/src/posthatch/index/fake_parts-test.h
+++ b/src/posthatch/index/fake_parts-test.h
@@ -86,7 +86,9 @@
     calls.push_back({endpoint, request.target, std::move(observer)});
     return nullptr;
   }
-  bool HasPooledConnection(const std::string&, double) const override { return false; }
+  bool HasPooledConnection(const std::string&, const http::PooledConnectionRules&) const override {
+    return false;
+  }
   // Responds to the newest call.
   void Respond(const std::string& body) {
     const http::CallObserver observer = calls.back().observer;
--- a/src/posthatch/net/beast_http_client-test.cc
+++ b/src/posthatch/net/beast_http_client-test.cc
@@ -173,7 +173,7 @@
         writer->SendResponse({});
       });
   for (const double max_idle_fraction : {0.75, 0.75, 0.0}) {
-    options_.max_idle_fraction = max_idle_fraction;
+    options_.pooled_connections.max_idle_fraction = max_idle_fraction;
     Outcome outcome;
     const auto call = Start((*server)->endpoint(), &outcome);
     WaitUntilFinished(outcome);
@@ -235,6 +235,37 @@
   EXPECT_EQ(connections[0], connections[3]);
 }
 
+TEST_F(HttpClientTest, DoesNotReuseExcludedConnection) {
+  RawListener listener;
+  Outcome outcomes[2];
+  const auto older = Start(listener.endpoint(), &outcomes[0]);
+  const auto newer = Start(listener.endpoint(), &outcomes[1]);
+  RawSocket servers[2] = {listener.Accept(runtime_.get()), listener.Accept(runtime_.get())};
+  for (int i = 0; i < 2; ++i) {
+    servers[i].ReadUntil(runtime_.get(), "body");
+    servers[i].Send(runtime_.get(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    WaitUntilFinished(outcomes[i]);
+  }
+  const uint64_t older_id = older->connection_use().connection_id;
+  const uint64_t newer_id = newer->connection_use().connection_id;
+  const auto connection_of_next_call = [&] {
+    Outcome outcome;
+    return Start(listener.endpoint(), &outcome)->connection_use().connection_id;
+  };
+  const auto has_pooled_connection = [&] {
+    return runtime_->runtime()->http_client->HasPooledConnection(listener.endpoint(),
+                                                                 options_.pooled_connections);
+  };
+  options_.pooled_connections.excluded = {newer_id};
+  EXPECT_TRUE(has_pooled_connection());
+  EXPECT_EQ(connection_of_next_call(), older_id);  // and closes it
+  EXPECT_FALSE(has_pooled_connection());
+  EXPECT_NE(connection_of_next_call(), newer_id);
+  options_.pooled_connections.excluded.clear();
+  EXPECT_TRUE(has_pooled_connection());
+  EXPECT_EQ(connection_of_next_call(), newer_id);
+}
+
 TEST_F(HttpClientTest, DoesNotReuseConnectionClosedByServer) {
   RawListener listener;
   Outcome first;
--- a/src/posthatch/net/beast_http_client.cc
+++ b/src/posthatch/net/beast_http_client.cc
@@ -85,7 +85,7 @@
     if (status.ok()) status = CheckRequest(request);
     std::shared_ptr<HttpClientConnection> connection;
     if (status.ok() && !options.fresh_connection) {
-      connection = pool_.Take(endpoint, options.max_idle_fraction);
+      connection = pool_.Take(endpoint, options.pooled_connections);
     }
     (connection == nullptr ? calls_new_ : calls_pooled_).Increment();
     if (connection == nullptr) {
@@ -101,8 +101,9 @@
     return std::make_unique<BeastCall>(std::move(connection), call);
   }
 
-  bool HasPooledConnection(const std::string& endpoint, double max_idle_fraction) const override {
-    return pool_.Has(endpoint, max_idle_fraction);
+  bool HasPooledConnection(const std::string& endpoint,
+                           const http::PooledConnectionRules& rules) const override {
+    return pool_.Has(endpoint, rules);
   }
 
  private:
--- a/src/posthatch/net/idle_connection_pool.cc
+++ b/src/posthatch/net/idle_connection_pool.cc
@@ -11,18 +11,35 @@
   }
 }
 
-bool IdleConnectionPool::Has(const std::string& endpoint, double max_idle_fraction) const {
+std::optional<size_t> IdleConnectionPool::Find(const Connections& connections,
+                                               const http::PooledConnectionRules& rules) {
+  const runtime::MonotonicTime now = BootNow();
+  for (size_t i = connections.size(); i > 0; --i) {
+    const HttpClientConnection& connection = *connections[i - 1];
+    // Those before it have been idle for longer.
+    if (!connection.IdleWithin(rules.max_idle_fraction, now)) return std::nullopt;
+    const bool excluded = std::find(rules.excluded.begin(), rules.excluded.end(),
+                                    connection.id()) != rules.excluded.end();
+    if (!excluded) return i - 1;
+  }
+  return std::nullopt;
+}
+
+bool IdleConnectionPool::Has(const std::string& endpoint,
+                             const http::PooledConnectionRules& rules) const {
   const auto found = connections_.find(endpoint);
-  return found != connections_.end() && !found->second.empty() &&
-         found->second.back()->IdleWithin(max_idle_fraction, BootNow());
+  return found != connections_.end() && Find(found->second, rules).has_value();
 }
 
-std::shared_ptr<HttpClientConnection> IdleConnectionPool::Take(const std::string& endpoint,
-                                                               double max_idle_fraction) {
-  if (!Has(endpoint, max_idle_fraction)) return nullptr;
+std::shared_ptr<HttpClientConnection> IdleConnectionPool::Take(
+    const std::string& endpoint, const http::PooledConnectionRules& rules) {
   const auto found = connections_.find(endpoint);
-  std::shared_ptr<HttpClientConnection> connection = std::move(found->second.back());
-  found->second.pop_back();
+  if (found == connections_.end()) return nullptr;
+  const std::optional<size_t> position = Find(found->second, rules);
+  if (!position.has_value()) return nullptr;
+  const auto entry = found->second.begin() + static_cast<ptrdiff_t>(*position);
+  std::shared_ptr<HttpClientConnection> connection = std::move(*entry);
+  found->second.erase(entry);
   if (found->second.empty()) connections_.erase(found);
   idle_connections_->Decrement();
   return connection;
--- a/src/posthatch/net/idle_connection_pool.h
+++ b/src/posthatch/net/idle_connection_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,22 +29,28 @@
   IdleConnectionPool(const IdleConnectionPool&) = delete;
   IdleConnectionPool& operator=(const IdleConnectionPool&) = delete;
 
-  // Removes and returns the most recently used connection to `endpoint`, so that surplus ones reach
-  // their idle timeout. Null if that connection, and so every other one, has been idle for
-  // `max_idle_fraction` of its idle lifetime or longer.
-  std::shared_ptr<HttpClientConnection> Take(const std::string& endpoint, double max_idle_fraction);
+  // Removes and returns the most recently used connection to `endpoint` that `rules` allow, so that
+  // surplus ones reach their idle timeout. Null if there is none.
+  std::shared_ptr<HttpClientConnection> Take(const std::string& endpoint,
+                                             const http::PooledConnectionRules& rules);
   // Whether Take would return a connection.
-  bool Has(const std::string& endpoint, double max_idle_fraction) const;
+  bool Has(const std::string& endpoint, const http::PooledConnectionRules& rules) const;
 
   bool ReturnToPool(const std::shared_ptr<HttpClientConnection>& connection) override;
   void OnConnectionClosed(HttpClientConnection* connection) override;
   void OnSurplusBytes() override { surplus_responses_->Increment(); }
 
  private:
+  using Connections = std::vector<std::shared_ptr<HttpClientConnection>>;
+
+  // Position in `connections` of the one that Take would return; nullopt if there is none.
+  static std::optional<size_t> Find(const Connections& connections,
+                                    const http::PooledConnectionRules& rules);
+
   const HttpClientOptions options_;
   prometheus::Gauge* const idle_connections_;
   prometheus::Counter* const surplus_responses_;
-  absl::flat_hash_map<std::string, std::vector<std::shared_ptr<HttpClientConnection>>> connections_;
+  absl::flat_hash_map<std::string, Connections> connections_;
 };
 
 }  // namespace posthatch::net
--- a/src/posthatch/routing/placement.h
+++ b/src/posthatch/routing/placement.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "posthatch/control/control.pb.h"
+#include "posthatch/http/http.h"
 #include "posthatch/index/prefix_locator.h"
 #include "posthatch/routing/in_flight_prefills.h"
 #include "posthatch/routing/prefix_stores.h"
@@ -38,9 +39,8 @@
   const InFlightPrefills* in_flight_prefills = nullptr;
   // Ids of workers at which this call has failed; chosen again only if no other worker is eligible.
   const std::vector<std::string>* attempted_workers = nullptr;
-  // The call's http::CallOptions::max_idle_fraction, which bounds the idle time of a pooled
-  // connection that it may use.
-  double max_idle_fraction = 0.75;
+  // Which pooled connections the call may use.
+  http::PooledConnectionRules pooled_connections;
   // The store where the prompt's segments are saved and may be fetched from; null if there is none.
   const PrefixStore* store = nullptr;
 };
--- a/src/posthatch/routing/placement_cost.cc
+++ b/src/posthatch/routing/placement_cost.cc
@@ -41,7 +41,7 @@
 
 bool PlacementCost::NeedsNewConnection(const PlacementQuery& query, const Worker& worker) const {
   return switches_.kept_connections && !runtime_->http_client->HasPooledConnection(
-                                           worker.backend.endpoint(), query.max_idle_fraction);
+                                           worker.backend.endpoint(), query.pooled_connections);
 }
 
 double PlacementCost::Estimate(const PlacementQuery& query, const PlacementCandidate& candidate,
--- a/src/posthatch/routing/traffic_request-test.cc
+++ b/src/posthatch/routing/traffic_request-test.cc
@@ -50,6 +50,17 @@
   EXPECT_TRUE(writer->sent_response.headers.Has("Retry"));
 }
 
+TEST_F(TrafficRequestTest, IsDispatchedOverEachConnectionOnce) {
+  const auto writer = Send("once");
+  std::vector<uint64_t> used;
+  for (int i = 0; i < 10 && writer->responses == 0; ++i) {
+    EXPECT_THAT(Last().options.pooled_connections.excluded, testing::ElementsAreArray(used));
+    used.push_back(Last().connection.connection_id);
+    Head(503, "", /*rejected=*/true);
+  }
+  EXPECT_EQ(used.size(), 4U);
+}
+
 TEST_F(TrafficRequestTest, TraceTellsConnectionOfEachRejection) {
   const auto writer = Send("once");
   const std::string first = Last().Field("Instance");
--- a/src/posthatch/routing/traffic_request.cc
+++ b/src/posthatch/routing/traffic_request.cc
@@ -64,8 +64,14 @@
   return deadline_ - context_->runtime->clock->Now();
 }
 
-double TrafficRequest::MaxIdleFraction() const {
-  return retries_.IsIdempotent() ? kMaxIdleFractionIdempotent : kMaxIdleFractionNonIdempotent;
+http::PooledConnectionRules TrafficRequest::PooledConnections() const {
+  http::PooledConnectionRules rules;
+  rules.max_idle_fraction =
+      retries_.IsIdempotent() ? kMaxIdleFractionIdempotent : kMaxIdleFractionNonIdempotent;
+  for (const FailedDispatch& dispatch : retries_.failed_dispatches()) {
+    rules.excluded.push_back(dispatch.connection.connection_id);
+  }
+  return rules;
 }
 
 void TrafficRequest::Start() {
@@ -93,7 +99,7 @@
   PlacementQuery query;
   query.service = &admitted_.service;
   query.attempted_workers = &retries_.attempted_workers();
-  query.max_idle_fraction = MaxIdleFraction();
+  query.pooled_connections = PooledConnections();
   if (!admitted_.IsPrompt()) return query;
   query.prompt = &prompt_.shape();
   if (context_->switches.stores) query.store = context_->stores->StoreFor(prompt_.shape().affinity);
@@ -158,7 +164,7 @@
       retries_.IsResumable() ? std::min(remaining, kStreamIdleTimeout) : remaining;
   options.max_body_bytes = SIZE_MAX;
   options.accept_close_delimited = true;
-  options.max_idle_fraction = MaxIdleFraction();
+  options.pooled_connections = PooledConnections();
   return options;
 }
 
--- a/src/posthatch/routing/traffic_request.h
+++ b/src/posthatch/routing/traffic_request.h
@@ -21,6 +21,8 @@
 // RetryState allows, and relays the response. Invariants on every path:
 //   - a request that is not idempotent is dispatched a second time only if the first dispatch is
 //     proved not to have run;
+//   - it is dispatched over each connection once: all of its dispatches bear the same id, so that a
+//     late copy of the response to an earlier one can't be told from the response to a later one;
 //   - "unavailable, retry after" is sent only if no dispatch may have run;
 //   - a response is relayed as complete only if it belongs to this request and is complete;
 //   - when the caller disconnects, the worker's call is cancelled.
@@ -51,8 +53,8 @@
   };
 
   runtime::Duration TimeRemaining() const;
-  // The request's http::CallOptions::max_idle_fraction.
-  double MaxIdleFraction() const;
+  // The pooled connections that the request's next dispatch may use.
+  http::PooledConnectionRules PooledConnections() const;
 
   void DispatchAttempt();
   PlacementQuery MakePlacementQuery();
--- a/src/posthatch/simulation/sim_call.cc
+++ b/src/posthatch/simulation/sim_call.cc
@@ -18,7 +18,9 @@
       timer_(client->timers()) {}
 
 void SimCall::Begin() {
-  if (!options_.fresh_connection) connection_ = client_->TakeIdle(endpoint_);
+  if (!options_.fresh_connection) {
+    connection_ = client_->TakeIdle(endpoint_, options_.pooled_connections);
+  }
   if (connection_ != nullptr) {
     use_ = {connection_->id(), connection_->requests_sent() + 1};
     connection_->set_client_end(shared_from_this());
--- a/src/posthatch/simulation/sim_http_client.cc
+++ b/src/posthatch/simulation/sim_http_client.cc
@@ -28,6 +28,11 @@
   const std::shared_ptr<SimCall> call_;  // null if the client's process had ended
 };
 
+bool IsExcluded(const http::PooledConnectionRules& rules, const HttpConnection& connection) {
+  return std::find(rules.excluded.begin(), rules.excluded.end(), connection.id()) !=
+         rules.excluded.end();
+}
+
 }  // namespace
 
 std::unique_ptr<http::Call> SimHttpClient::Start(const std::string& endpoint, http::Request request,
@@ -40,18 +45,22 @@
   return std::make_unique<CallHandle>(std::move(call));
 }
 
-bool SimHttpClient::HasPooledConnection(const std::string& endpoint, double /*share*/) const {
+bool SimHttpClient::HasPooledConnection(const std::string& endpoint,
+                                        const http::PooledConnectionRules& rules) const {
   const auto idle = idle_.find(endpoint);
   return idle != idle_.end() &&
-         std::any_of(idle->second.begin(), idle->second.end(),
-                     [](const auto& connection) { return connection->client_open(); });
+         std::any_of(idle->second.begin(), idle->second.end(), [&rules](const auto& connection) {
+           return connection->client_open() && !IsExcluded(rules, *connection);
+         });
 }
 
-std::shared_ptr<HttpConnection> SimHttpClient::TakeIdle(const std::string& endpoint) {
+std::shared_ptr<HttpConnection> SimHttpClient::TakeIdle(const std::string& endpoint,
+                                                        const http::PooledConnectionRules& rules) {
   std::vector<std::shared_ptr<HttpConnection>>& idle = idle_[endpoint];
-  while (!idle.empty()) {
-    std::shared_ptr<HttpConnection> connection = std::move(idle.back());
-    idle.pop_back();
+  for (size_t i = idle.size(); i > 0; --i) {
+    const std::shared_ptr<HttpConnection> connection = idle[i - 1];
+    if (connection->client_open() && IsExcluded(rules, *connection)) continue;
+    idle.erase(idle.begin() + static_cast<ptrdiff_t>(i - 1));
     if (connection->client_open()) return connection;
     connections_.erase(connection->id());
   }
--- a/src/posthatch/simulation/sim_http_client.h
+++ b/src/posthatch/simulation/sim_http_client.h
@@ -24,12 +24,15 @@
   std::unique_ptr<http::Call> Start(const std::string& endpoint, http::Request request,
                                     http::CallOptions options,
                                     http::CallObserver observer) override;
-  bool HasPooledConnection(const std::string& endpoint, double share) const override;
+  // Of `rules` only the excluded connections are observed.
+  bool HasPooledConnection(const std::string& endpoint,
+                           const http::PooledConnectionRules& rules) const override;
   void Shutdown();
 
   // TakeIdle and the methods below are called by SimCall. TakeIdle returns an idle pooled
-  // connection, or null.
-  std::shared_ptr<HttpConnection> TakeIdle(const std::string& endpoint);
+  // connection that is not excluded, or null.
+  std::shared_ptr<HttpConnection> TakeIdle(const std::string& endpoint,
+                                           const http::PooledConnectionRules& rules);
   std::shared_ptr<HttpConnection> NewConnection(const std::string& endpoint);
   void ReturnToPool(const std::string& endpoint, std::shared_ptr<HttpConnection> connection);
   const runtime::Clock* clock() const { return clock_; }
