--- a/src/posthatch/routing/traffic_request-test.cc
+++ b/src/posthatch/routing/traffic_request-test.cc
@@ -61,6 +61,18 @@
   EXPECT_EQ(used.size(), 4U);
 }
 
+TEST_F(TrafficRequestTest, RequestWithoutIdGetsConnectionOfItsOwn) {
+  Send("once");
+  EXPECT_FALSE(Last().options.fresh_connection);
+  http::Request request;
+  request.method = "POST";
+  request.target = "/once/x";
+  request.headers.Add("Host", "h");
+  request.headers.Add("Key", "key-one");
+  gateway_->HandleRequest(std::move(request), std::make_shared<gateway::FakeWriter>());
+  EXPECT_TRUE(Last().options.fresh_connection);
+}
+
 TEST_F(TrafficRequestTest, TraceTellsConnectionOfEachRejection) {
   const auto writer = Send("once");
   const std::string first = Last().Field("Instance");
--- a/src/posthatch/routing/traffic_request.cc
+++ b/src/posthatch/routing/traffic_request.cc
@@ -165,6 +165,8 @@
   options.max_body_bytes = SIZE_MAX;
   options.accept_close_delimited = true;
   options.pooled_connections = PooledConnections();
+  // Without an id, its response can't be told from any other one on the connection.
+  options.fresh_connection = admitted_.call.request_id.empty();
   return options;
 }
 
