A command to load weights gets a connection of its own

Change: a command is sent over a new connection that is closed afterwards, so that its response can be no other one's. A late copy of a status, taken for a later status, does no harm: revisions only rise; it delays the end of a load by one poll (200 ms).

--- a/src/posthatch/rollout/rollout_coordinator.cc
+++ b/src/posthatch/rollout/rollout_coordinator.cc
@@ -264,8 +264,17 @@
   }
 }
 
+http::CallOptions RolloutCoordinator::MakeCallOptions() const {
+  http::CallOptions call_options;
+  call_options.connect_timeout = options_.call_timeout;
+  call_options.head_timeout = options_.call_timeout;
+  call_options.body_idle_timeout = options_.call_timeout;
+  call_options.max_body_bytes = kMaxStatusBytes;
+  return call_options;
+}
+
 void RolloutCoordinator::StartCall(const std::string& worker_id, Progress* progress,
-                                   http::Request request,
+                                   http::Request request, http::CallOptions options,
                                    std::function<void(const http::Response*)> done) {
   const uint64_t number = ++last_call_;
   progress->call_number = number;
@@ -280,18 +289,13 @@
         [call = std::shared_ptr<http::Call>(std::move(found->second.call))] {});
     done(complete);
   };
-  http::CallOptions call_options;
-  call_options.connect_timeout = options_.call_timeout;
-  call_options.head_timeout = options_.call_timeout;
-  call_options.body_idle_timeout = options_.call_timeout;
-  call_options.max_body_bytes = kMaxStatusBytes;
   http::CallObserver observer;
   observer.on_head = [response](const http::Response& head) { *response = head; };
   observer.on_chunk = [response](const std::string& chunk) { response->body.append(chunk); };
   observer.on_end = [response, end] { end(response.get()); };
   observer.on_error = [end](const http::CallError&) { end(nullptr); };
   progress->call = runtime_->http_client->Start(progress->endpoint, std::move(request),
-                                                call_options, std::move(observer));
+                                                std::move(options), std::move(observer));
 }
 
 void RolloutCoordinator::SendCommand(const std::string& worker_id, Progress* progress) {
@@ -307,8 +311,12 @@
                           {"model", progress->model},
                           {"revision", progress->target},
                           {"fencing_token", term_}});
+  // The response says by its status alone whether the worker serves the revision, and bears no id:
+  // on a shared connection, a late copy of a status response could be taken for it.
+  http::CallOptions call_options = MakeCallOptions();
+  call_options.fresh_connection = true;
   StartCall(worker_id, progress, dependencies_.format->MakeLoadWeightsRequest(command),
-            [this, worker_id](const http::Response* response) {
+            std::move(call_options), [this, worker_id](const http::Response* response) {
               OnCommandResult(worker_id, response == nullptr
                                              ? WorkerCommandResult::kUnknown
                                              : dependencies_.format->ParseCommandResult(*response));
@@ -339,7 +347,9 @@
 
 void RolloutCoordinator::RequestStatus(const std::string& worker_id, Progress* progress) {
   progress->next_poll_at = runtime_->clock->Now() + options_.poll_interval;
+  // A late copy of an earlier status does no harm: a worker's revision never falls.
   StartCall(worker_id, progress, dependencies_.format->MakeStatusRequest(worker_id),
+            MakeCallOptions(),
             [this, worker_id, model = progress->model](const http::Response* response) {
               if (response == nullptr || response->status != kStatusOk) return;
               const absl::StatusOr<WorkerStatus> status =
--- a/src/posthatch/rollout/rollout_coordinator.h
+++ b/src/posthatch/rollout/rollout_coordinator.h
@@ -147,7 +147,8 @@
   // `done` gets null if the call failed. It is not called if the worker is no longer in progress or
   // a newer call was started.
   void StartCall(const std::string& worker_id, Progress* progress, http::Request request,
-                 std::function<void(const http::Response*)> done);
+                 http::CallOptions options, std::function<void(const http::Response*)> done);
+  http::CallOptions MakeCallOptions() const;
   void OnCommandResult(const std::string& worker_id, WorkerCommandResult result);
   // `source`, for the log: which response told the status.
   void OnStatus(const std::string& worker_id, const WorkerStatus& status, std::string_view source);
