A response of another request is skipped: the dispatch's own one follows

Change: http::Call::SkipResponse, called by TrafficRequest for a response without the request's id. The client drops that response, with its body, and delivers the next head on the connection within the same time. The dispatch still counts as one that may have run, whatever comes. Where the connection can carry no further response (closed, or ended by its close), the dispatch fails as before. The surplus counter counts skipped responses, too.

Tests: HttpClientSkipTest (five), TrafficRequestTest.MismatchedResponseIsSkippedAndNeverRelayed, ...ThatCannotBeSkippedFailsDispatch, LostAfterMismatchedResponseMayHaveExecuted; LateResponsesTest. MismatchedResponseIsNeverRelayed expected the 502 itself: replaced by the first two, which also check that nothing of the response is relayed, for four kinds of route.

--- a/src/posthatch/gateway/gateway_fakes-test.h
+++ b/src/posthatch/gateway/gateway_fakes-test.h
@@ -31,6 +31,8 @@
   http::CallObserver observer;
   bool cancelled = false;
   bool paused = false;
+  bool can_skip = true;
+  int skipped = 0;  // responses of other calls
   http::ConnectionUse connection;
   int cached_blocks = 0;  // X-Worker-Cached-Blocks in its response heads
 
@@ -106,6 +108,10 @@
     ~Handle() override { call_->cancelled = true; }
     void StopReading() override { call_->paused = true; }
     void ResumeReading() override { call_->paused = false; }
+    bool SkipResponse() override {
+      if (call_->can_skip) ++call_->skipped;
+      return call_->can_skip;
+    }
     http::ConnectionUse connection_use() const override { return call_->connection; }
 
    private:
--- a/src/posthatch/http/http.h
+++ b/src/posthatch/http/http.h
@@ -170,6 +170,10 @@
   virtual ~Call() = default;
   virtual void StopReading() = 0;
   virtual void ResumeReading() = 0;
+  // Called within on_head if that response belongs to another call on the connection: drops it and
+  // waits for the next one, within the same head_timeout; on_head is then called again. Returns
+  // false if the connection can't carry another response.
+  virtual bool SkipResponse() = 0;
   // Of this call, also after its end.
   virtual ConnectionUse connection_use() const = 0;
 };
--- a/src/posthatch/net/beast_http_client-test.cc
+++ b/src/posthatch/net/beast_http_client-test.cc
@@ -235,6 +235,85 @@
   EXPECT_EQ(connections[0], connections[3]);
 }
 
+// A call that skips every response whose field "Id" isn't "own".
+class HttpClientSkipTest : public HttpClientTest {
+ protected:
+  HttpClientSkipTest() {
+    http::CallObserver observer = outcome_.Observer();
+    observer.on_head = [this](const http::Response& head) {
+      if (head.headers.Get("Id") == "own") {
+        outcome_.head = head;
+      } else {
+        skipped_.push_back(call_->SkipResponse());
+      }
+    };
+    http::Request request;
+    request.method = "POST";
+    request.target = "/x";
+    request.body = "body";
+    call_ = runtime_->runtime()->http_client->Start(listener_.endpoint(), std::move(request),
+                                                    options_, std::move(observer));
+    server_.emplace(listener_.Accept(runtime_.get()));
+    server_->ReadUntil(runtime_.get(), "body");
+  }
+
+  RawListener listener_;
+  Outcome outcome_;
+  std::vector<bool> skipped_;
+  std::unique_ptr<http::Call> call_;
+  std::optional<RawSocket> server_;
+};
+
+const std::string kForeignSized = "HTTP/1.1 503 No\r\nId: other\r\nContent-Length: 3\r\n\r\nxyz";
+const std::string kForeignChunked =
+    "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n";
+const std::string kOwn = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nabc";
+
+TEST_F(HttpClientSkipTest, DeliversOnlyTheResponseBehindSkippedOnes) {
+  server_->Send(runtime_.get(), kForeignSized + kForeignChunked + kOwn);
+  WaitUntilFinished(outcome_);
+  EXPECT_THAT(skipped_, testing::ElementsAre(true, true));
+  EXPECT_TRUE(outcome_.ended);
+  EXPECT_EQ(outcome_.head->status, 200);
+  EXPECT_EQ(outcome_.body, "abc");
+  EXPECT_EQ(SurplusResponses(), 2);
+  EXPECT_TRUE(runtime_->runtime()->http_client->HasPooledConnection(listener_.endpoint(), {}));
+}
+
+TEST_F(HttpClientSkipTest, DeliversResponseThatComesInPieces) {
+  constexpr size_t kPieceBytes = 7;
+  const std::string bytes = kForeignChunked + kForeignSized + kOwn;
+  for (size_t sent = 0; sent < bytes.size(); sent += kPieceBytes) {
+    server_->Send(runtime_.get(), bytes.substr(sent, kPieceBytes));
+    RunFor(runtime_.get(), std::chrono::microseconds(100));
+  }
+  WaitUntilFinished(outcome_);
+  EXPECT_TRUE(outcome_.ended);
+  EXPECT_EQ(outcome_.body, "abc");
+}
+
+TEST_F(HttpClientSkipTest, NothingBehindSkippedResponseMayHaveExecuted) {
+  server_->Send(runtime_.get(), kForeignSized);
+  WaitUntilFinished(outcome_);
+  ExpectError(outcome_, absl::StatusCode::kDeadlineExceeded, http::CallProgress::kSent);
+}
+
+TEST_F(HttpClientSkipTest, ConnectionClosedWithinSkippedResponseMayHaveExecuted) {
+  server_->Send(runtime_.get(), kForeignSized.substr(0, kForeignSized.size() - 1));
+  RunFor(runtime_.get(), milliseconds(20));
+  server_->Close();
+  WaitUntilFinished(outcome_);
+  ASSERT_TRUE(outcome_.error.has_value());
+  EXPECT_EQ(outcome_.error->progress, http::CallProgress::kSent);
+}
+
+TEST_F(HttpClientSkipTest, LastResponseOfConnectionCannotBeSkipped) {
+  server_->Send(runtime_.get(),
+                "HTTP/1.1 200 OK\r\nId: other\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  WaitUntilFinished(outcome_);
+  EXPECT_THAT(skipped_, testing::ElementsAre(false));
+}
+
 TEST_F(HttpClientTest, DoesNotReuseExcludedConnection) {
   RawListener listener;
   Outcome outcomes[2];
--- a/src/posthatch/net/beast_http_client.cc
+++ b/src/posthatch/net/beast_http_client.cc
@@ -28,6 +28,7 @@
   void ResumeReading() override {
     if (Running()) connection_->ResumeReading();
   }
+  bool SkipResponse() override { return Running() && connection_->SkipResponse(); }
   http::ConnectionUse connection_use() const override { return use_; }
 
  private:
@@ -71,8 +72,8 @@
         surplus_responses_(
             prometheus::BuildCounter()
                 .Name("posthatch_http_client_surplus_responses_total")
-                .Help("Connections closed because the server sent more than was asked for, such "
-                      "as a response for the second time")
+                .Help("Times that a server sent what no call had asked for, such as a response for "
+                      "the second time")
                 .Register(*metrics)
                 .Add({})),
         pool_(options, &idle_connections_, &surplus_responses_) {}
--- a/src/posthatch/net/http_client_connection.cc
+++ b/src/posthatch/net/http_client_connection.cc
@@ -62,6 +62,7 @@
   written_at_start_ = stream_->written_bytes();
   head_request_ = request.method == "HEAD";
   head_delivered_ = false;
+  skipping_ = false;
   paused_ = false;
   StartParser();
   Send(request);
@@ -158,6 +159,21 @@
   stream_->ResumeReading();
 }
 
+bool HttpClientConnection::SkipResponse() {
+  if (!head_delivered_ || !parser_->keep_alive() || parser_->need_eof()) return false;
+  skipping_ = true;
+  pool_->OnSurplusBytes();
+  return true;
+}
+
+void HttpClientConnection::AwaitNextHead() {
+  skipping_ = false;
+  head_delivered_ = false;
+  StartParser();
+  phase_ = Phase::kAwaitingHead;
+  stream_->SetDeadline(std::min(head_deadline_, BootNow() + kDeliveryTimeout));
+}
+
 void HttpClientConnection::OnBytes(std::string_view bytes) {
   const auto self = shared_from_this();
   if (phase_ == Phase::kIdle) {
@@ -187,13 +203,16 @@
       }
       if (!DeliverHead()) return;
     }
+    if (skipping_) parser_->body.clear();
     if (!parser_->body.empty()) {
       const auto observer = observer_;
       observer->on_chunk(std::exchange(parser_->body, {}));
       if (phase_ != Phase::kReadingBody) return;
     }
     if (error) return Fail(absl::DataLossError(absl::StrCat("answer: ", error.message())));
-    break;
+    if (!skipping_ || !parser_->is_done()) break;
+    AwaitNextHead();
+    if (bytes.empty()) return;
   }
   if (parser_->is_done()) {
     if (!bytes.empty()) {
@@ -204,7 +223,7 @@
   }
   if (bytes.size() > kMaxUnparsedBytes) return Fail(absl::DataLossError("answer: line too long"));
   unparsed_.assign(bytes);
-  if (phase_ == Phase::kReadingBody && !paused_ &&
+  if (phase_ == Phase::kReadingBody && !paused_ && !skipping_ &&
       options_.body_idle_timeout > runtime::Duration::zero()) {
     stream_->SetDeadlineAfter(options_.body_idle_timeout);
   }
@@ -221,6 +240,9 @@
   keep_alive_timeout_ = ParseKeepAliveTimeout(head.headers.Get("Keep-Alive"));
   const auto observer = observer_;
   observer->on_head(head);
+  if (skipping_ && head_deadline_ != runtime::MonotonicTime::max()) {
+    stream_->SetDeadline(head_deadline_);
+  }
   return phase_ == Phase::kReadingBody;
 }
 
@@ -249,7 +271,7 @@
 }
 
 http::CallProgress HttpClientConnection::Progress() const {
-  if (head_delivered_) return http::CallProgress::kHeadReceived;
+  if (head_delivered_ && !skipping_) return http::CallProgress::kHeadReceived;
   return stream_->written_bytes() > written_at_start_ ? http::CallProgress::kSent
                                                       : http::CallProgress::kNotSent;
 }
--- a/src/posthatch/net/http_client_connection.h
+++ b/src/posthatch/net/http_client_connection.h
@@ -20,7 +20,7 @@
   virtual bool ReturnToPool(const std::shared_ptr<HttpClientConnection>& connection) = 0;
   // Called when a connection of the pool was closed: removes it from the pool.
   virtual void OnConnectionClosed(HttpClientConnection* connection) = 0;
-  // Called when the server has sent bytes that no request asked for.
+  // Called when the server has sent bytes that no call had asked for.
   virtual void OnSurplusBytes() = 0;
 
  protected:
@@ -50,6 +50,8 @@
   void FailUnsent(uint64_t call, absl::Status status, http::CallObserver observer);
   void StopReading();
   void ResumeReading();
+  // See http::Call.
+  bool SkipResponse();
 
   // Ends an idle connection.
   void CloseIdle() { stream_->Close(); }
@@ -92,6 +94,8 @@
   void StartParser();
   void Parse(std::string_view bytes);
   bool DeliverHead();
+  // The skipped response is complete: waits for the next one.
+  void AwaitNextHead();
   // Completes a response whose end is marked by the server closing its side. Returns false if the
   // response is not delimited that way.
   bool FinishCloseDelimited();
@@ -116,6 +120,7 @@
   std::shared_ptr<const http::CallObserver> observer_;
   std::optional<ResponseParser> parser_;
   bool head_delivered_ = false;
+  bool skipping_ = false;  // the response in progress belongs to another call
   std::string unparsed_;
   runtime::Duration keep_alive_timeout_{0};
   runtime::MonotonicTime idle_since_;
--- a/src/posthatch/routing/traffic_request-test.cc
+++ b/src/posthatch/routing/traffic_request-test.cc
@@ -100,9 +100,24 @@
   EXPECT_EQ(writer->sent_response.status, 502);
 }
 
-TEST_F(TrafficRequestTest, MismatchedResponseIsNeverRelayed) {
+TEST_F(TrafficRequestTest, MismatchedResponseIsSkippedAndNeverRelayed) {
+  for (const char* route : {"once", "often", "stream", "resume"}) {
+    const auto writer = Send(route);
+    const auto call = client_.calls.back();
+    Head(200, "someone-else");
+    Head(503, "someone-else", /*rejected=*/true);
+    EXPECT_EQ(call->skipped, 2) << route;
+    EXPECT_FALSE(call->cancelled) << route;
+    EXPECT_EQ(client_.calls.back(), call) << route;
+    Respond(200, "id: 1\ndata: own\n\n");
+    EXPECT_EQ(writer->sent_response.body + writer->written, "id: 1\ndata: own\n\n") << route;
+  }
+}
+
+TEST_F(TrafficRequestTest, MismatchedResponseThatCannotBeSkippedFailsDispatch) {
   const auto writer = Send("once");
   const auto call = client_.calls.back();
+  call->can_skip = false;
   Head(200, "someone-else");
   call->Chunk("another response");
   call->End();
@@ -111,6 +126,14 @@
   EXPECT_TRUE(call->cancelled);
 }
 
+TEST_F(TrafficRequestTest, LostAfterMismatchedResponseMayHaveExecuted) {
+  const auto writer = Send("once");
+  Head(200, "someone-else");
+  Last().Error(CallProgress::kSent);
+  EXPECT_EQ(client_.calls.size(), 1U);
+  EXPECT_EQ(writer->sent_response.status, 502);
+}
+
 TEST_F(TrafficRequestTest, UnavailableAfterExecutionBecomesFailure) {
   const auto writer = Send("once");
   Respond(503, "executed");
--- a/src/posthatch/routing/traffic_request.cc
+++ b/src/posthatch/routing/traffic_request.cc
@@ -243,7 +243,11 @@
       context_->format->ClassifyResponse(admitted_.call, head);
   trace_.ResponseHead(attempt_number_, head, classification, *attempt_.worker,
                       attempt_.call->connection_use());
-  if (!classification.matches_request) return OnAttemptFailed(DispatchFailure::kMismatched);
+  if (!classification.matches_request) {
+    // Its own response follows, if this one is a late copy of another request's.
+    if (attempt_.call->SkipResponse()) return;
+    return OnAttemptFailed(DispatchFailure::kMismatched);
+  }
   WorkerPool* pool = context_->pool;
   const bool wrong_worker = !classification.instance_id.empty() &&
                             classification.instance_id != attempt_.worker->backend.id();
--- a/src/posthatch/server/late_responses-test.cc
+++ b/src/posthatch/server/late_responses-test.cc
@@ -56,7 +56,7 @@
     if (count > 1) repeated.push_back(id);
   }
   EXPECT_THAT(repeated, testing::IsEmpty());
-  const std::vector<std::string> rejected = fleet_.RejectedServiceRequests();
+  const std::vector<std::string> rejected = fleet_.ServiceRequestsWithStatus(503);
   std::vector<std::string> executed;
   for (const std::string& id : rejected) {
     if (fleet_.instances.executions.contains(id)) executed.push_back(id);
@@ -67,6 +67,14 @@
   EXPECT_GT(fleet_.instances.rejections, 1000U);
 }
 
+// A copy of another request's response is followed by the request's own.
+TEST_P(LateResponsesTest, CopyOfOtherResponseFailsNoDispatch) {
+  SendCopies(fleet_.instances.hosts, {.share = 0.8});
+  fleet_.RunWithServiceRequests(seconds(30), 60);
+  EXPECT_EQ(fleet_.ServiceRequestsWithStatus(502).size(), 0U);
+  EXPECT_GT(fleet_.ServiceRequestsWithStatus(200).size(), 1500U);
+}
+
 // Incident 48, same cause: the copy of a worker's status was taken for the response to a command,
 // which it seemed to have carried out: the worker was left with outdated weights (rule VERSION).
 TEST_P(LateResponsesTest, CopyOfStatusConfirmsNoCommand) {
--- a/src/posthatch/server/platform_fleet-test.h
+++ b/src/posthatch/server/platform_fleet-test.h
@@ -219,13 +219,13 @@
       world.RunFor(runtime::Duration(seconds(1)) / per_second);
     }
   }
-  // Ids of the service's requests that were answered with "not run, and will not run".
-  std::vector<std::string> RejectedServiceRequests() const {
-    std::vector<std::string> rejected;
+  // Ids of the service's requests that were answered with `status`.
+  std::vector<std::string> ServiceRequestsWithStatus(int status) const {
+    std::vector<std::string> ids;
     for (const auto& [id, writer] : service_writers_) {
-      if (writer->sent_response.status == 503) rejected.push_back(id);
+      if (writer->responses > 0 && writer->sent_response.status == status) ids.push_back(id);
     }
-    return rejected;
+    return ids;
   }
   // Describes each prompt that started on an old revision although a newer one had been
   // acknowledged for more than `bound` of uninterrupted time in which the controllers were stable.
--- a/src/posthatch/simulation/sim_call.cc
+++ b/src/posthatch/simulation/sim_call.cc
@@ -42,10 +42,21 @@
 void SimCall::SendRequest() {
   progress_ = CallProgress::kSent;
   connection_->SendRequest(std::move(request_));
-  if (options_.head_timeout > runtime::Duration(0)) {
-    timer_.Start(options_.head_timeout,
-                 [this] { Fail(absl::DeadlineExceededError("no status line in time")); });
-  }
+  head_deadline_ = client_->clock()->Now() + options_.head_timeout;
+  AwaitHead();
+}
+
+void SimCall::AwaitHead() {
+  if (options_.head_timeout <= runtime::Duration(0)) return;
+  timer_.Start(head_deadline_ - client_->clock()->Now(),
+               [this] { Fail(absl::DeadlineExceededError("no status line in time")); });
+}
+
+bool SimCall::SkipResponse() {
+  if (done_) return false;
+  skipping_ = true;
+  progress_ = CallProgress::kSent;
+  return true;
 }
 
 void SimCall::OnHead(const http::Response& head) {
@@ -76,6 +87,7 @@
 }
 
 void SimCall::OnChunk(std::string chunk) {
+  if (skipping_) return;
   last_chunk_at_ = client_->clock()->Now();
   body_bytes_ += chunk.size();
   if (body_bytes_ > options_.max_body_bytes) {
@@ -90,6 +102,10 @@
 }
 
 void SimCall::OnEnd() {
+  if (skipping_) {
+    skipping_ = false;
+    return AwaitHead();
+  }
   const auto self = shared_from_this();
   const std::function<void()> on_end = std::move(observer_.on_end);
   Finish(true);
--- a/src/posthatch/simulation/sim_call.h
+++ b/src/posthatch/simulation/sim_call.h
@@ -22,6 +22,7 @@
   void Cancel();
   void StopReading();
   void ResumeReading();
+  bool SkipResponse();
   http::ConnectionUse connection_use() const { return use_; }
 
   void OnConnected() override;
@@ -32,6 +33,8 @@
 
  private:
   void SendRequest();
+  // The status line must come before head_deadline_.
+  void AwaitHead();
   void StartBodyIdleTimer(runtime::Duration delay);
   void CheckBodyIdle();
   void Fail(absl::Status status);
@@ -49,11 +52,13 @@
   http::ConnectionUse use_;
   // Limits the wait for the connection, then for the status line, then for each chunk of the body.
   runtime::Timer timer_;
+  runtime::MonotonicTime head_deadline_{};
   runtime::MonotonicTime last_chunk_at_{};
   http::CallProgress progress_ = http::CallProgress::kNotSent;
   size_t body_bytes_ = 0;
   int running_callbacks_ = 0;
   bool paused_ = false;
+  bool skipping_ = false;  // the response in progress belongs to another call
   bool done_ = false;
 };
 
--- a/src/posthatch/simulation/sim_http_client.cc
+++ b/src/posthatch/simulation/sim_http_client.cc
@@ -20,6 +20,7 @@
   void ResumeReading() override {
     if (call_ != nullptr) call_->ResumeReading();
   }
+  bool SkipResponse() override { return call_ != nullptr && call_->SkipResponse(); }
   http::ConnectionUse connection_use() const override {
     return call_ == nullptr ? http::ConnectionUse() : call_->connection_use();
   }
