--- a/src/posthatch/emulator/json_client.cc
+++ b/src/posthatch/emulator/json_client.cc
@@ -31,8 +31,8 @@
     if (weak.lock()) Finish(id, error.status);
   };
   calls_[id] = running;
-  running->call =
-      runtime_->http_client->Start(endpoint, std::move(request), options, std::move(observer));
+  running->call = runtime_->http_client->Start(endpoint, std::move(request), std::move(options),
+                                               std::move(observer));
 }
 
 void JsonClient::Finish(uint64_t id, absl::StatusOr<http::Response> result) {
--- a/src/posthatch/net/beast_http_client-test.cc
+++ b/src/posthatch/net/beast_http_client-test.cc
@@ -1,7 +1,9 @@
 #include "posthatch/net/beast_http_client.h"
 
 #include <optional>
+#include <string>
 
+#include "absl/strings/str_cat.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 #include "posthatch/net/raw_socket-test.h"
@@ -264,13 +266,13 @@
   std::optional<RawSocket> server_;
 };
 
-const std::string kForeignSized = "HTTP/1.1 503 No\r\nId: other\r\nContent-Length: 3\r\n\r\nxyz";
-const std::string kForeignChunked =
+constexpr char kForeignSized[] = "HTTP/1.1 503 No\r\nId: other\r\nContent-Length: 3\r\n\r\nxyz";
+constexpr char kForeignChunked[] =
     "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n";
-const std::string kOwn = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nabc";
+constexpr char kOwn[] = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nabc";
 
 TEST_F(HttpClientSkipTest, DeliversOnlyTheResponseBehindSkippedOnes) {
-  server_->Send(runtime_.get(), kForeignSized + kForeignChunked + kOwn);
+  server_->Send(runtime_.get(), absl::StrCat(kForeignSized, kForeignChunked, kOwn));
   WaitUntilFinished(outcome_);
   EXPECT_THAT(skipped_, testing::ElementsAre(true, true));
   EXPECT_TRUE(outcome_.ended);
@@ -282,7 +284,7 @@
 
 TEST_F(HttpClientSkipTest, DeliversResponseThatComesInPieces) {
   constexpr size_t kPieceBytes = 7;
-  const std::string bytes = kForeignChunked + kForeignSized + kOwn;
+  const std::string bytes = absl::StrCat(kForeignChunked, kForeignSized, kOwn);
   for (size_t sent = 0; sent < bytes.size(); sent += kPieceBytes) {
     server_->Send(runtime_.get(), bytes.substr(sent, kPieceBytes));
     RunFor(runtime_.get(), std::chrono::microseconds(100));
@@ -299,7 +301,8 @@
 }
 
 TEST_F(HttpClientSkipTest, ConnectionClosedWithinSkippedResponseMayHaveExecuted) {
-  server_->Send(runtime_.get(), kForeignSized.substr(0, kForeignSized.size() - 1));
+  const std::string response = kForeignSized;
+  server_->Send(runtime_.get(), response.substr(0, response.size() - 1));
   RunFor(runtime_.get(), milliseconds(20));
   server_->Close();
   WaitUntilFinished(outcome_);
--- a/src/posthatch/simulation/sim_call.cc
+++ b/src/posthatch/simulation/sim_call.cc
@@ -13,7 +13,7 @@
     : client_(client),
       endpoint_(std::move(endpoint)),
       request_(std::move(request)),
-      options_(options),
+      options_(std::move(options)),
       observer_(std::move(observer)),
       timer_(client->timers()) {}
 
--- a/src/posthatch/simulation/sim_http-test.cc
+++ b/src/posthatch/simulation/sim_http-test.cc
@@ -66,8 +66,8 @@
     request.method = "POST";
     request.target = target;
     request.body = "body";
-    return client_->runtime()->http_client->Start(server_->http_endpoint(), request, options,
-                                                  observed->Observer());
+    return client_->runtime()->http_client->Start(server_->http_endpoint(), request,
+                                                  std::move(options), observed->Observer());
   }
 
   SimWorld world_;
--- a/src/posthatch/simulation/sim_http_client.cc
+++ b/src/posthatch/simulation/sim_http_client.cc
@@ -59,7 +59,7 @@
                                                         const http::PooledConnectionRules& rules) {
   std::vector<std::shared_ptr<HttpConnection>>& idle = idle_[endpoint];
   for (size_t i = idle.size(); i > 0; --i) {
-    const std::shared_ptr<HttpConnection> connection = idle[i - 1];
+    std::shared_ptr<HttpConnection> connection = idle[i - 1];
     if (connection->client_open() && IsExcluded(rules, *connection)) continue;
     idle.erase(idle.begin() + static_cast<ptrdiff_t>(i - 1));
     if (connection->client_open()) return connection;
