--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,7 +4,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), 'common-2'))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), '5'))
 import standins as s  # noqa: E402
 
 GRACE_S = 7.5
